--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Two commands matter: `make demo` runs the main job, `make test` the tests.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+ARGS ?=
+
+.PHONY: setup demo test lint protocol bench
+
+setup: $(VENV)/.stamp
+
+$(VENV)/.stamp: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+demo: setup
+	@$(BIN)/bamboolever demo $(ARGS)
+
+test: setup
+	$(BIN)/python -m pytest $(ARGS)
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+# Needs thrift-compiler; the output is committed, so nobody else does.
+protocol:
+	rm -rf build/protocol && mkdir -p build/protocol
+	thrift --gen py:slots -out build/protocol protocol/bamboolever.thrift
+	cp build/protocol/protocol/*.py src/bamboolever/_protocol/
+
+bench: setup
+	@$(BIN)/bamboolever bench $(ARGS)
--- /dev/null
+++ b/src/bamboolever/__init__.py
@@ -0,0 +1,1 @@
+"""Weight distribution for bursts: coordination parts and thin daemons."""
--- /dev/null
+++ b/src/bamboolever/_burst.py
@@ -0,0 +1,521 @@
+"""Runs one agent's part of a burst: peers, fetches, grants and chunk serving.
+
+Everything here runs on the agent's task; blocking reads go to its executor.
+"""
+
+import logging
+import random
+from collections.abc import Callable
+from concurrent.futures import Executor, Future
+from dataclasses import dataclass
+from typing import final
+
+from bamboolever._chunkstore import ChunkStore
+from bamboolever._connection import ConnectionHandler, FrameConnection, Identity
+from bamboolever._grants import (
+    GRANT_KIND,
+    GrantError,
+    GrantRequest,
+    SegmentGrants,
+)
+from bamboolever._manifest import Manifest
+from bamboolever._membership import Member
+from bamboolever._origin import Origin, OriginError
+from bamboolever._planner import (
+    BurstView,
+    FetchFromOrigin,
+    FetchFromPeer,
+    PeerPlace,
+    PeerView,
+    RequestGrant,
+    iterate_bits,
+)
+from bamboolever._platform import Platform, PlatformError, update_object
+from bamboolever._policies import ORIGIN_SOURCE, UnknownPolicy, make_policy
+from bamboolever._protocol.ttypes import (
+    ChunkReply,
+    ChunkRequest,
+    Frame,
+    HaveMap,
+    Target,
+)
+from bamboolever._ratelimit import TokenBucket
+from bamboolever._task import IoTask
+from bamboolever._telemetry import Telemetry
+
+logger = logging.getLogger(__name__)
+
+PLAN_PERIOD_S = 0.05
+HAVE_PERIOD_S = 0.02
+LOCAL_FETCH_TIMEOUT_S = 5.0
+REMOTE_FETCH_TIMEOUT_S = 30.0
+PEER_RETRY_S = 1.0
+GRANT_RETRY_S = 1.0
+BUSY_RETRY_S = 0.2
+MAX_QUEUED_UPLOAD_BYTES = 8 * 2**20
+
+
+@dataclass
+class _Fetch:
+    index: int
+    peer_id: str
+    deadline: float
+
+
+@dataclass(frozen=True)
+class _GrantResult:
+    grants: SegmentGrants
+    new_indexes: frozenset[int]
+
+
+@dataclass
+class TransferCounts:
+    """Bytes of chunks received, by source."""
+
+    origin_bytes: int = 0
+    local_bytes: int = 0
+    import_bytes: int = 0
+
+
+@final
+class BurstRunner:
+    """Moves the target's chunks to this agent and on to its peers."""
+
+    def __init__(
+        self,
+        task: IoTask,
+        executor: Executor,
+        identity: Identity,
+        *,
+        store: ChunkStore,
+        origin: Origin,
+        platform: Platform,
+        telemetry: Telemetry,
+        transfer_rate: float,
+        on_complete: Callable[[Manifest], None],
+    ):
+        self._task = task
+        self._executor = executor
+        self._identity = identity
+        self._store = store
+        self._origin = origin
+        self._platform = platform
+        self._telemetry = telemetry
+        self._uploads = TokenBucket(transfer_rate, transfer_rate / 4)
+        self._on_complete = on_complete
+        self._place = PeerPlace(
+            identity.instance_id, identity.region, identity.availability_zone
+        )
+        self._view: BurstView | None = None
+        self._policy = make_policy("budgeted", 0)
+        self._is_verifying = False
+        self._members: dict[str, Member] = {}
+        self._peers: dict[str, FrameConnection] = {}
+        self._peer_retry_at: dict[str, float] = {}
+        self._subscribers: set[FrameConnection] = set()
+        self._fetches: dict[int, _Fetch] = {}
+        self._next_request = 1
+        self._upload_count = 0
+        self._is_have_scheduled = False
+        self._random = random.Random(identity.instance_id)
+        self.counts = TransferCounts()
+
+    @property
+    def chunks_held(self) -> int:
+        """Number of the target's chunks that are held."""
+        return self._view.have.bit_count() if self._view else 0
+
+    @property
+    def chunks_total(self) -> int:
+        """Number of the target's chunks."""
+        return self._view.chunk_count if self._view else 0
+
+    def start(self) -> None:
+        """Begin to plan; call on the task's thread."""
+        self._task.call_every(PLAN_PERIOD_S, self._on_tick)
+
+    def set_target(self, target: Target, manifest: Manifest) -> None:
+        """Fetch this version from now on; the old one's fetches are dropped."""
+        view = BurstView(
+            self._place,
+            manifest,
+            aim=target.aim,
+            origin_copies=target.origin_copies,
+            started_at=self._task.now(),
+        )
+        view.have = self._store.held(manifest)
+        self._view = view
+        self._fetches.clear()
+        self._is_verifying = False
+        self._set_policy(target.policy)
+        self._update_fleet()
+        for peer_id, connection in self._peers.items():
+            if connection.is_open:
+                self._add_peer_view(peer_id)
+        self._announce_have()
+        self._plan()
+
+    def close_connections(self) -> None:
+        """Close the connections that this agent opened."""
+        for connection in list(self._peers.values()):
+            connection.close("stopping")
+
+    def set_members(self, members: list[Member]) -> None:
+        """Take the current agents of this service."""
+        self._members = {m.record.instance_id: m for m in members if not m.is_leaving}
+        self._update_fleet()
+
+    def add_subscriber(self, connection: FrameConnection) -> None:
+        """Serve a peer that connected to this agent."""
+        self._subscribers.add(connection)
+        self._send_have(connection)
+
+    def remove_subscriber(self, connection: FrameConnection) -> None:
+        """Forget a peer whose connection ended."""
+        self._subscribers.discard(connection)
+
+    def on_chunk_request(
+        self, connection: FrameConnection, request: ChunkRequest
+    ) -> None:
+        """Send a chunk, paced to the transfer rate; a full queue says no."""
+        data = self._store.get(request.digest or "")
+        is_full = connection.queued_bytes > MAX_QUEUED_UPLOAD_BYTES
+        if data is None or is_full:
+            reply = ChunkReply(request.request_id, request.digest, False, b"")
+            connection.send(chunk_reply=reply)
+            return
+        self._upload_count += 1
+        reply = ChunkReply(request.request_id, request.digest, True, data)
+        wait_s = self._uploads.take_debt(self._task.now(), len(data))
+        if wait_s <= 0:
+            connection.send(chunk_reply=reply)
+            return
+        self._task.call_later(wait_s, lambda: connection.send(chunk_reply=reply))
+
+    def on_peer_open(self, connection: FrameConnection) -> None:
+        """Use a connection that this agent opened."""
+        self._add_peer_view(connection.peer_id)
+
+    def on_peer_frame(self, connection: FrameConnection, frame: Frame) -> None:
+        """Handle a frame from a peer this agent connected to."""
+        if frame.have_map is not None:
+            self._on_have(connection.peer_id, frame.have_map)
+        elif frame.chunk_reply is not None:
+            self._on_reply(connection.peer_id, frame.chunk_reply)
+
+    def on_peer_close(self, connection: FrameConnection, reason: str) -> None:
+        """Give the peer's fetches back and retry the connection later."""
+        for peer_id, known in list(self._peers.items()):
+            if known is not connection:
+                continue
+            del self._peers[peer_id]
+            self._peer_retry_at[peer_id] = self._task.now() + PEER_RETRY_S
+            self._drop_fetches(lambda fetch, p=peer_id: fetch.peer_id == p)  # type: ignore[misc]
+            if self._view is not None:
+                self._view.peers.pop(peer_id, None)
+            self._telemetry.count("peer_connections_closed", reason=reason[:40])
+
+    def _set_policy(self, name: str) -> None:
+        seed = self._random.getrandbits(32)
+        try:
+            self._policy = make_policy(name, seed)
+        except UnknownPolicy:
+            logger.error("unknown distribution policy; using budgeted", exc_info=True)
+            self._policy = make_policy("budgeted", seed)
+
+    def _update_fleet(self) -> None:
+        if self._view is None:
+            return
+        fleet = {
+            member.record.instance_id: PeerPlace(
+                member.record.instance_id,
+                member.record.region,
+                member.record.availability_zone,
+            )
+            for member in self._members.values()
+        }
+        fleet[self._place.instance_id] = self._place
+        self._view.fleet = fleet
+
+    def _add_peer_view(self, peer_id: str) -> None:
+        if self._view is None or peer_id in self._view.peers:
+            return
+        member = self._members.get(peer_id)
+        if member is None:
+            return
+        record = member.record
+        place = PeerPlace(peer_id, record.region, record.availability_zone)
+        self._view.peers[peer_id] = PeerView(place)
+
+    def _on_tick(self) -> None:
+        if self._view is None:
+            return
+        now = self._task.now()
+        self._drop_fetches(lambda fetch: fetch.deadline <= now)
+        self._plan()
+
+    def _plan(self) -> None:
+        view = self._view
+        if view is None:
+            return
+        if view.is_complete:
+            self._verify(view)
+            return
+        self._connect_peers(view)
+        now = self._task.now()
+        for action in self._policy.plan(view, now):
+            if isinstance(action, FetchFromPeer):
+                self._fetch_from_peer(view, action, now)
+            elif isinstance(action, FetchFromOrigin):
+                self._fetch_from_origin(view, action.index)
+            else:
+                self._request_grant(view, action)
+
+    def _connect_peers(self, view: BurstView) -> None:
+        now = self._task.now()
+        for peer_id in self._policy.wanted_peers(view):
+            member = self._members.get(peer_id)
+            if member is None or peer_id in self._peers:
+                continue
+            if now < self._peer_retry_at.get(peer_id, 0.0):
+                continue
+            address = (member.record.host, member.record.port)
+            self._peers[peer_id] = FrameConnection.connect(
+                self._task, address, self._identity, _PeerHandler(self)
+            )
+
+    def _fetch_from_peer(
+        self, view: BurstView, action: FetchFromPeer, now: float
+    ) -> None:
+        connection = self._peers.get(action.peer_id)
+        peer = view.peers.get(action.peer_id)
+        if connection is None or peer is None or action.index in view.in_flight:
+            return
+        is_local = peer.place.region == self._place.region
+        timeout_s = LOCAL_FETCH_TIMEOUT_S if is_local else REMOTE_FETCH_TIMEOUT_S
+        request_id = self._next_request
+        self._next_request += 1
+        self._fetches[request_id] = _Fetch(
+            action.index, action.peer_id, now + timeout_s
+        )
+        view.in_flight[action.index] = action.peer_id
+        peer.in_flight += 1
+        digest = view.manifest.chunks[action.index].digest
+        connection.send(chunk_request=ChunkRequest(request_id, digest))
+
+    def _fetch_from_origin(self, view: BurstView, index: int) -> None:
+        if index in view.in_flight:
+            return
+        view.in_flight[index] = ORIGIN_SOURCE
+        for state in view.grants:
+            # Spent when asked for: an answer that is lost was still sent.
+            state.origin_budget.discard(index)
+        chunk = view.manifest.chunks[index]
+        self._task.submit(
+            self._executor,
+            lambda: self._origin.read_chunk(chunk.digest, chunk.size),
+            lambda future: self._on_origin_chunk(view, index, future),
+        )
+
+    def _on_origin_chunk(
+        self, view: BurstView, index: int, future: "Future[bytes]"
+    ) -> None:
+        view.in_flight.pop(index, None)
+        try:
+            data = future.result()
+        except OriginError as error:
+            logger.warning("origin read failed: %s", error)
+            self._telemetry.count("fetch_failures", reason="origin-error")
+            return
+        self.counts.origin_bytes += len(data)
+        self._accept_chunk(view, index, data, ORIGIN_SOURCE)
+
+    def _accept_chunk(
+        self, view: BurstView, index: int, data: bytes, source: str
+    ) -> None:
+        digest = view.manifest.chunks[index].digest
+        if not self._store.add(digest, data):
+            self._telemetry.count("fetch_failures", reason="corrupt-chunk")
+            logger.warning("a corrupt chunk came from %s", source)
+            peer = view.peers.get(source)
+            if peer is not None:
+                peer.is_banned = True
+            return
+        if view is not self._view:
+            return
+        view.add_chunk(index, self._task.now())
+        self._announce_have()
+        self._plan()
+
+    def _on_have(self, peer_id: str, have: HaveMap) -> None:
+        view = self._view
+        if view is None or have.manifest_digest != view.manifest.digest:
+            return
+        peer = view.peers.get(peer_id)
+        if peer is None:
+            self._add_peer_view(peer_id)
+            peer = view.peers.get(peer_id)
+        if peer is None:
+            return
+        bitmap = int.from_bytes(have.bitmap or b"", "little")
+        peer.have = bitmap & view.all_chunks
+        peer.uploads = have.uploads or 0
+        self._plan()
+
+    def _on_reply(self, peer_id: str, reply: ChunkReply) -> None:
+        fetch = self._fetches.pop(reply.request_id or 0, None)
+        view = self._view
+        if fetch is None or view is None or fetch.peer_id != peer_id:
+            return
+        self._finish_fetch(view, fetch)
+        peer = view.peers.get(peer_id)
+        if not reply.found:
+            if peer is not None:
+                peer.retry_at = self._task.now() + BUSY_RETRY_S
+            self._telemetry.count("fetch_failures", reason="peer-refused")
+            return
+        self._count_received(peer, len(reply.data))
+        self._accept_chunk(view, fetch.index, reply.data, peer_id)
+
+    def _count_received(self, peer: PeerView | None, amount: int) -> None:
+        if peer is None or peer.place.region == self._place.region:
+            self.counts.local_bytes += amount
+            return
+        self.counts.import_bytes += amount
+
+    def _drop_fetches(self, is_dropped: Callable[[_Fetch], bool]) -> None:
+        view = self._view
+        for request_id, fetch in list(self._fetches.items()):
+            if not is_dropped(fetch):
+                continue
+            del self._fetches[request_id]
+            self._telemetry.count("fetch_failures", reason="no-answer")
+            if view is None:
+                continue
+            self._finish_fetch(view, fetch)
+            peer = view.peers.get(fetch.peer_id)
+            if peer is not None:
+                peer.retry_at = self._task.now() + PEER_RETRY_S
+
+    def _finish_fetch(self, view: BurstView, fetch: _Fetch) -> None:
+        view.in_flight.pop(fetch.index, None)
+        peer = view.peers.get(fetch.peer_id)
+        if peer is not None:
+            peer.in_flight = max(0, peer.in_flight - 1)
+
+    def _request_grant(self, view: BurstView, action: RequestGrant) -> None:
+        state = view.grants[action.segment]
+        state.is_pending = True
+        request = self._make_request(view, action)
+        name = f"{view.manifest.digest[:24]}.{action.segment}"
+        self._task.submit(
+            self._executor,
+            lambda: _obtain_grant(self._platform, name, request),
+            lambda future: self._on_grant(view, action.segment, future),
+        )
+
+    def _make_request(self, view: BurstView, action: RequestGrant) -> GrantRequest:
+        chunks = view.manifest.chunks
+        mask = view.segment_masks[action.segment]
+        return GrantRequest(
+            holder=self._place.instance_id,
+            region=self._place.region,
+            missing=action.missing,
+            missing_bytes=sum(chunks[index].size for index in action.missing),
+            segment_bytes=sum(chunks[index].size for index in iterate_bits(mask)),
+            aim=view.aim,
+            origin_copies=view.origin_copies,
+            dead_holders=action.dead_holders,
+        )
+
+    def _on_grant(
+        self, view: BurstView, segment: int, future: "Future[_GrantResult]"
+    ) -> None:
+        state = view.grants[segment]
+        state.is_pending = False
+        jitter = 0.5 + self._random.random()
+        state.retry_at = self._task.now() + GRANT_RETRY_S * jitter
+        try:
+            result = future.result()
+        except (PlatformError, GrantError) as error:
+            reason = type(error).__name__
+            self._telemetry.count("grant_failures", reason=reason)
+            return
+        state.grants = result.grants
+        state.origin_budget |= result.new_indexes
+        if result.new_indexes:
+            view.progress_at[segment] = self._task.now()
+        if view is self._view:
+            self._plan()
+
+    def _verify(self, view: BurstView) -> None:
+        if self._is_verifying:
+            return
+        self._is_verifying = True
+        self._task.submit(
+            self._executor,
+            lambda: self._store.is_whole(view.manifest),
+            lambda future: self._on_verified(view, future),
+        )
+
+    def _on_verified(self, view: BurstView, future: "Future[bool]") -> None:
+        if view is not self._view:
+            return
+        if future.result():
+            self._on_complete(view.manifest)
+            return
+        logger.error("the whole of %s does not verify", view.manifest.version)
+        self._telemetry.count("fetch_failures", reason="whole-digest")
+
+    def _announce_have(self) -> None:
+        if self._is_have_scheduled:
+            return
+        self._is_have_scheduled = True
+        self._task.call_later(HAVE_PERIOD_S, self._broadcast_have)
+
+    def _broadcast_have(self) -> None:
+        self._is_have_scheduled = False
+        for connection in self._subscribers:
+            self._send_have(connection)
+
+    def _send_have(self, connection: FrameConnection) -> None:
+        view = self._view
+        if view is None:
+            return
+        size = (view.chunk_count + 7) // 8
+        bitmap = view.have.to_bytes(size, "little")
+        have = HaveMap(view.manifest.digest, bitmap, self._upload_count)
+        connection.send(have_map=have)
+
+
+def _obtain_grant(platform: Platform, name: str, request: GrantRequest) -> _GrantResult:
+    """Ask for a grant; blocks on the platform."""
+    granted = SegmentGrants()
+    new_indexes: frozenset[int] = frozenset()
+
+    def change(value: bytes | None) -> bytes | None:
+        nonlocal granted, new_indexes
+        current = SegmentGrants.decode(value)
+        granted = current.grant(request)
+        is_new = len(granted.origin) > len(current.origin)
+        new_indexes = frozenset(request.missing) if is_new else frozenset()
+        return None if granted is current else granted.encode()
+
+    update_object(platform, GRANT_KIND, name, change)
+    return _GrantResult(granted, new_indexes)
+
+
+class _PeerHandler(ConnectionHandler):
+    """Passes what happens on an outgoing peer connection to the runner."""
+
+    def __init__(self, runner: BurstRunner):
+        self._runner = runner
+
+    def on_open(self, connection: FrameConnection) -> None:
+        self._runner.on_peer_open(connection)
+
+    def on_frame(self, connection: FrameConnection, frame: Frame) -> None:
+        self._runner.on_peer_frame(connection, frame)
+
+    def on_close(self, connection: FrameConnection, reason: str) -> None:
+        self._runner.on_peer_close(connection, reason)
--- /dev/null
+++ b/src/bamboolever/_cli.py
@@ -0,0 +1,367 @@
+"""The ``bamboolever`` command line.
+
+Exit codes: 0 done; 1 an outcome is wrong or incomplete; 2 bad input;
+3 another operator's change came first; 4 the platform cannot be reached.
+"""
+
+import dataclasses
+import getpass
+import json
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+from returns.result import Failure
+
+EXIT_OK = 0
+EXIT_WRONG = 1
+EXIT_BAD_INPUT = 2
+EXIT_RACE_LOST = 3
+EXIT_PLATFORM = 4
+
+EXIT_CODES = (
+    "Exit codes: 0 done; 1 an outcome is wrong; 2 bad input; 3 another operator's "
+    "change came first; 4 the platform cannot be reached."
+)
+
+app = typer.Typer(
+    help="Pushes model weights to a live fleet in a burst and routes its calls.",
+    epilog=EXIT_CODES,
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+stand_in_app = typer.Typer(
+    help="Small fakes of the outside systems, for trials.", no_args_is_help=True
+)
+app.add_typer(stand_in_app, name="stand-in")
+
+SettingsFile = Annotated[Path, typer.Option("--settings", help="TOML settings file.")]
+PlatformUrl = Annotated[
+    str,
+    typer.Option(
+        "--platform", envvar="BAMBOOLEVER_PLATFORM", help="URL of the object API."
+    ),
+]
+AsJson = Annotated[bool, typer.Option("--json", help="Print one JSON object.")]
+Operator = Annotated[
+    str, typer.Option("--operator", help="Your name, shown to other operators.")
+]
+Files = Annotated[list[Path], typer.Argument(help="TOML files.")]
+LogLevel = Annotated[str, typer.Option("--log-level")]
+
+DEFAULT_PLATFORM = "http://127.0.0.1:7000"
+
+
+def _connect(url: str) -> Any:
+    from bamboolever._platform import HttpPlatform
+
+    return HttpPlatform(url, timeout_s=5.0, calls_per_second=100.0)
+
+
+def _fail(message: str, code: int) -> typer.Exit:
+    typer.echo(f"bamboolever: {message}", err=True)
+    return typer.Exit(code)
+
+
+def _fail_with_faults(faults: list[Any]) -> typer.Exit:
+    for fault in faults:
+        typer.echo(f"bamboolever: {fault}", err=True)
+    return typer.Exit(EXIT_BAD_INPUT)
+
+
+def _run_daemon(settings: Path, role: str, log_level: str) -> None:
+    from bamboolever._daemon import load_daemon
+    from bamboolever._telemetry import configure_logging
+
+    configure_logging(log_level)
+    loaded = load_daemon(settings, role)
+    if isinstance(loaded, Failure):
+        raise _fail_with_faults(loaded.failure())
+    raise typer.Exit(loaded.unwrap().run())
+
+
+def _wait_for_stop() -> None:
+    import signal
+    import threading
+
+    stop = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stop.set())
+    signal.signal(signal.SIGINT, lambda *_: stop.set())
+    stop.wait()
+
+
+@app.command(epilog=EXIT_CODES)
+def entry(settings: SettingsFile, log_level: LogLevel = "INFO") -> None:
+    """Run an entry: callers' HTTP, contracts, routing."""
+    _run_daemon(settings, "entry", log_level)
+
+
+@app.command(epilog=EXIT_CODES)
+def agent(settings: SettingsFile, log_level: LogLevel = "INFO") -> None:
+    """Run an agent beside one upstream."""
+    _run_daemon(settings, "agent", log_level)
+
+
+@app.command(epilog=EXIT_CODES)
+def check(
+    files: Files,
+    kind: Annotated[
+        str, typer.Option(help="documents, entry or agent (settings).")
+    ] = "documents",
+    as_json: AsJson = False,
+) -> None:
+    """Check TOML files and write nothing."""
+    from bamboolever._documents import load_toml
+    from bamboolever._operator import load_files
+    from bamboolever._settings import AgentSettings, EntrySettings
+
+    faults: list[Any] = []
+    if kind == "documents":
+        loaded = load_files(files)
+        faults = loaded.failure() if isinstance(loaded, Failure) else []
+    elif kind in ("entry", "agent"):
+        model = EntrySettings if kind == "entry" else AgentSettings
+        for path in files:
+            result = load_toml(path, model)
+            faults += result.failure() if isinstance(result, Failure) else []
+    else:
+        raise _fail(f"unknown kind {kind!r}; use documents, entry, agent", 2)
+    if as_json:
+        rows = [dataclasses.asdict(fault) for fault in faults]
+        typer.echo(json.dumps({"faults": rows}))
+        raise typer.Exit(EXIT_BAD_INPUT if faults else EXIT_OK)
+    if faults:
+        raise _fail_with_faults(faults)
+    typer.echo(f"{len(files)} file(s) without faults")
+
+
+def _plan(files: list[Path], platform: Any) -> list[Any]:
+    from bamboolever._operator import load_files, plan_changes
+    from bamboolever._platform import PlatformError
+
+    loaded = load_files(files)
+    if isinstance(loaded, Failure):
+        raise _fail_with_faults(loaded.failure())
+    try:
+        return plan_changes(platform, loaded.unwrap())
+    except PlatformError as error:
+        raise _fail(f"the platform cannot be read: {error}", EXIT_PLATFORM) from error
+
+
+def _show_changes(changes: list[Any], *, as_json: bool, written: int) -> None:
+    if as_json:
+        rows = [
+            {
+                "kind": change.key.kind,
+                "name": change.key.name,
+                "differences": list(change.differences),
+            }
+            for change in changes
+        ]
+        typer.echo(json.dumps({"changes": rows, "written": written}))
+        return
+    for change in changes:
+        mark = "~" if change.is_needed else "="
+        typer.echo(f"{mark} {change.key.kind}/{change.key.name}")
+        for difference in change.differences:
+            typer.echo(f"    {difference}")
+
+
+@app.command(epilog=EXIT_CODES)
+def diff(
+    files: Files, platform: PlatformUrl = DEFAULT_PLATFORM, as_json: AsJson = False
+) -> None:
+    """Show what apply would change; exit code 1 when anything would."""
+    changes = _plan(files, _connect(platform))
+    _show_changes(changes, as_json=as_json, written=0)
+    is_needed = any(change.is_needed for change in changes)
+    raise typer.Exit(EXIT_WRONG if is_needed else EXIT_OK)
+
+
+@app.command(epilog=EXIT_CODES)
+def apply(
+    files: Files,
+    platform: PlatformUrl = DEFAULT_PLATFORM,
+    operator: Operator = "",
+    as_json: AsJson = False,
+) -> None:
+    """Write contracts and services; safe to repeat."""
+    from bamboolever._operator import RaceLost, apply_changes
+    from bamboolever._platform import PlatformError
+
+    store = _connect(platform)
+    changes = _plan(files, store)
+    try:
+        written = apply_changes(store, changes, operator or getpass.getuser())
+    except RaceLost as error:
+        raise _fail(str(error), EXIT_RACE_LOST) from error
+    except PlatformError as error:
+        message = f"the platform did not confirm ({error}); apply again"
+        raise _fail(message, EXIT_PLATFORM) from error
+    _show_changes(changes, as_json=as_json, written=written)
+
+
+@app.command(epilog=EXIT_CODES)
+def get(
+    kind: Annotated[str, typer.Argument(help="contracts, services or rollouts.")],
+    name: str,
+    platform: PlatformUrl = DEFAULT_PLATFORM,
+) -> None:
+    """Print one stored document as JSON, with its revision."""
+    from bamboolever._documents import CONFIGURATION_KINDS
+    from bamboolever._platform import PlatformError
+
+    if kind not in CONFIGURATION_KINDS:
+        known = ", ".join(CONFIGURATION_KINDS)
+        raise _fail(f"unknown kind {kind!r}; use one of {known}", EXIT_BAD_INPUT)
+    try:
+        stored = _connect(platform).get(kind, name)
+    except PlatformError as error:
+        raise _fail(f"the platform cannot be read: {error}", EXIT_PLATFORM) from error
+    if stored is None:
+        raise _fail(f"there is no {kind}/{name}", EXIT_WRONG)
+    document = json.loads(stored.value)
+    typer.echo(json.dumps({"revision": stored.revision, "document": document}))
+
+
+@app.command(epilog=EXIT_CODES)
+def status(platform: PlatformUrl = DEFAULT_PLATFORM, as_json: AsJson = False) -> None:
+    """Show what the system reported of itself."""
+    from bamboolever._operator import read_status
+    from bamboolever._platform import PlatformError
+    from bamboolever._statustable import render_status
+
+    try:
+        found = read_status(_connect(platform))
+    except PlatformError as error:
+        raise _fail(f"the platform cannot be read: {error}", EXIT_PLATFORM) from error
+    if as_json:
+        typer.echo(json.dumps(dataclasses.asdict(found)))
+        return
+    render_status(found)
+
+
+@app.command(epilog=EXIT_CODES)
+def rollout(
+    service: str,
+    model: str,
+    version: str,
+    origin: Annotated[str, typer.Option(help="URL of the origin of weights.")],
+    platform: PlatformUrl = DEFAULT_PLATFORM,
+    operator: Operator = "",
+    as_json: AsJson = False,
+) -> None:
+    """Make VERSION the one that every instance of SERVICE must serve."""
+    from bamboolever._manifest import ManifestError
+    from bamboolever._operator import RaceLost, start_rollout
+    from bamboolever._origin import HttpOrigin, OriginError
+    from bamboolever._platform import PlatformError
+
+    try:
+        revision = start_rollout(
+            _connect(platform),
+            HttpOrigin(origin),
+            service=service,
+            model=model,
+            version=version,
+            operator=operator or getpass.getuser(),
+        )
+    except (OriginError, ManifestError) as error:
+        raise _fail(f"the manifest cannot be used: {error}", EXIT_WRONG) from error
+    except RaceLost as error:
+        raise _fail(str(error), EXIT_RACE_LOST) from error
+    except PlatformError as error:
+        message = f"the platform did not confirm ({error}); see status, then repeat"
+        raise _fail(message, EXIT_PLATFORM) from error
+    if as_json:
+        typer.echo(json.dumps({"service": service, "revision": revision}))
+        return
+    typer.echo(f"{service}: {model} {version} is the target at revision {revision}")
+
+
+@app.command(epilog=EXIT_CODES)
+def drain(
+    instance_id: str,
+    platform: PlatformUrl = DEFAULT_PLATFORM,
+    operator: Operator = "",
+) -> None:
+    """Ask the entries to send no new work to an upstream's instance."""
+    from bamboolever._operator import set_drain
+    from bamboolever._platform import PlatformError
+
+    try:
+        set_drain(_connect(platform), instance_id, operator or getpass.getuser())
+    except PlatformError as error:
+        raise _fail(f"the platform did not confirm: {error}", EXIT_PLATFORM) from error
+    typer.echo(f"{instance_id} gets no new work; its calls end by themselves")
+
+
+@app.command(epilog=EXIT_CODES)
+def demo(
+    instances: Annotated[int, typer.Option(min=1, max=64)] = 6,
+    regions: Annotated[int, typer.Option(min=1, max=5)] = 3,
+    weights_mb: Annotated[int, typer.Option(min=1, max=256)] = 8,
+    policy: str = "budgeted",
+    aim: str = "time-to-n",
+    seed: int = 1,
+    fault: Annotated[list[str] | None, typer.Option()] = None,
+    as_json: AsJson = False,
+) -> None:
+    """Run the whole path here: a burst under live calls, with stand-ins."""
+    from bamboolever._demo import FAULTS, DemoOptions, run_demo
+
+    faults = tuple(fault or ())
+    unknown = [name for name in faults if name not in FAULTS]
+    if unknown:
+        known = ", ".join(FAULTS)
+        raise _fail(f"unknown fault {unknown[0]!r}; use one of {known}", EXIT_BAD_INPUT)
+    options = DemoOptions(instances, regions, weights_mb, policy, aim, seed, faults)
+    is_right = run_demo(options, as_json=as_json)
+    raise typer.Exit(EXIT_OK if is_right else EXIT_WRONG)
+
+
+@stand_in_app.command("platform")
+def stand_in_platform(port: int = 7000) -> None:
+    """Run a stand-in for the platform's object API."""
+    from bamboolever._standins.platform import StandInPlatform
+
+    server = StandInPlatform(port=port)
+    server.start()
+    typer.echo(server.url)
+    _wait_for_stop()
+
+
+@stand_in_app.command("origin")
+def stand_in_origin(
+    port: int = 7100, rate_mb_s: float = 100.0, chunk_kb: int = 256
+) -> None:
+    """Run a stand-in for the origin; POST /_versions adds a version."""
+    from bamboolever._standins.origin import StandInOrigin
+
+    server = StandInOrigin(
+        port=port, rate_bytes_per_s=rate_mb_s * 1e6, chunk_bytes=chunk_kb * 1024
+    )
+    server.start()
+    typer.echo(server.url)
+    _wait_for_stop()
+
+
+@stand_in_app.command("engine")
+def stand_in_engine(port: int = 7200, kind: str = "model") -> None:
+    """Run a stand-in for a model engine or a plain service."""
+    from bamboolever._standins.engine import StandInEngine
+
+    server = StandInEngine(kind, port=port)
+    server.start()
+    typer.echo(server.url)
+    _wait_for_stop()
+
+
+def main() -> None:
+    """Run the command line."""
+    app(prog_name="bamboolever")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/bamboolever/_connection.py
@@ -0,0 +1,327 @@
+"""Authenticated frame connections owned by an `IoTask`.
+
+Each side sends heartbeats and closes a connection on which nothing arrived
+for the idle timeout, so that a connection that went silent is found.
+"""
+
+import logging
+import os
+import socket
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from bamboolever._protocol.ttypes import Challenge, Frame, Heartbeat, Hello, Welcome
+from bamboolever._task import READ, WRITE, IoTask
+from bamboolever._wire import (
+    MAX_FRAME_BYTES,
+    NONCE_BYTES,
+    FrameBuffer,
+    WireError,
+    encode_frame,
+    is_proof_valid,
+    prove_key,
+)
+
+logger = logging.getLogger(__name__)
+
+HEARTBEAT_PERIOD_S = 0.5
+IDLE_TIMEOUT_S = 2.0
+HANDSHAKE_TIMEOUT_S = 3.0
+MAX_OUTPUT_BYTES = 64 * 2**20
+RECEIVE_BYTES = 256 * 1024
+
+
+@dataclass(frozen=True)
+class Identity:
+    """Who this process is on the project's own protocol."""
+
+    instance_id: str
+    role: str
+    region: str
+    availability_zone: str
+    keys: tuple[bytes, ...]
+
+
+class ConnectionHandler(ABC):
+    """Receives what happens on a frame connection, on the task's thread."""
+
+    @abstractmethod
+    def on_open(self, connection: "FrameConnection") -> None:
+        """Both sides are authenticated."""
+
+    @abstractmethod
+    def on_frame(self, connection: "FrameConnection", frame: Frame) -> None:
+        """A frame arrived on an open connection."""
+
+    @abstractmethod
+    def on_close(self, connection: "FrameConnection", reason: str) -> None:
+        """The connection ended; called once, also when it never opened."""
+
+
+class FrameConnection:
+    """One non-blocking connection that carries frames both ways."""
+
+    def __init__(
+        self,
+        task: IoTask,
+        sock: socket.socket,
+        identity: Identity,
+        handler: ConnectionHandler,
+        *,
+        is_client: bool,
+    ):
+        self._task = task
+        self._sock = sock
+        self._identity = identity
+        self._handler = handler
+        self._is_client = is_client
+        self._buffer = FrameBuffer()
+        self._output = bytearray()
+        self._nonce = os.urandom(NONCE_BYTES)
+        self._peer_nonce = b""
+        self._is_connecting = is_client
+        self._is_open = False
+        self._is_closed = False
+        self._wants_write = False
+        self._last_received = task.now()
+        self.peer_id = ""
+        self.peer_role = ""
+        self.peer_region = ""
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        task.register(sock, READ | (WRITE if is_client else 0), self._on_ready)
+        self._wants_write = is_client
+        if not is_client:
+            self._send(challenge=Challenge(nonce=self._nonce))
+        self._timer = task.call_later(HEARTBEAT_PERIOD_S, self._on_heartbeat)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether both sides are authenticated and the socket is usable."""
+        return self._is_open and not self._is_closed
+
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that wait for the socket to accept them."""
+        return len(self._output)
+
+    @classmethod
+    def connect(
+        cls,
+        task: IoTask,
+        address: tuple[str, int],
+        identity: Identity,
+        handler: ConnectionHandler,
+    ) -> "FrameConnection":
+        """Begin to connect; failures arrive at `ConnectionHandler.on_close`."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.connect_ex(address)
+        return cls(task, sock, identity, handler, is_client=True)
+
+    def send(self, **message: Any) -> None:
+        """Queue one frame; a closed connection ignores it."""
+        if self._is_closed:
+            return
+        self._send(**message)
+
+    def close(self, reason: str) -> None:
+        """Close the socket and tell the handler once."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._is_open = False
+        self._timer.cancel()
+        self._task.unregister(self._sock)
+        self._sock.close()
+        self._handler.on_close(self, reason)
+
+    def _send(self, **message: Any) -> None:
+        data = encode_frame(**message)
+        if len(self._output) + len(data) > MAX_OUTPUT_BYTES:
+            self._task.send(lambda: self.close("output buffer full"))
+            return
+        was_empty = not self._output
+        self._output += data
+        if was_empty and not self._is_connecting:
+            self._flush()
+
+    def _flush(self) -> None:
+        try:
+            while self._output:
+                with memoryview(self._output) as view:
+                    sent = self._sock.send(view[:RECEIVE_BYTES])
+                del self._output[:sent]
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            # Handlers never run inside a caller's send.
+            reason = f"send failed: {error}"
+            self._output.clear()
+            self._task.send(lambda: self.close(reason))
+            return
+        self._update_interest()
+
+    def _update_interest(self) -> None:
+        wants_write = bool(self._output) or self._is_connecting
+        if wants_write == self._wants_write or self._is_closed:
+            return
+        self._wants_write = wants_write
+        events = READ | WRITE if wants_write else READ
+        self._task.modify(self._sock, events, self._on_ready)
+
+    def _on_ready(self, events: int) -> None:
+        if self._is_connecting and not self._finish_connect():
+            return
+        if events & WRITE and not self._is_closed:
+            self._flush()
+        if events & READ and not self._is_closed:
+            self._receive()
+
+    def _finish_connect(self) -> bool:
+        error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self.close(f"connect failed: {os.strerror(error)}")
+            return False
+        self._is_connecting = False
+        self._update_interest()
+        return True
+
+    def _receive(self) -> None:
+        try:
+            data = self._sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self.close(f"receive failed: {error}")
+            return
+        if not data:
+            self.close("closed by peer")
+            return
+        self._last_received = self._task.now()
+        try:
+            for frame in self._buffer.feed(data):
+                self._dispatch(frame)
+                if self._is_closed:
+                    return
+        except WireError as error:
+            self.close(f"protocol error: {error}")
+
+    def _dispatch(self, frame: Frame) -> None:
+        if frame.heartbeat is not None:
+            return
+        if self._is_open:
+            self._handler.on_frame(self, frame)
+            return
+        if self._is_client:
+            self._shake_as_client(frame)
+            return
+        self._shake_as_server(frame)
+
+    def _shake_as_client(self, frame: Frame) -> None:
+        if frame.challenge is not None and not self._peer_nonce:
+            self._peer_nonce = frame.challenge.nonce or b"-"
+            nonces = (self._peer_nonce, self._nonce)
+            proof = prove_key(self._identity.keys[0], "client", nonces)
+            identity = self._identity
+            self._send(
+                hello=Hello(
+                    instance_id=identity.instance_id,
+                    role=identity.role,
+                    region=identity.region,
+                    availability_zone=identity.availability_zone,
+                    nonce=self._nonce,
+                    proof=proof,
+                )
+            )
+            return
+        if frame.welcome is None:
+            raise WireError("expected a welcome")
+        nonces = (self._peer_nonce, self._nonce)
+        keys = list(self._identity.keys)
+        if not is_proof_valid(keys, "server", nonces, frame.welcome.proof or b""):
+            raise WireError("the server does not know the shared key")
+        self.peer_id = frame.welcome.instance_id
+        self._become_open()
+
+    def _shake_as_server(self, frame: Frame) -> None:
+        hello = frame.hello
+        if hello is None or not hello.nonce:
+            raise WireError("expected a hello")
+        nonces = (self._nonce, hello.nonce)
+        keys = list(self._identity.keys)
+        matching = [
+            key
+            for key in keys
+            if is_proof_valid([key], "client", nonces, hello.proof or b"")
+        ]
+        if not matching:
+            raise WireError("the client does not know the shared key")
+        self.peer_id = hello.instance_id or ""
+        self.peer_role = hello.role or ""
+        self.peer_region = hello.region or ""
+        proof = prove_key(matching[0], "server", nonces)
+        self._send(welcome=Welcome(instance_id=self._identity.instance_id, proof=proof))
+        self._become_open()
+
+    def _become_open(self) -> None:
+        self._is_open = True
+        self._buffer.max_frame_bytes = MAX_FRAME_BYTES
+        self._handler.on_open(self)
+
+    def _on_heartbeat(self) -> None:
+        idle_s = self._task.now() - self._last_received
+        limit_s = IDLE_TIMEOUT_S if self._is_open else HANDSHAKE_TIMEOUT_S
+        if idle_s > limit_s:
+            self.close(f"silent for {idle_s:.1f} s")
+            return
+        if self._is_open:
+            self._send(heartbeat=Heartbeat(sequence=0))
+        self._timer = self._task.call_later(HEARTBEAT_PERIOD_S, self._on_heartbeat)
+
+
+class FrameListener:
+    """Accepts frame connections on one address."""
+
+    def __init__(
+        self,
+        task: IoTask,
+        address: tuple[str, int],
+        identity: Identity,
+        new_handler: Callable[[], ConnectionHandler],
+    ):
+        self._task = task
+        self._identity = identity
+        self._new_handler = new_handler
+        self._sock = listen(address)
+        self.port: int = self._sock.getsockname()[1]
+
+    def start(self) -> None:
+        """Accept connections; call on the task's thread."""
+        self._task.register(self._sock, READ, self._on_ready)
+
+    def close(self) -> None:
+        """Stop accepting; open connections stay."""
+        self._task.unregister(self._sock)
+        self._sock.close()
+
+    def _on_ready(self, _events: int) -> None:
+        try:
+            sock, _ = self._sock.accept()
+        except OSError:
+            return
+        FrameConnection(
+            self._task, sock, self._identity, self._new_handler(), is_client=False
+        )
+
+
+def listen(address: tuple[str, int], backlog: int = 512) -> socket.socket:
+    """Return a non-blocking listening socket."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
+    sock.listen(backlog)
+    sock.setblocking(False)
+    return sock
--- /dev/null
+++ b/src/bamboolever/_coordinator.py
@@ -0,0 +1,728 @@
+"""Decides what happens to each call: admission, queue, attempts, retries, end.
+
+Pure: every method takes an event and the time and returns actions. The entry
+executes them. An attempt that was given up is forgotten, so that its late
+answer goes nowhere.
+"""
+
+import random
+from dataclasses import dataclass, field
+from typing import final
+
+from bamboolever._calls import (
+    AbortStream,
+    CallAction,
+    CallRequest,
+    CancelAttempt,
+    ClaimCall,
+    CountRetry,
+    Dispatch,
+    FinishStream,
+    Reason,
+    Refusal,
+    Respond,
+    RunOutcome,
+    SendPiece,
+    SettleClaim,
+    ShareQuarantine,
+    StartStream,
+)
+from bamboolever._claims import ClaimRecord, ClaimResult, ClaimVerdict
+from bamboolever._documents import Contract, ServiceDocument
+from bamboolever._fairqueue import FairQueue
+from bamboolever._poison import PoisonGuard
+from bamboolever._ratelimit import TokenBucket
+from bamboolever._retry import RetryBudget, backoff_s
+from bamboolever._routing import (
+    ROUTING_POLICIES,
+    RoutingPolicy,
+    RoutingRequest,
+    UpstreamView,
+    select_usable,
+)
+
+MAX_ATTEMPTS = 6
+MAX_QUEUED_PER_SERVICE = 2000
+SERVICE_RETRY_SHARE = 0.1
+RETRY_AFTER_S = 1.0
+IN_PROGRESS_RETRY_S = 2.0
+#: Statuses by which an upstream says that it cannot answer now.
+RETRIED_STATUSES = frozenset({500, 502, 503})
+#: Reasons for which an agent refused work that another one may take.
+NEUTRAL_REFUSALS = frozenset(
+    {"leaving", "swapping", "upstream-busy", "version-not-served", "connection-lost"}
+)
+DEATH_REASONS = frozenset({"upstream-broken", "connection-lost"})
+
+
+@dataclass
+class _Attempt:
+    attempt_id: int
+    upstream_id: str
+    started_at: float
+    last_progress_at: float
+    status: int = 0
+    content_type: str = ""
+    version: str = ""
+    has_head: bool = False
+    is_held_back: bool = False
+    # Whether its upstream's death was already counted against it.
+    is_blamed: bool = False
+    body: bytearray = field(default_factory=bytearray)
+
+
+@dataclass
+class _Call:
+    request: CallRequest
+    contract: Contract
+    service: ServiceDocument
+    claim: ClaimRecord | None = None
+    is_claiming: bool = False
+    is_gone: bool = False
+    attempt: _Attempt | None = None
+    attempts: int = 0
+    retry_at: float = 0.0
+    pieces_sent: int = 0
+    stream_version: str = ""
+    has_started: bool = False
+    may_have_run: bool = False
+    tried: set[str] = field(default_factory=set)
+
+
+@final
+class CallCoordinator:
+    """Every call of one entry, from arrival to its one final answer."""
+
+    def __init__(self, region: str, availability_zone: str, *, seed: int = 0):
+        self._region = region
+        self._availability_zone = availability_zone
+        self._random = random.Random(seed)
+        self._calls: dict[int, _Call] = {}
+        self._calls_by_attempt: dict[int, _Call] = {}
+        self._queues: dict[str, FairQueue[int]] = {}
+        self._delayed: set[int] = set()
+        self._upstreams: dict[str, UpstreamView] = {}
+        self._rates: dict[str, TokenBucket] = {}
+        self._running: dict[str, int] = {}
+        self._workspace_budgets: dict[str, RetryBudget] = {}
+        self._service_budgets: dict[str, RetryBudget] = {}
+        self._policies: dict[str, tuple[str, RoutingPolicy]] = {}
+        self._poison = PoisonGuard()
+        self._next_attempt = 1
+        self._share = 1.0
+
+    @property
+    def open_calls(self) -> int:
+        """Calls without their final answer yet."""
+        return len(self._calls)
+
+    @property
+    def poison(self) -> PoisonGuard:
+        """The guard against requests that crash upstreams."""
+        return self._poison
+
+    @property
+    def upstreams(self) -> dict[str, UpstreamView]:
+        """The known upstreams by id."""
+        return self._upstreams
+
+    def set_share(self, share: float) -> None:
+        """Set the share of each contract's limits that this entry may grant."""
+        self._share = share
+
+    # Arrival.
+
+    def arrive(
+        self,
+        request: CallRequest,
+        contract: Contract,
+        service: ServiceDocument,
+        now: float,
+    ) -> list[CallAction]:
+        """Admit, claim or refuse a new call."""
+        if now >= request.deadline_at:
+            return [_refuse(request, Reason.DEADLINE_QUEUED, "the deadline passed")]
+        if self._poison.is_quarantined(request.body_digest, now):
+            message = "this request crashed several upstreams and is held back"
+            return [_refuse(request, Reason.QUARANTINED, message)]
+        queue = self._queues.setdefault(request.service, FairQueue())
+        refusal = self._check_limits(request, contract, queue, now)
+        if refusal is not None:
+            return [refusal]
+        call = _Call(request, contract, service)
+        self._calls[request.call_id] = call
+        self._count_first_attempt(call)
+        if request.is_idempotent or not request.idempotency_key:
+            return self._enqueue(call, now)
+        call.is_claiming = True
+        return [ClaimCall(request)]
+
+    def on_claim(
+        self, call_id: int, result: ClaimResult, now: float
+    ) -> list[CallAction]:
+        """Take the verdict on a call's claim."""
+        call = self._calls.get(call_id)
+        if call is None:
+            return []
+        call.is_claiming = False
+        if result.verdict is ClaimVerdict.GRANTED and result.record is not None:
+            call.claim = result.record
+            if call.is_gone:
+                return self._finish(call, [_settle(call, RunOutcome.NOT_RUN)], now)
+            return self._enqueue(call, now)
+        answer = _answer_repeat(call.request, result)
+        return self._finish(call, [answer], now)
+
+    def on_caller_gone(self, call_id: int, now: float) -> list[CallAction]:
+        """Stop work for a caller that closed its connection."""
+        call = self._calls.get(call_id)
+        if call is None:
+            return []
+        call.is_gone = True
+        if call.is_claiming:
+            return []
+        if call.attempt is not None and not call.request.is_idempotent:
+            # It runs at most once, so its outcome is awaited and recorded.
+            return []
+        actions = self._drop_attempt(call)
+        if call.claim is not None:
+            actions.append(_settle(call, RunOutcome.NOT_RUN))
+        return self._finish(call, actions, now)
+
+    # Upstreams.
+
+    def set_upstream(self, view: UpstreamView, now: float) -> list[CallAction]:
+        """Add an upstream, or replace what is known of it."""
+        self._upstreams[view.upstream_id] = view
+        return self._dispatch_waiting(view.service, now)
+
+    def on_report(
+        self,
+        upstream_id: str,
+        *,
+        in_flight: int,
+        capacity: int,
+        version: str,
+        is_accepting: bool,
+        is_leaving: bool,
+        now: float,
+    ) -> list[CallAction]:
+        """Take an agent's report."""
+        view = self._upstreams.get(upstream_id)
+        if view is None:
+            return []
+        view.apply_report(in_flight, capacity)
+        view.version = version
+        view.is_accepting = is_accepting
+        view.is_leaving = view.is_leaving or is_leaving
+        return self._dispatch_waiting(view.service, now)
+
+    def on_upstream_lost(
+        self, upstream_id: str, now: float, *, is_silent: bool
+    ) -> list[CallAction]:
+        """End the attempts at an upstream whose connection ended."""
+        view = self._upstreams.pop(upstream_id, None)
+        if view is None:
+            return []
+        lost = [
+            call
+            for call in self._calls.values()
+            if call.attempt is not None and call.attempt.upstream_id == upstream_id
+        ]
+        actions: list[CallAction] = []
+        if not is_silent:
+            actions += self._blame(lost, now)
+        for call in lost:
+            attempt = call.attempt
+            self._forget_attempt(call)
+            if attempt is not None:
+                actions += self._after_unknown(call, "connection-lost", now)
+        return actions
+
+    # Attempts.
+
+    def on_head(
+        self,
+        attempt_id: int,
+        *,
+        status: int,
+        content_type: str,
+        version: str,
+        now: float,
+    ) -> list[CallAction]:
+        """Take the head of an answer."""
+        call = self._calls_by_attempt.get(attempt_id)
+        if call is None or call.attempt is None:
+            return []
+        attempt = call.attempt
+        attempt.last_progress_at = now
+        attempt.has_head = True
+        attempt.status = status
+        attempt.content_type = content_type
+        attempt.version = version
+        if call.stream_version and version != call.stream_version:
+            attempt.is_held_back = True
+        return []
+
+    def on_piece(self, attempt_id: int, data: bytes, now: float) -> list[CallAction]:
+        """Take a part of an answer; streamed ones go on at once."""
+        call = self._calls_by_attempt.get(attempt_id)
+        if call is None or call.attempt is None:
+            return []
+        attempt = call.attempt
+        attempt.last_progress_at = now
+        if not self._is_streamed(call, attempt):
+            attempt.body += data
+            return []
+        if attempt.is_held_back:
+            return []
+        actions: list[CallAction] = []
+        if not call.has_started:
+            call.has_started = True
+            call.stream_version = attempt.version
+            actions.append(
+                StartStream(
+                    call.request.call_id,
+                    attempt.status,
+                    attempt.content_type,
+                    attempt.version,
+                )
+            )
+        call.pieces_sent += 1
+        actions.append(SendPiece(call.request.call_id, data))
+        return actions
+
+    def on_end(
+        self,
+        attempt_id: int,
+        outcome: RunOutcome,
+        *,
+        is_complete: bool,
+        reason: str,
+        now: float,
+    ) -> list[CallAction]:
+        """Take the end of an attempt."""
+        call = self._calls_by_attempt.get(attempt_id)
+        if call is None or call.attempt is None:
+            return []
+        attempt = call.attempt
+        view = self._upstreams.get(attempt.upstream_id)
+        actions: list[CallAction] = []
+        if outcome is RunOutcome.UNKNOWN and reason in DEATH_REASONS:
+            actions += self._on_upstream_died(attempt, now)
+        self._forget_attempt(call)
+        if outcome is RunOutcome.NOT_RUN:
+            return self._after_not_run(call, attempt, reason, now)
+        if outcome is RunOutcome.RAN and is_complete and not attempt.is_held_back:
+            return self._after_complete(call, attempt, view, now)
+        if view is not None:
+            view.on_failure(now)
+        return actions + self._after_unknown(call, reason, now)
+
+    # Time.
+
+    def tick(self, now: float) -> list[CallAction]:
+        """Apply deadlines and progress timeouts, and dispatch what waits."""
+        actions: list[CallAction] = []
+        for call in list(self._calls.values()):
+            actions += self._check_call(call, now)
+        for call_id in list(self._delayed):
+            waiting = self._calls[call_id]
+            if waiting.retry_at <= now:
+                self._delayed.discard(call_id)
+                self._push(waiting, is_first=True)
+        for service in list(self._queues):
+            actions += self._dispatch_waiting(service, now)
+        return actions
+
+    # Admission.
+
+    def _check_limits(
+        self,
+        request: CallRequest,
+        contract: Contract,
+        queue: FairQueue[int],
+        now: float,
+    ) -> Refusal | None:
+        bucket = self._rates.get(request.workspace)
+        rate = contract.requests_per_second * self._share
+        burst = max(1.0, contract.burst * self._share)
+        if bucket is None:
+            bucket = self._rates[request.workspace] = TokenBucket(rate, burst)
+        bucket.set_limits(rate, burst)
+        if queue.lane_size(request.workspace) >= max(1, contract.queue):
+            message = "the workspace's queue is full"
+            return _refuse(request, Reason.QUEUE_FULL, message, RETRY_AFTER_S)
+        if len(queue) >= MAX_QUEUED_PER_SERVICE:
+            message = "the service's queue is full"
+            return _refuse(request, Reason.SHED, message, RETRY_AFTER_S)
+        if not bucket.try_take(now):
+            message = "the workspace's rate limit is reached"
+            wait_s = bucket.wait_s(now)
+            return _refuse(request, Reason.RATE, message, wait_s)
+        return None
+
+    def _count_first_attempt(self, call: _Call) -> None:
+        workspace = call.request.workspace
+        share = call.contract.retry_share
+        budget = self._workspace_budgets.get(workspace)
+        if budget is None:
+            budget = self._workspace_budgets[workspace] = RetryBudget(share)
+        budget.set_share(share)
+        budget.on_first_attempt()
+        service_budget = self._service_budgets.get(call.request.service)
+        if service_budget is None:
+            service_budget = RetryBudget(SERVICE_RETRY_SHARE)
+            self._service_budgets[call.request.service] = service_budget
+        service_budget.on_first_attempt()
+
+    # Queue and dispatch.
+
+    def _enqueue(self, call: _Call, now: float) -> list[CallAction]:
+        self._push(call, is_first=False)
+        return self._dispatch_waiting(call.request.service, now)
+
+    def _push(self, call: _Call, *, is_first: bool) -> None:
+        request = call.request
+        queue = self._queues.setdefault(request.service, FairQueue())
+        weight = 1.0 + call.contract.priority
+        queue.push(request.workspace, request.call_id, weight=weight, is_first=is_first)
+
+    def _dispatch_waiting(self, service: str, now: float) -> list[CallAction]:
+        queue = self._queues.get(service)
+        if not queue:
+            return []
+        actions: list[CallAction] = []
+        is_progressing = True
+        while is_progressing and len(queue):
+            is_progressing = False
+            for workspace in queue.lanes():
+                action = self._try_dispatch(queue, workspace, now)
+                if action is not None:
+                    actions.append(action)
+                    is_progressing = True
+                    break
+        return actions
+
+    def _try_dispatch(
+        self, queue: FairQueue[int], workspace: str, now: float
+    ) -> Dispatch | None:
+        call = self._calls.get(queue.peek(workspace))
+        if call is None:
+            queue.pop(workspace)
+            return None
+        limit = max(1.0, call.contract.concurrency * self._share)
+        if self._running.get(workspace, 0) >= limit:
+            return None
+        view = self._choose_upstream(call, now)
+        if view is None:
+            return None
+        queue.pop(workspace)
+        return self._start_attempt(call, view, now)
+
+    def _choose_upstream(self, call: _Call, now: float) -> UpstreamView | None:
+        request = call.request
+        views = [v for v in self._upstreams.values() if v.service == request.service]
+        usable = select_usable(views, now, required_version=call.stream_version)
+        with_room = [view for view in usable if view.has_room(now)]
+        if self._poison.is_suspect(request.body_digest, now):
+            with_room = [v for v in with_room if not self._has_suspect(v, now)]
+        fresh = [v for v in with_room if v.upstream_id not in call.tried]
+        candidates = fresh or with_room
+        if not candidates:
+            return None
+        routing = RoutingRequest(
+            self._region, self._availability_zone, request.prefix_key
+        )
+        return self._policy(call.service).choose(candidates, routing)
+
+    def _policy(self, service: ServiceDocument) -> RoutingPolicy:
+        known = self._policies.get(service.name)
+        if known is None or known[0] != service.routing:
+            known = (service.routing, ROUTING_POLICIES[service.routing]())
+            self._policies[service.name] = known
+        return known[1]
+
+    def _has_suspect(self, view: UpstreamView, now: float) -> bool:
+        return any(
+            self._poison.is_suspect(digest, now)
+            for digest in self._digests_at(view.upstream_id)
+        )
+
+    def _digests_at(self, upstream_id: str) -> set[str]:
+        return {
+            call.request.body_digest
+            for call in self._calls_by_attempt.values()
+            if call.attempt is not None and call.attempt.upstream_id == upstream_id
+        }
+
+    def _start_attempt(self, call: _Call, view: UpstreamView, now: float) -> Dispatch:
+        attempt = _Attempt(self._next_attempt, view.upstream_id, now, now)
+        self._next_attempt += 1
+        call.attempt = attempt
+        call.attempts += 1
+        call.tried.add(view.upstream_id)
+        self._calls_by_attempt[attempt.attempt_id] = call
+        view.local_in_flight += 1
+        workspace = call.request.workspace
+        self._running[workspace] = self._running.get(workspace, 0) + 1
+        if call.request.prefix_key:
+            view.remember_prefix(call.request.prefix_key)
+        return Dispatch(
+            attempt.attempt_id,
+            view.upstream_id,
+            call.request,
+            call.request.deadline_at,
+            call.stream_version,
+            call.pieces_sent,
+        )
+
+    def _forget_attempt(self, call: _Call) -> None:
+        attempt = call.attempt
+        if attempt is None:
+            return
+        call.attempt = None
+        self._calls_by_attempt.pop(attempt.attempt_id, None)
+        view = self._upstreams.get(attempt.upstream_id)
+        if view is not None:
+            view.local_in_flight = max(0, view.local_in_flight - 1)
+        workspace = call.request.workspace
+        left = self._running.get(workspace, 1) - 1
+        if left > 0:
+            self._running[workspace] = left
+        else:
+            self._running.pop(workspace, None)
+
+    def _drop_attempt(self, call: _Call) -> list[CallAction]:
+        attempt = call.attempt
+        if attempt is None:
+            return []
+        self._forget_attempt(call)
+        return [CancelAttempt(attempt.attempt_id, attempt.upstream_id)]
+
+    # Ends of attempts.
+
+    def _is_streamed(self, call: _Call, attempt: _Attempt) -> bool:
+        is_event_stream = attempt.content_type.startswith("text/event-stream")
+        return call.request.is_stream and is_event_stream and attempt.status == 200
+
+    def _after_complete(
+        self, call: _Call, attempt: _Attempt, view: UpstreamView | None, now: float
+    ) -> list[CallAction]:
+        request = call.request
+        is_retried = attempt.status in RETRIED_STATUSES and request.is_idempotent
+        if is_retried and not call.has_started:
+            if view is not None:
+                view.on_failure(now)
+            return self._retry_or_fail(call, f"status-{attempt.status}", now)
+        if view is not None:
+            view.on_success()
+        self._poison.on_completed(request.body_digest)
+        if self._is_streamed(call, attempt):
+            return self._finish(call, self._end_stream(call, attempt), now)
+        body = bytes(attempt.body)
+        respond = Respond(
+            request.call_id,
+            attempt.status,
+            attempt.content_type,
+            body,
+            attempt.version,
+        )
+        actions: list[CallAction] = []
+        if call.claim is not None:
+            actions.append(
+                SettleClaim(
+                    request,
+                    RunOutcome.RAN,
+                    attempt.status,
+                    attempt.content_type,
+                    body,
+                )
+            )
+        return self._finish(call, [*actions, respond], now)
+
+    def _end_stream(self, call: _Call, attempt: _Attempt) -> list[CallAction]:
+        call_id = call.request.call_id
+        actions: list[CallAction] = []
+        if not call.has_started:
+            call.has_started = True
+            actions.append(
+                StartStream(
+                    call_id, attempt.status, attempt.content_type, attempt.version
+                )
+            )
+        return [*actions, FinishStream(call_id)]
+
+    def _after_not_run(
+        self, call: _Call, attempt: _Attempt, reason: str, now: float
+    ) -> list[CallAction]:
+        view = self._upstreams.get(attempt.upstream_id)
+        if view is not None and reason in ("leaving", "swapping"):
+            view.is_accepting = False
+        if view is not None and reason not in NEUTRAL_REFUSALS:
+            view.on_failure(now)
+            view.is_accepting = False
+        return self._requeue(call, reason, now)
+
+    def _after_unknown(self, call: _Call, reason: str, now: float) -> list[CallAction]:
+        call.may_have_run = True
+        if call.request.is_idempotent:
+            return self._retry_or_fail(call, reason, now)
+        message = "the upstream was lost while it ran this call; it is not run again"
+        return self._give_up(call, Reason.UPSTREAM_LOST, message, now)
+
+    def _retry_or_fail(self, call: _Call, reason: str, now: float) -> list[CallAction]:
+        if self._poison.is_quarantined(call.request.body_digest, now):
+            message = "this request crashed several upstreams and is held back"
+            return self._give_up(call, Reason.QUARANTINED, message, now)
+        if call.attempts >= MAX_ATTEMPTS:
+            message = f"no answer after {call.attempts} attempts; the last: {reason}"
+            return self._give_up(call, Reason.RETRIES_EXHAUSTED, message, now)
+        budget = self._workspace_budgets[call.request.workspace]
+        service_budget = self._service_budgets[call.request.service]
+        if not budget.try_take() or not service_budget.try_take():
+            message = f"the retry budget is used up; the last attempt: {reason}"
+            return self._give_up(call, Reason.RETRIES_EXHAUSTED, message, now)
+        return self._requeue(call, reason, now)
+
+    def _requeue(self, call: _Call, reason: str, now: float) -> list[CallAction]:
+        if call.is_gone:
+            actions: list[CallAction] = []
+            if call.claim is not None:
+                actions.append(_settle(call, RunOutcome.NOT_RUN))
+            return self._finish(call, actions, now)
+        call.retry_at = now + backoff_s(min(call.attempts, 6), self._random)
+        self._delayed.add(call.request.call_id)
+        return [CountRetry(reason)]
+
+    def _give_up(
+        self, call: _Call, reason: Reason, message: str, now: float
+    ) -> list[CallAction]:
+        """Give the final answer at once; say truly whether the call ran."""
+        outcome = RunOutcome.UNKNOWN if call.may_have_run else RunOutcome.NOT_RUN
+        actions: list[CallAction] = []
+        if call.claim is not None:
+            actions.append(_settle(call, outcome))
+        if call.has_started:
+            actions.append(AbortStream(call.request.call_id, reason, outcome))
+        else:
+            may_repeat = call.request.is_idempotent or outcome is RunOutcome.NOT_RUN
+            retry_after_s = RETRY_AFTER_S if may_repeat else None
+            actions.append(
+                Refusal(call.request.call_id, reason, outcome, message, retry_after_s)
+            )
+        return self._finish(call, actions, now)
+
+    def _finish(
+        self, call: _Call, actions: list[CallAction], now: float
+    ) -> list[CallAction]:
+        request = call.request
+        self._forget_attempt(call)
+        self._calls.pop(request.call_id, None)
+        self._delayed.discard(request.call_id)
+        queue = self._queues.get(request.service)
+        if queue is not None:
+            queue.remove(request.workspace, request.call_id)
+        return actions + self._dispatch_waiting(request.service, now)
+
+    # Failures.
+
+    def _on_upstream_died(self, attempt: _Attempt, now: float) -> list[CallAction]:
+        """Blame the calls that ran, once for each death of an upstream."""
+        view = self._upstreams.get(attempt.upstream_id)
+        if view is not None:
+            # New calls keep away until the agent reports the upstream again.
+            view.is_accepting = False
+        if attempt.is_blamed:
+            return []
+        neighbours = [
+            call
+            for call in self._calls_by_attempt.values()
+            if call.attempt is not None
+            and call.attempt.upstream_id == attempt.upstream_id
+        ]
+        return self._blame(neighbours, now)
+
+    def _blame(self, calls: list[_Call], now: float) -> list[CallAction]:
+        for call in calls:
+            if call.attempt is not None:
+                call.attempt.is_blamed = True
+        digests = {call.request.body_digest for call in calls}
+        found = self._poison.on_upstream_died(digests, now)
+        return [ShareQuarantine(digest) for digest in found]
+
+    def _check_call(self, call: _Call, now: float) -> list[CallAction]:
+        if call.is_claiming:
+            return []
+        if now >= call.request.deadline_at:
+            return self._on_deadline(call, now)
+        attempt = call.attempt
+        if attempt is None or not call.request.is_idempotent:
+            return []
+        limit_s = call.service.first_byte_timeout
+        if attempt.has_head and self._is_streamed(call, attempt):
+            limit_s = call.service.piece_timeout
+        if now - attempt.last_progress_at < limit_s:
+            return []
+        view = self._upstreams.get(attempt.upstream_id)
+        if view is not None:
+            view.on_failure(now)
+        actions = self._drop_attempt(call)
+        return actions + self._after_unknown(call, "stalled", now)
+
+    def _on_deadline(self, call: _Call, now: float) -> list[CallAction]:
+        if call.attempt is None and not call.may_have_run:
+            has_upstream = any(
+                view.service == call.request.service and view.is_accepting
+                for view in self._upstreams.values()
+            )
+            reason = Reason.DEADLINE_QUEUED if has_upstream else Reason.NO_UPSTREAM
+            return self._give_up(call, reason, "the deadline passed in the queue", now)
+        call.may_have_run = True
+        actions = self._drop_attempt(call)
+        message = "no whole answer before the deadline"
+        return actions + self._give_up(call, Reason.TIMED_OUT, message, now)
+
+
+def _refuse(
+    request: CallRequest,
+    reason: Reason,
+    message: str,
+    retry_after_s: float | None = None,
+) -> Refusal:
+    return Refusal(request.call_id, reason, RunOutcome.NOT_RUN, message, retry_after_s)
+
+
+def _settle(call: _Call, outcome: RunOutcome) -> SettleClaim:
+    return SettleClaim(call.request, outcome)
+
+
+def _answer_repeat(request: CallRequest, result: ClaimResult) -> CallAction:
+    """Return the answer to a call whose key is taken or cannot be claimed."""
+    record = result.record
+    if result.verdict is ClaimVerdict.RECORDED and record is not None:
+        if record.is_body_kept:
+            return Respond(
+                request.call_id, record.status, record.content_type, record.body
+            )
+        message = "this call ran to its end; its answer was too large to be kept"
+        return Refusal(request.call_id, Reason.OUTCOME_UNKNOWN, RunOutcome.RAN, message)
+    if result.verdict is ClaimVerdict.KEY_REUSED:
+        message = "this idempotency key was used with another request; use a new key"
+        return _refuse(request, Reason.KEY_REUSED, message)
+    if result.verdict is ClaimVerdict.IN_PROGRESS:
+        message = "a call with this key is in progress, or its end was not recorded"
+        return Refusal(
+            request.call_id,
+            Reason.IN_PROGRESS,
+            RunOutcome.UNKNOWN,
+            message,
+            IN_PROGRESS_RETRY_S,
+        )
+    if result.verdict is ClaimVerdict.UNKNOWN:
+        message = "a call with this key may have run; it is not run again"
+        return Refusal(
+            request.call_id, Reason.OUTCOME_UNKNOWN, RunOutcome.UNKNOWN, message
+        )
+    message = "the key cannot be claimed now, so the call was not run"
+    return _refuse(request, Reason.CLAIM_UNAVAILABLE, message, RETRY_AFTER_S)
--- /dev/null
+++ b/src/bamboolever/_demo.py
@@ -0,0 +1,369 @@
+"""The demo: version 1, then version 2 as a burst under live calls and faults.
+
+Outcomes are counted by the stand-ins and the callers, not by the daemons.
+"""
+
+import json
+import logging
+import sys
+import tempfile
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, final
+
+from rich.console import Console
+from rich.progress import Progress
+from rich.table import Table
+
+from bamboolever._democallers import CallerFleet
+from bamboolever._demofleet import (
+    MODEL,
+    EmbeddedFleet,
+    FleetOptions,
+    make_documents,
+    write_documents,
+)
+from bamboolever._operator import (
+    apply_changes,
+    load_files,
+    plan_changes,
+    start_rollout,
+)
+from bamboolever._standins.engine import POISON_MARK
+from bamboolever._telemetry import read_rss_bytes
+
+CALLERS = 8
+BURST_TIMEOUT_S = 120.0
+QUIET_S = 1.0
+FAULT_DELAY_S = 0.3
+POLL_S = 0.05
+OUTAGE_S = 4.0
+LIST_LAG_S = 1.0
+POISON_TIMEOUT_S = 15.0
+SHARED_SHARE = 0.25
+OPERATOR = "demo"
+
+
+@dataclass(frozen=True)
+class DemoOptions:
+    """What the demo runs."""
+
+    instances: int
+    regions: int
+    weights_mb: int
+    policy: str
+    aim: str
+    seed: int
+    faults: tuple[str, ...]
+
+
+@final
+class DemoRun:
+    """One run of the demo and what was counted in it."""
+
+    def __init__(self, options: DemoOptions, progress: "ProgressLine"):
+        self._options = options
+        self._progress = progress
+        self._fleet_options = FleetOptions(
+            options.instances, options.regions, options.policy, options.aim
+        )
+        self.fleet = EmbeddedFleet(self._fleet_options)
+        self._operator = self.fleet.make_platform_client()
+        self._size = options.weights_mb * 10**6
+        self._digests: dict[str, str] = {}
+        self.time_to_n_s = 0.0
+        self._burst_origin_bytes = 0
+        self._burst_cross_bytes = 0
+
+    def run(self) -> dict[str, Any]:
+        """Run everything and return the result."""
+        self.fleet.start()
+        try:
+            self._apply()
+            for version in ("v1", "v2", "v3"):
+                manifest = self.fleet.origin.add_version(
+                    MODEL, version, self._size, shared_share=SHARED_SHARE
+                )
+                self._digests[version] = manifest.weights_digest
+            self._progress.say("version 1 goes out to an empty fleet")
+            self._roll("v1")
+            self._wait_until_serving("v1")
+            ports = [entry.port for entry in self.fleet.entries]
+            callers = CallerFleet(ports, self._digests, seed=self._options.seed)
+            callers.start(CALLERS)
+            time.sleep(QUIET_S)
+            self._progress.say("version 2 goes out under live calls")
+            self._burst(callers)
+            time.sleep(QUIET_S)
+            self._progress.say("the callers end their calls")
+            callers.stop()
+            return self._collect(callers)
+        finally:
+            self.fleet.stop()
+
+    def _apply(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            documents = make_documents(self._fleet_options)
+            path = write_documents(Path(directory), documents)
+            loaded = load_files([path]).unwrap()
+        changes = plan_changes(self._operator, loaded)
+        apply_changes(self._operator, changes, OPERATOR)
+
+    def _roll(self, version: str) -> None:
+        start_rollout(
+            self._operator,
+            self.fleet.make_origin_client(),
+            service=MODEL,
+            model=MODEL,
+            version=version,
+            operator=OPERATOR,
+        )
+
+    def _burst(self, callers: CallerFleet) -> None:
+        origin_before = self.fleet.origin.sent_bytes
+        cross_before = self.fleet.network.cross_region_bytes
+        started = time.monotonic()
+        self._roll("v2")
+        threads = [
+            threading.Thread(target=FAULTS[name], args=(self, callers), daemon=True)
+            for name in self._options.faults
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self._wait_until_serving("v2")
+        self.time_to_n_s = time.monotonic() - started
+        self._burst_origin_bytes = self.fleet.origin.sent_bytes - origin_before
+        self._burst_cross_bytes = self.fleet.network.cross_region_bytes - cross_before
+
+    def count_serving(self, version: str) -> int:
+        """Return how many engines serve exactly this version's weights."""
+        digest = self._digests[version]
+        return sum(
+            member.engine.weights_digest == digest
+            for member in self.fleet.model_members()
+        )
+
+    def _wait_until_serving(self, version: str) -> None:
+        deadline = time.monotonic() + BURST_TIMEOUT_S
+        total = len(self.fleet.model_members())
+        while time.monotonic() < deadline:
+            serving = self.count_serving(version)
+            self._progress.update(f"{version} serving", serving, total)
+            if serving == total:
+                return
+            time.sleep(POLL_S)
+
+    def roll_elsewhere_and_back(self) -> None:
+        """Change the target in mid-flight, and back again."""
+        self._roll("v3")
+        time.sleep(FAULT_DELAY_S * 2)
+        self._roll("v2")
+
+    def _collect(self, callers: CallerFleet) -> dict[str, Any]:
+        counts = callers.counts
+        runs: Counter[str] = Counter()
+        for member in self.fleet.members:
+            runs.update(member.engine.runs)
+        runs.pop("", None)
+        ran_twice = sum(1 for amount in runs.values() if amount > 1)
+        false_not_run = sum(1 for key in callers.not_run_keys if runs[key])
+        retries: Counter[str] = Counter()
+        for entry in self.fleet.entries:
+            retries.update(entry.telemetry.read_by("retries", "reason"))
+        latencies = sorted(counts.latencies_s)
+        return {
+            "instances": len(self.fleet.model_members()),
+            "serving": self.count_serving("v2"),
+            "time_to_n_s": round(self.time_to_n_s, 2),
+            "origin_bytes": self._burst_origin_bytes,
+            "origin_copies": round(self._burst_origin_bytes / self._size, 3),
+            "cross_region_bytes": self._burst_cross_bytes,
+            "calls": {
+                "sent": counts.sent,
+                "complete": counts.complete,
+                "refused_not_run": counts.refused_not_run,
+                "unknown": counts.unknown,
+                "wrong": counts.wrong + false_not_run,
+                "ran_twice": ran_twice,
+            },
+            "p50_ms": _percentile_ms(latencies, 0.50),
+            "p95_ms": _percentile_ms(latencies, 0.95),
+            "refusals": dict(sorted(counts.refusals.items())),
+            "retries": dict(sorted(retries.items())),
+            "engine_crashes": sum(m.engine.crashes for m in self.fleet.members),
+            "platform_calls": sum(self.fleet.platform.calls.values()),
+            "rss_bytes": read_rss_bytes(),
+            "faults": list(self._options.faults),
+            "policy": self._options.policy,
+        }
+
+
+@final
+class ProgressLine:
+    """Shows progress: a bar on a terminal, log lines elsewhere."""
+
+    def __init__(self, console: Console):
+        self._console = console
+        self._bar: Progress | None = None
+        self._task: Any = None
+        self._last = ""
+
+    def say(self, text: str) -> None:
+        """Show one line."""
+        self._console.print(text)
+
+    def update(self, text: str, done: int, total: int) -> None:
+        """Show how far the current step is."""
+        if self._console.is_terminal:
+            self._update_bar(text, done, total)
+            return
+        line = f"{text}: {done}/{total}"
+        if line != self._last:
+            self._last = line
+            self._console.print(line)
+
+    def close(self) -> None:
+        """Stop the bar."""
+        if self._bar is not None:
+            self._bar.stop()
+
+    def _update_bar(self, text: str, done: int, total: int) -> None:
+        if self._bar is None:
+            self._bar = Progress(console=self._console)
+            self._bar.start()
+            self._task = self._bar.add_task(text, total=total)
+        self._bar.update(self._task, description=text, completed=done, total=total)
+
+
+def run_demo(options: DemoOptions, *, as_json: bool) -> bool:
+    """Run the demo, print the result, and return whether all is right."""
+    logging.basicConfig(level=logging.ERROR)
+    console = Console(stderr=as_json)
+    progress = ProgressLine(console)
+    try:
+        result = DemoRun(options, progress).run()
+    finally:
+        progress.close()
+    is_right = _is_right(result)
+    result["right"] = is_right
+    if as_json:
+        sys.stdout.write(json.dumps(result) + "\n")
+        sys.stdout.flush()
+    else:
+        _print_table(console, result)
+    return is_right
+
+
+def _is_right(result: dict[str, Any]) -> bool:
+    calls = result["calls"]
+    return (
+        result["serving"] == result["instances"]
+        and calls["wrong"] == 0
+        and calls["ran_twice"] == 0
+        and calls["complete"] > 0
+        and (result["policy"] != "budgeted" or result["origin_copies"] <= 4.0)
+    )
+
+
+def _print_table(console: Console, result: dict[str, Any]) -> None:
+    table = Table("what", "value", title="bamboolever demo")
+    for name, value in result.items():
+        if isinstance(value, dict):
+            value = ", ".join(f"{key} {amount}" for key, amount in value.items())
+        if isinstance(value, list):
+            value = ", ".join(value)
+        if name == "rss_bytes":
+            name = "rss_bytes (all stand-ins and daemons in one process)"
+        table.add_row(name, str(value))
+    console.print(table)
+
+
+def _percentile_ms(ordered: list[float], share: float) -> float:
+    if not ordered:
+        return 0.0
+    index = min(len(ordered) - 1, int(len(ordered) * share))
+    return round(ordered[index] * 1000, 1)
+
+
+def _kill_agent(run: DemoRun, callers: CallerFleet) -> None:
+    time.sleep(FAULT_DELAY_S)
+    member = run.fleet.model_members()[0]
+    dead_id = member.agent.record.instance_id
+    member.agent.stop()
+    time.sleep(LIST_LAG_S)
+    run.fleet.forget_instance(dead_id)
+    run.fleet.replace_agent(member)
+
+
+def _crash_engine(run: DemoRun, callers: CallerFleet) -> None:
+    time.sleep(FAULT_DELAY_S)
+    run.fleet.model_members()[-1].engine.crash()
+
+
+def _corrupt_chunks(run: DemoRun, callers: CallerFleet) -> None:
+    run.fleet.origin.corrupt_next = 3
+
+
+def _slow_origin(run: DemoRun, callers: CallerFleet) -> None:
+    run.fleet.origin.set_rate(500_000.0)
+    time.sleep(OUTAGE_S)
+    run.fleet.origin.set_rate(20_000_000.0)
+
+
+def _stop_store(run: DemoRun, callers: CallerFleet) -> None:
+    time.sleep(FAULT_DELAY_S)
+    run.fleet.platform.faults.is_down = True
+    time.sleep(OUTAGE_S)
+    run.fleet.platform.faults.is_down = False
+
+
+def _lose_answers(run: DemoRun, callers: CallerFleet) -> None:
+    run.fleet.platform.faults.lose_answers = 5
+
+
+def _change_target(run: DemoRun, callers: CallerFleet) -> None:
+    time.sleep(FAULT_DELAY_S)
+    run.roll_elsewhere_and_back()
+
+
+def _silence_connections(run: DemoRun, callers: CallerFleet) -> None:
+    time.sleep(FAULT_DELAY_S)
+    run.fleet.network.silence_connections()
+
+
+def _cut_region(run: DemoRun, callers: CallerFleet) -> None:
+    time.sleep(FAULT_DELAY_S)
+    first, second = run.fleet.regions[0], run.fleet.regions[-1]
+    run.fleet.network.set_cut(first, second, is_cut=True)
+    time.sleep(OUTAGE_S)
+    run.fleet.network.set_cut(first, second, is_cut=False)
+
+
+def _send_poison(run: DemoRun, callers: CallerFleet) -> None:
+    callers.poison_prompts.append(f"please {POISON_MARK}")
+    deadline = time.monotonic() + POISON_TIMEOUT_S
+    while time.monotonic() < deadline:
+        if callers.counts.refusals["request-quarantined"]:
+            return
+        time.sleep(POLL_S)
+
+
+Fault = Callable[[DemoRun, CallerFleet], None]
+FAULTS: dict[str, Fault] = {
+    "agent-dies": _kill_agent,
+    "engine-dies": _crash_engine,
+    "corrupt-chunks": _corrupt_chunks,
+    "origin-slow": _slow_origin,
+    "store-down": _stop_store,
+    "answers-lost": _lose_answers,
+    "target-changes": _change_target,
+    "silent-connection": _silence_connections,
+    "region-cut": _cut_region,
+    "poison-request": _send_poison,
+}
--- /dev/null
+++ b/src/bamboolever/_documents.py
@@ -0,0 +1,253 @@
+"""Contracts, services and rollouts: what operators write, checked at the border."""
+
+import json
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import (
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
+from returns.result import Failure, Result, Success
+
+from bamboolever._units import parse_rate, parse_size, parse_time
+
+CONTRACT_KIND = "contracts"
+SERVICE_KIND = "services"
+ROLLOUT_KIND = "rollouts"
+CONFIGURATION_KINDS = (CONTRACT_KIND, SERVICE_KIND, ROLLOUT_KIND)
+
+SHA256_PATTERN = r"^[0-9a-f]{64}$"
+NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+
+
+def _or_number(parse: Any) -> Any:
+    """Accept a quantity with its unit, or a number that was parsed before."""
+
+    def convert(value: object, info: Any) -> object:
+        if info.context is not None and info.context.get("is_stored"):
+            return value
+        return parse(value)
+
+    return convert
+
+
+Size = Annotated[int, BeforeValidator(_or_number(parse_size))]
+Duration = Annotated[float, BeforeValidator(_or_number(parse_time))]
+ByteRate = Annotated[float, BeforeValidator(_or_number(parse_rate))]
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+
+
+class Document(BaseModel):
+    """Base of every document; unknown keys are errors."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Contract(Document):
+    """Everything one workspace may do."""
+
+    workspace: Name
+    api_key_sha256: Annotated[
+        list[Annotated[str, Field(pattern=SHA256_PATTERN)]], Field(min_length=1)
+    ]
+    services: Annotated[list[Name], Field(min_length=1)]
+    requests_per_second: Annotated[float, Field(gt=0, le=1e6)]
+    burst: Annotated[int, Field(ge=1, le=10**6)]
+    concurrency: Annotated[int, Field(ge=1, le=10**5)]
+    queue: Annotated[int, Field(ge=0, le=10**5)] = 64
+    priority: Annotated[int, Field(ge=0, le=9)] = 5
+    deadline: Duration = 30.0
+    retry_share: Annotated[float, Field(ge=0, le=1)] = 0.1
+    max_body: Size = 2**20
+    changed_by: str = "unknown"
+
+    @model_validator(mode="after")
+    def check_limits(self) -> "Contract":
+        """Refuse limits that contradict each other."""
+        if self.burst < self.requests_per_second / 10:
+            raise ValueError(
+                "burst is under a tenth of requests_per_second, so the rate can "
+                "never be reached; raise burst or lower requests_per_second"
+            )
+        if self.deadline <= 0:
+            raise ValueError('deadline must be above zero, like "30 s"')
+        return self
+
+
+class Route(Document):
+    """One route of a service and whether it may run more than once."""
+
+    method: Literal["GET", "POST", "PUT", "PATCH", "DELETE"]
+    path: Annotated[str, Field(pattern=r"^/[ -~]*$", max_length=200)]
+    idempotent: bool
+    require_key: bool = True
+
+
+class Distribution(Document):
+    """How a service's weights travel and are swapped."""
+
+    policy: Literal["budgeted", "swarm", "static-tree", "origin-only"] = "budgeted"
+    aim: Literal["time-to-n", "origin-bytes"] = "time-to-n"
+    origin_copies: Annotated[int, Field(ge=1, le=4)] = 4
+    serving_share: Annotated[float, Field(ge=0, lt=1)] = 0.5
+
+
+class ServiceDocument(Document):
+    """A group of upstreams that answer the same calls."""
+
+    name: Name
+    kind: Literal["model", "plain"]
+    routing: Literal["affinity", "least-outstanding", "round-robin"] = "affinity"
+    first_byte_timeout: Duration = 5.0
+    piece_timeout: Duration = 2.0
+    routes: Annotated[list[Route], Field(min_length=1)]
+    distribution: Distribution = Distribution()
+    changed_by: str = "unknown"
+
+    @model_validator(mode="after")
+    def check_routes(self) -> "ServiceDocument":
+        """Refuse two routes with the same method and path."""
+        seen = {(route.method, route.path) for route in self.routes}
+        if len(seen) != len(self.routes):
+            raise ValueError("two routes share a method and path; remove one")
+        return self
+
+
+class Rollout(Document):
+    """The version that every instance of a service must serve."""
+
+    service: Name
+    model: Name
+    version: Name
+    manifest_digest: Annotated[str, Field(pattern=SHA256_PATTERN)]
+    changed_by: str = "unknown"
+
+
+class DocumentFile(Document):
+    """The content of one TOML file given to ``apply``."""
+
+    contract: list[Contract] = []
+    service: list[ServiceDocument] = []
+
+    @model_validator(mode="after")
+    def check_names(self) -> "DocumentFile":
+        """Refuse names that are used twice."""
+        _refuse_repeats("workspace", [c.workspace for c in self.contract])
+        _refuse_repeats("service", [s.name for s in self.service])
+        return self
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One mistake in a file and how to mend it."""
+
+    file: str
+    key_path: str
+    problem: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.key_path}: {self.problem}"
+
+
+@dataclass(frozen=True)
+class DocumentKey:
+    """Identity of a stored document."""
+
+    kind: str
+    name: str
+
+
+def _refuse_repeats(what: str, names: list[str]) -> None:
+    repeated = sorted({name for name in names if names.count(name) > 1})
+    if repeated:
+        raise ValueError(f"{what} defined twice: {', '.join(repeated)}; keep one")
+
+
+def load_toml(path: Path, model: type[BaseModel]) -> Result[Any, list[Fault]]:
+    """Return the validated content of a TOML file, or every fault in it."""
+    try:
+        content = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        return Failure([Fault(str(path), "-", f"cannot be read: {error.strerror}")])
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return Failure([Fault(str(path), "-", f"is no TOML: {error}")])
+    try:
+        return Success(model.model_validate(content))
+    except ValidationError as error:
+        return Failure(describe_faults(str(path), error))
+
+
+def describe_faults(file: str, error: ValidationError) -> list[Fault]:
+    """Turn a validation error into faults an operator can act on."""
+    return [
+        Fault(file, _format_path(item["loc"]), _format_problem(item))
+        for item in error.errors()
+    ]
+
+
+def _format_path(location: tuple[int | str, ...]) -> str:
+    path = ""
+    for part in location:
+        path += f"[{part}]" if isinstance(part, int) else f".{part}"
+    return path.lstrip(".") or "(whole file)"
+
+
+def _format_problem(item: Mapping[str, Any]) -> str:
+    if item["type"] == "extra_forbidden":
+        return "unknown key; remove it or correct its name"
+    if item["type"] == "missing":
+        return "missing; add this key"
+    message = str(item["msg"]).removeprefix("Value error, ")
+    shown = repr(item.get("input"))
+    if len(shown) > 60 or shown in message:
+        return message
+    return f"{message} (found {shown})"
+
+
+MODELS: dict[str, type[Document]] = {
+    CONTRACT_KIND: Contract,
+    SERVICE_KIND: ServiceDocument,
+    ROLLOUT_KIND: Rollout,
+}
+
+
+class DocumentError(ValueError):
+    """A stored document does not pass its checks."""
+
+
+def encode_document(document: BaseModel) -> bytes:
+    """Return the stored form of a document."""
+    return document.model_dump_json().encode()
+
+
+def decode_document(kind: str, value: bytes) -> Document:
+    """Return the document stored as ``value``.
+
+    Raises `DocumentError` when the kind is unknown or a check fails.
+    """
+    model = MODELS.get(kind)
+    if model is None:
+        raise DocumentError(f"unknown kind {kind!r}")
+    try:
+        content = json.loads(value)
+        return model.model_validate(content, context={"is_stored": True})
+    except (ValueError, ValidationError) as error:
+        raise DocumentError(f"{kind}: {error}") from error
+
+
+def list_documents(file: DocumentFile) -> dict[DocumentKey, Document]:
+    """Return the documents of a file by kind and name."""
+    documents: dict[DocumentKey, Document] = {}
+    for contract in file.contract:
+        documents[DocumentKey(CONTRACT_KIND, contract.workspace)] = contract
+    for service in file.service:
+        documents[DocumentKey(SERVICE_KIND, service.name)] = service
+    return documents
--- /dev/null
+++ b/src/bamboolever/_entry.py
@@ -0,0 +1,842 @@
+"""The entry: callers' HTTP in, contracts, routing, and answers back."""
+
+import json
+import logging
+import time
+import uuid
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any, final
+
+from bamboolever._agent import MANIFEST_KIND, make_target
+from bamboolever._callerhttp import (
+    CallerConnection,
+    CallerHandler,
+    CallerPort,
+    CallerRequest,
+    Headers,
+    make_error_body,
+)
+from bamboolever._callparse import RequestRefused, index_api_keys, parse_call
+from bamboolever._calls import (
+    STATUS_BY_REASON,
+    AbortStream,
+    CallAction,
+    CallRequest,
+    CancelAttempt,
+    ClaimCall,
+    CountRetry,
+    Dispatch,
+    FinishStream,
+    Reason,
+    Refusal,
+    Respond,
+    RunOutcome,
+    SendPiece,
+    SettleClaim,
+    ShareQuarantine,
+    StartStream,
+)
+from bamboolever._claims import (
+    ClaimOperation,
+    ClaimRecord,
+    ClaimState,
+    settle_record,
+)
+from bamboolever._claimwriter import ClaimWriter
+from bamboolever._configwatch import ConfigurationWatcher
+from bamboolever._connection import ConnectionHandler, FrameConnection, Identity
+from bamboolever._coordinator import CallCoordinator
+from bamboolever._documents import (
+    CONFIGURATION_KINDS,
+    ROLLOUT_KIND,
+    SERVICE_KIND,
+    Contract,
+    Distribution,
+    Rollout,
+    ServiceDocument,
+)
+from bamboolever._feed import ConfigurationFeed
+from bamboolever._kernel import Kernel, Service
+from bamboolever._membership import Member, Membership
+from bamboolever._platform import (
+    HttpPlatform,
+    InstanceRecord,
+    Platform,
+    PlatformError,
+    Snapshot,
+    WriteConflict,
+)
+from bamboolever._protocol.ttypes import (
+    CallCancel,
+    CallStart,
+    Frame,
+    ManifestReply,
+    ManifestRequest,
+    Outcome,
+    Report,
+    Target,
+)
+from bamboolever._routing import UpstreamView
+from bamboolever._settings import EntrySettings
+from bamboolever._subset import rank_members
+from bamboolever._task import IoTask
+from bamboolever._telemetry import Telemetry, read_rss_bytes
+
+logger = logging.getLogger(__name__)
+
+STATUS_KIND = "status"
+QUARANTINE_KIND = "quarantine"
+DRAIN_KIND = "drains"
+WATCHED_KINDS = (*CONFIGURATION_KINDS, QUARANTINE_KIND, DRAIN_KIND)
+
+BACKGROUND_THREADS = 8
+TICK_PERIOD_S = 0.02
+FIRST_INSTANCE_PERIOD_S = 1.0
+INSTANCES_PER_LIST_SECOND = 100.0
+ENTRIES_PER_STATUS_SECOND = 50.0
+CONNECT_RETRY_S = 0.5
+MAX_UPSTREAMS_PER_SERVICE = 64
+MANIFEST_CACHE = 8
+
+OUTCOMES = {
+    Outcome.NOT_RUN: RunOutcome.NOT_RUN,
+    Outcome.RAN: RunOutcome.RAN,
+    Outcome.UNKNOWN: RunOutcome.UNKNOWN,
+}
+
+
+@final
+class Entry(Service):
+    """One entry; everything but blocking work runs on its own task."""
+
+    def __init__(self, settings: EntrySettings, *, platform: Platform):
+        self._settings = settings
+        self._platform = platform
+        self.telemetry = Telemetry("entry")
+        self._task = IoTask(f"entry-{settings.instance_id}")
+        self._background = ThreadPoolExecutor(BACKGROUND_THREADS, "entry-background")
+        keys = tuple(key.encode() for key in settings.shared_keys)
+        self._identity = Identity(
+            settings.instance_id,
+            "entry",
+            settings.region,
+            settings.availability_zone,
+            keys,
+        )
+        self._coordinator = CallCoordinator(
+            settings.region, settings.availability_zone, seed=hash(uuid.uuid4())
+        )
+        self._feed = ConfigurationFeed()
+        self._contracts: dict[str, Contract] = {}
+        self._membership = Membership()
+        self._claims = ClaimWriter(
+            self._task, self._background, platform, self.telemetry
+        )
+        self._claim_records: dict[int, ClaimRecord] = {}
+        self._callers: dict[int, CallerConnection] = {}
+        self._calls_by_caller: dict[CallerConnection, int] = {}
+        self._requests: dict[int, CallRequest] = {}
+        self._agents: dict[str, FrameConnection] = {}
+        self._agent_retry_at: dict[str, float] = {}
+        self._drained: set[str] = set()
+        self._reports: dict[str, Report] = {}
+        self._manifests: dict[str, bytes] = {}
+        self._next_call = 1
+        self._is_ready = False
+        self._is_stopping = False
+        self._status_revision = 0
+        self._is_status_pending = False
+        self._port = CallerPort(
+            self._task,
+            (settings.host, settings.caller_port),
+            _Callers(self),
+            max_connections=settings.max_connections,
+        )
+        self._watcher = ConfigurationWatcher(
+            platform,
+            WATCHED_KINDS,
+            self.telemetry,
+            on_snapshot=self._post_snapshot,
+            on_changes=self._post_changes,
+        )
+
+    @classmethod
+    def from_config(cls, settings: EntrySettings) -> "Entry":
+        """Build an entry that uses the HTTP interfaces."""
+        return cls(settings, platform=HttpPlatform.from_config(settings.platform))
+
+    @property
+    def name(self) -> str:
+        """See `Service.name`."""
+        return "entry"
+
+    @property
+    def port(self) -> int:
+        """The callers' port."""
+        return self._port.port
+
+    @property
+    def record(self) -> InstanceRecord:
+        """This instance as the platform's list should show it."""
+        settings = self._settings
+        return InstanceRecord(
+            settings.instance_id,
+            "entry",
+            "",
+            settings.region,
+            settings.availability_zone,
+            settings.host,
+            self.port,
+            False,
+        )
+
+    def start(self, kernel: Kernel) -> None:
+        """See `Service.start`."""
+        self._task.start()
+        self._task.send(self._on_start)
+        self._watcher.start()
+
+    def is_ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self._is_ready and not self._is_stopping
+
+    def drain(self) -> bool:
+        """Stop gracefully; return whether every call came to its end.
+
+        Readiness fails first; the port closes once the balancer has noticed.
+        Blocks for at most the configured time.
+        """
+        self._is_stopping = True
+        time.sleep(self._settings.balancer_delay)
+        self._task.send(self._port.stop_accepting)
+        deadline = time.monotonic() + self._settings.drain_timeout
+        while time.monotonic() < deadline:
+            if self._coordinator.open_calls == 0 and self._claims.pending == 0:
+                return True
+            time.sleep(0.02)
+        return False
+
+    def stop(self) -> None:
+        """See `Service.stop`."""
+        self._is_stopping = True
+        self._watcher.stop()
+        self._task.send(self._close_agents)
+        self._task.stop()
+        self._background.shutdown(wait=False, cancel_futures=True)
+
+    def describe_status(self) -> dict[str, Any]:
+        """Return what this entry writes into its status object."""
+        names = Report().__slots__
+        agents = [
+            {name: getattr(report, name) for name in names}
+            for report in list(self._reports.values())
+        ]
+        refused = [
+            {"document": f"{r.key.kind}/{r.key.name}", "problem": r.problem}
+            for r in self._feed.refused
+        ]
+        return {
+            "instance_id": self._settings.instance_id,
+            "region": self._settings.region,
+            "availability_zone": self._settings.availability_zone,
+            "written_at": time.time(),
+            "revision": self._feed.revision,
+            "refused_documents": refused,
+            "rss_bytes": read_rss_bytes(),
+            "open_calls": self._coordinator.open_calls,
+            "quarantined": self._coordinator.poison.quarantined(self._task.now()),
+            "refusals": self.telemetry.read_by("refusals", "reason"),
+            "retries": self.telemetry.read_by("retries", "reason"),
+            "agents": agents,
+        }
+
+    # Start and timers.
+
+    def _on_start(self) -> None:
+        self._port.start()
+        self._task.call_every(TICK_PERIOD_S, self._on_tick)
+        self._poll_instances()
+        self._task.call_later(self._settings.status_period, self._write_status)
+
+    def _on_tick(self) -> None:
+        self._execute(self._coordinator.tick(self._task.now()))
+
+    # Configuration.
+
+    def _post_snapshot(self, snapshot: Snapshot) -> None:
+        self._task.send(lambda: self._on_snapshot(snapshot))
+
+    def _post_changes(self, from_revision: int, snapshot: Snapshot) -> None:
+        self._task.send(lambda: self._on_changes(from_revision, snapshot))
+
+    def _on_snapshot(self, snapshot: Snapshot) -> None:
+        self._feed.apply_snapshot(snapshot.revision, list(snapshot.objects))
+        self._is_ready = True
+        self._apply_configuration()
+
+    def _on_changes(self, from_revision: int, snapshot: Snapshot) -> None:
+        changed = self._feed.apply_changes(
+            from_revision, snapshot.revision, list(snapshot.objects)
+        )
+        if changed is not None and snapshot.objects:
+            self._apply_configuration()
+
+    def _apply_configuration(self) -> None:
+        self._contracts = index_api_keys(self._feed)
+        now = self._task.now()
+        self._drained = {
+            stored.name
+            for stored in self._feed.stored
+            if stored.kind == DRAIN_KIND and not stored.is_deleted
+        }
+        for stored in self._feed.stored:
+            if stored.kind == QUARANTINE_KIND and not stored.is_deleted:
+                if not self._coordinator.poison.is_quarantined(stored.name, now):
+                    self._coordinator.poison.quarantine(stored.name, now)
+            elif stored.kind == QUARANTINE_KIND:
+                self._coordinator.poison.lift(stored.name)
+        for agent_id, connection in self._agents.items():
+            self._send_target(agent_id, connection)
+            self._apply_drain(agent_id)
+
+    def _send_target(self, agent_id: str, connection: FrameConnection) -> None:
+        member = self._membership.get(agent_id)
+        if member is None or not connection.is_open:
+            return
+        target = self._find_target(member.record.service)
+        report = self._reports.get(agent_id)
+        if target is None:
+            return
+        if report is not None and (report.fencing or 0) >= target.fencing:
+            return
+        connection.send(target=target)
+
+    def _find_target(self, service: str) -> Target | None:
+        rollout = self._feed.get(ROLLOUT_KIND, service)
+        if not isinstance(rollout, Rollout):
+            return None
+        document = self._feed.get(SERVICE_KIND, service)
+        distribution = Distribution()
+        if isinstance(document, ServiceDocument):
+            distribution = document.distribution
+        fencing = self._feed.get_revision(ROLLOUT_KIND, service)
+        return make_target(rollout, distribution, fencing)
+
+    def _apply_drain(self, agent_id: str) -> None:
+        view = self._coordinator.upstreams.get(agent_id)
+        if view is not None and self._is_drained(agent_id):
+            view.is_leaving = True
+
+    def _is_drained(self, agent_id: str) -> bool:
+        return agent_id in self._drained
+
+    # Instances.
+
+    def _poll_instances(self) -> None:
+        region = self._settings.region
+        self._task.submit(
+            self._background,
+            lambda: self._platform.list_instances(region),
+            self._on_instances,
+        )
+
+    def _on_instances(self, future: "Future[list[InstanceRecord]]") -> None:
+        try:
+            self._membership.apply_list(future.result(), self._task.now())
+        except PlatformError:
+            self.telemetry.count("platform_failures", reason="instance-list")
+        entries = [
+            m for m in self._membership.members(role="entry") if not m.is_leaving
+        ]
+        self._coordinator.set_share(1.0 / max(1, len(entries)))
+        agents = self._membership.members(role="agent")
+        self._connect_agents(agents)
+        for member in agents:
+            view = self._coordinator.upstreams.get(member.record.instance_id)
+            if view is not None and member.is_leaving:
+                view.is_leaving = True
+        period_s = max(FIRST_INSTANCE_PERIOD_S, len(agents) / INSTANCES_PER_LIST_SECOND)
+        self._task.call_later(period_s, self._poll_instances)
+
+    def _connect_agents(self, agents: list[Member]) -> None:
+        now = self._task.now()
+        wanted = _select_agents(agents, self._settings)
+        for member in wanted:
+            record = member.record
+            agent_id = record.instance_id
+            if agent_id in self._agents or member.is_leaving:
+                continue
+            if now < self._agent_retry_at.get(agent_id, 0.0):
+                continue
+            self._agents[agent_id] = FrameConnection.connect(
+                self._task,
+                (record.host, record.port),
+                self._identity,
+                _AgentHandler(self, agent_id),
+            )
+
+    def _reconnect(self, agent_id: str) -> None:
+        member = self._membership.get(agent_id)
+        if member is not None and not self._is_stopping:
+            self._connect_agents([member])
+
+    # Agents.
+
+    def on_agent_open(self, agent_id: str, connection: FrameConnection) -> None:
+        """Use an agent's connection."""
+        if connection.peer_id != agent_id:
+            # Another instance took the address over.
+            connection.close("another instance answered")
+            return
+        self._membership.on_connected(agent_id)
+        member = self._membership.get(agent_id)
+        if member is None:
+            connection.close("no longer in the instance list")
+            return
+        record = member.record
+        view = UpstreamView(
+            agent_id,
+            record.service,
+            record.region,
+            record.availability_zone,
+            capacity=1,
+        )
+        self._execute(self._coordinator.set_upstream(view, self._task.now()))
+        self._apply_drain(agent_id)
+        self._send_target(agent_id, connection)
+
+    def on_agent_frame(
+        self, agent_id: str, connection: FrameConnection, frame: Frame
+    ) -> None:
+        """Handle a frame from an agent."""
+        now = self._task.now()
+        if frame.call_piece is not None:
+            piece = frame.call_piece
+            self._execute(self._coordinator.on_piece(piece.call_id, piece.data, now))
+        elif frame.call_head is not None:
+            head = frame.call_head
+            self._execute(
+                self._coordinator.on_head(
+                    head.call_id,
+                    status=head.status,
+                    content_type=head.content_type or "",
+                    version=head.version or "",
+                    now=now,
+                )
+            )
+        elif frame.call_end is not None:
+            end = frame.call_end
+            outcome = OUTCOMES.get(end.outcome, RunOutcome.UNKNOWN)
+            self._execute(
+                self._coordinator.on_end(
+                    end.call_id,
+                    outcome,
+                    is_complete=bool(end.complete),
+                    reason=end.reason or "unknown",
+                    now=now,
+                )
+            )
+        elif frame.report is not None:
+            self._on_report(agent_id, connection, frame.report)
+        elif frame.manifest_request is not None:
+            self._on_manifest_request(connection, frame.manifest_request)
+
+    def on_agent_close(
+        self, agent_id: str, connection: FrameConnection, reason: str
+    ) -> None:
+        """Give up the attempts at an agent whose connection ended."""
+        if self._agents.get(agent_id) is not connection:
+            return
+        del self._agents[agent_id]
+        self._reports.pop(agent_id, None)
+        self._membership.on_disconnected(agent_id)
+        self._agent_retry_at[agent_id] = self._task.now() + CONNECT_RETRY_S
+        self.telemetry.count("agent_connections_closed", reason=reason[:40])
+        is_silent = reason.startswith("silent")
+        now = self._task.now()
+        actions = self._coordinator.on_upstream_lost(agent_id, now, is_silent=is_silent)
+        self._execute(actions)
+        self._task.call_later(CONNECT_RETRY_S, lambda: self._reconnect(agent_id))
+
+    def _on_report(
+        self, agent_id: str, connection: FrameConnection, report: Report
+    ) -> None:
+        self._reports[agent_id] = report
+        if report.leaving:
+            self._membership.on_leaving(agent_id)
+        actions = self._coordinator.on_report(
+            agent_id,
+            in_flight=report.in_flight or 0,
+            capacity=report.capacity or 1,
+            version=report.version or "",
+            is_accepting=bool(report.accepting),
+            is_leaving=bool(report.leaving) or self._is_drained(agent_id),
+            now=self._task.now(),
+        )
+        self._execute(actions)
+        self._send_target(agent_id, connection)
+
+    def _on_manifest_request(
+        self, connection: FrameConnection, request: ManifestRequest
+    ) -> None:
+        digest = request.manifest_digest or ""
+        known = self._manifests.get(digest)
+        if known is not None:
+            connection.send(manifest_reply=ManifestReply(digest, True, known))
+            return
+        self._task.submit(
+            self._background,
+            lambda: self._platform.get(MANIFEST_KIND, digest),
+            lambda future: self._on_manifest(connection, digest, future),
+        )
+
+    def _on_manifest(
+        self, connection: FrameConnection, digest: str, future: "Future[Any]"
+    ) -> None:
+        try:
+            stored = future.result()
+        except PlatformError:
+            self.telemetry.count("platform_failures", reason="manifest")
+            return
+        if stored is None:
+            connection.send(manifest_reply=ManifestReply(digest, False, b""))
+            return
+        while len(self._manifests) >= MANIFEST_CACHE:
+            del self._manifests[next(iter(self._manifests))]
+        self._manifests[digest] = stored.value
+        connection.send(manifest_reply=ManifestReply(digest, True, stored.value))
+
+    def _close_agents(self) -> None:
+        for connection in list(self._agents.values()):
+            connection.close("stopping")
+
+    # Callers.
+
+    def on_caller_request(
+        self, connection: CallerConnection, received: CallerRequest
+    ) -> None:
+        """Parse a request and hand it to the coordinator."""
+        call_id = self._next_call
+        self._next_call += 1
+        now = self._task.now()
+        try:
+            parsed = parse_call(
+                received,
+                call_id=call_id,
+                contracts=self._contracts,
+                feed=self._feed,
+                now=now,
+            )
+        except RequestRefused as refused:
+            refusal = Refusal(call_id, refused.reason, RunOutcome.NOT_RUN, str(refused))
+            self._answer_refusal(connection, refusal, "")
+            return
+        self._callers[call_id] = connection
+        self._calls_by_caller[connection] = call_id
+        self._requests[call_id] = parsed.request
+        self.telemetry.count("calls", workspace=parsed.request.workspace)
+        self._execute(
+            self._coordinator.arrive(
+                parsed.request, parsed.contract, parsed.service, now
+            )
+        )
+
+    def on_caller_gone(self, connection: CallerConnection) -> None:
+        """Tell the coordinator that nobody waits for an answer."""
+        call_id = self._calls_by_caller.pop(connection, None)
+        if call_id is None:
+            return
+        self._callers.pop(call_id, None)
+        self._requests.pop(call_id, None)
+        self.telemetry.count("callers_gone")
+        now = self._task.now()
+        self._execute(self._coordinator.on_caller_gone(call_id, now))
+
+    # Actions.
+
+    def _execute(self, actions: list[CallAction]) -> None:
+        for action in actions:
+            handler = self._handlers[type(action)]
+            handler(self, action)
+
+    def _do_refuse(self, refusal: Refusal) -> None:
+        request = self._requests.get(refusal.call_id)
+        connection = self._release_caller(refusal.call_id)
+        if connection is None:
+            self._count_refusal(refusal.reason)
+            return
+        trace_id = request.trace_id if request else ""
+        self._answer_refusal(connection, refusal, trace_id)
+
+    def _answer_refusal(
+        self, connection: CallerConnection, refusal: Refusal, trace_id: str
+    ) -> None:
+        self._count_refusal(refusal.reason)
+        headers: Headers = [("X-Bamboolever-Outcome", refusal.outcome.value)]
+        if trace_id:
+            headers.append(("X-Request-Id", trace_id))
+        if refusal.retry_after_s is not None:
+            headers.append(("Retry-After", str(max(1, round(refusal.retry_after_s)))))
+        body = make_error_body(refusal.reason.value, refusal.message)
+        status = STATUS_BY_REASON[refusal.reason]
+        logger.info(
+            "call refused: %s", refusal.reason.value, extra={"trace_id": trace_id}
+        )
+        connection.respond(status, "application/json", body, headers)
+
+    def _count_refusal(self, reason: Reason) -> None:
+        self.telemetry.count("refusals", reason=reason.value)
+
+    def _do_respond(self, respond: Respond) -> None:
+        request = self._requests.get(respond.call_id)
+        connection = self._release_caller(respond.call_id)
+        if connection is None or request is None:
+            return
+        headers = self._answer_headers(request, respond.version)
+        logger.info("call answered", extra={"trace_id": request.trace_id})
+        connection.respond(respond.status, respond.content_type, respond.body, headers)
+
+    def _do_start_stream(self, start: StartStream) -> None:
+        connection = self._callers.get(start.call_id)
+        request = self._requests.get(start.call_id)
+        if connection is None or request is None:
+            return
+        headers = self._answer_headers(request, start.version)
+        connection.start_stream(start.status, start.content_type, headers)
+
+    def _do_send_piece(self, piece: SendPiece) -> None:
+        connection = self._callers.get(piece.call_id)
+        if connection is not None:
+            connection.send_piece(piece.data)
+
+    def _do_finish_stream(self, finish: FinishStream) -> None:
+        request = self._requests.get(finish.call_id)
+        connection = self._release_caller(finish.call_id)
+        if connection is not None and request is not None:
+            logger.info("stream finished", extra={"trace_id": request.trace_id})
+            connection.finish_stream()
+
+    def _do_abort_stream(self, abort: AbortStream) -> None:
+        self._count_refusal(abort.reason)
+        connection = self._release_caller(abort.call_id)
+        if connection is not None:
+            connection.abort()
+
+    def _do_dispatch(self, dispatch: Dispatch) -> None:
+        request = dispatch.request
+        connection = self._agents.get(dispatch.upstream_id)
+        if connection is None or not connection.is_open:
+            now = self._task.now()
+            end = self._coordinator.on_end(
+                dispatch.attempt_id,
+                RunOutcome.NOT_RUN,
+                is_complete=False,
+                reason="connection-lost",
+                now=now,
+            )
+            self._execute(end)
+            return
+        left_s = max(0.001, dispatch.deadline_at - self._task.now())
+        connection.send(
+            call_start=CallStart(
+                call_id=dispatch.attempt_id,
+                trace_id=request.trace_id,
+                method=request.method,
+                path=request.path,
+                content_type=request.content_type,
+                body=request.body,
+                stream=request.is_stream,
+                priority=request.priority,
+                deadline_ms=int(left_s * 1000) + 1,
+                required_version=dispatch.required_version,
+                resume_from=dispatch.resume_from,
+                dispatch_key="" if request.is_idempotent else request.idempotency_key,
+            )
+        )
+
+    def _do_cancel(self, cancel: CancelAttempt) -> None:
+        connection = self._agents.get(cancel.upstream_id)
+        if connection is not None:
+            connection.send(call_cancel=CallCancel(cancel.attempt_id))
+
+    def _do_claim(self, claim: ClaimCall) -> None:
+        request = claim.request
+        record = ClaimRecord(
+            body_digest=request.body_digest,
+            holder=self._settings.instance_id,
+            nonce=uuid.uuid4().hex,
+            claimed_at=time.time(),
+        )
+        operation = ClaimOperation(request.idempotency_key, record)
+        self._claim_records[request.call_id] = record
+        self._claims.claim(
+            operation,
+            lambda result: self._execute(
+                self._coordinator.on_claim(request.call_id, result, self._task.now())
+            ),
+        )
+
+    def _do_settle(self, settle: SettleClaim) -> None:
+        request = settle.request
+        record = self._claim_records.pop(request.call_id, None)
+        if record is None:
+            return
+        if settle.outcome is RunOutcome.NOT_RUN:
+            self._claims.settle(
+                ClaimOperation(request.idempotency_key, record, is_release=True)
+            )
+            return
+        is_done = settle.outcome is RunOutcome.RAN
+        state = ClaimState.DONE if is_done else ClaimState.UNKNOWN
+        ended = settle_record(
+            record, state, settle.status, settle.content_type, settle.body
+        )
+        self._claims.settle(ClaimOperation(request.idempotency_key, ended))
+
+    def _do_share_quarantine(self, share: ShareQuarantine) -> None:
+        logger.error("request quarantined: %s", share.body_digest)
+        self.telemetry.count("quarantines")
+        digest = share.body_digest
+        value = json.dumps({"found_by": self._settings.instance_id}).encode()
+        self._task.submit(
+            self._background,
+            lambda: _write_quarantine(self._platform, digest, value),
+            lambda future: self._on_quarantine_written(digest, future),
+        )
+
+    def _on_quarantine_written(self, digest: str, future: "Future[None]") -> None:
+        if future.exception() is None:
+            return
+        self.telemetry.count("platform_failures", reason="quarantine")
+        self._task.call_later(
+            1.0, lambda: self._do_share_quarantine(ShareQuarantine(digest))
+        )
+
+    def _do_count_retry(self, retry: CountRetry) -> None:
+        self.telemetry.count("retries", reason=retry.reason)
+
+    def _release_caller(self, call_id: int) -> CallerConnection | None:
+        connection = self._callers.pop(call_id, None)
+        self._requests.pop(call_id, None)
+        self._claim_records.pop(call_id, None)
+        if connection is not None:
+            self._calls_by_caller.pop(connection, None)
+        return connection
+
+    def _answer_headers(self, request: CallRequest, version: str) -> Headers:
+        headers: Headers = [
+            ("X-Bamboolever-Outcome", RunOutcome.RAN.value),
+            ("X-Request-Id", request.trace_id),
+        ]
+        if version:
+            headers.append(("X-Model-Version", version))
+        return headers
+
+    # Status.
+
+    def _write_status(self) -> None:
+        entries = len(self._membership.members(role="entry"))
+        period_s = max(
+            self._settings.status_period, entries / ENTRIES_PER_STATUS_SECOND
+        )
+        self._task.call_later(period_s, self._write_status)
+        if self._is_status_pending:
+            return
+        self._is_status_pending = True
+        value = json.dumps(self.describe_status()).encode()
+        self._task.submit(
+            self._background, lambda: self._put_status(value), self._on_status_written
+        )
+
+    def _put_status(self, value: bytes) -> int:
+        name = self._settings.instance_id
+        try:
+            return self._platform.write(
+                STATUS_KIND, name, value, expected_revision=self._status_revision
+            )
+        except WriteConflict as conflict:
+            return conflict.current.revision if conflict.current else 0
+
+    def _on_status_written(self, future: "Future[int]") -> None:
+        self._is_status_pending = False
+        try:
+            self._status_revision = future.result()
+        except PlatformError:
+            self.telemetry.count("platform_failures", reason="status")
+
+    _handlers: dict[type, Callable[["Entry", Any], None]] = {
+        Refusal: _do_refuse,
+        Respond: _do_respond,
+        StartStream: _do_start_stream,
+        SendPiece: _do_send_piece,
+        FinishStream: _do_finish_stream,
+        AbortStream: _do_abort_stream,
+        Dispatch: _do_dispatch,
+        CancelAttempt: _do_cancel,
+        ClaimCall: _do_claim,
+        SettleClaim: _do_settle,
+        ShareQuarantine: _do_share_quarantine,
+        CountRetry: _do_count_retry,
+    }
+
+
+class _Callers(CallerHandler):
+    """Passes callers' requests to the entry."""
+
+    def __init__(self, entry: Entry):
+        self._entry = entry
+
+    def on_request(self, connection: CallerConnection, request: CallerRequest) -> None:
+        self._entry.on_caller_request(connection, request)
+
+    def on_caller_gone(self, connection: CallerConnection) -> None:
+        self._entry.on_caller_gone(connection)
+
+    def on_bad_request(self, reason: str) -> None:
+        self._entry.telemetry.count("refusals", reason=reason)
+
+
+class _AgentHandler(ConnectionHandler):
+    """Passes what happens on an agent's connection to the entry."""
+
+    def __init__(self, entry: Entry, agent_id: str):
+        self._entry = entry
+        self._agent_id = agent_id
+
+    def on_open(self, connection: FrameConnection) -> None:
+        self._entry.on_agent_open(self._agent_id, connection)
+
+    def on_frame(self, connection: FrameConnection, frame: Frame) -> None:
+        self._entry.on_agent_frame(self._agent_id, connection, frame)
+
+    def on_close(self, connection: FrameConnection, reason: str) -> None:
+        self._entry.on_agent_close(self._agent_id, connection, reason)
+
+
+def _select_agents(agents: list[Member], settings: EntrySettings) -> list[Member]:
+    """Return a stable subset of each service, this entry's zone first."""
+    by_service: dict[str, dict[str, Member]] = {}
+    for member in agents:
+        group = by_service.setdefault(member.record.service, {})
+        group[member.record.instance_id] = member
+    selected: list[Member] = []
+    for group in by_service.values():
+        ranked = rank_members(settings.instance_id, group)
+        ranked.sort(
+            key=lambda member_id, group=group: (  # type: ignore[misc]
+                group[member_id].record.availability_zone != settings.availability_zone
+            )
+        )
+        selected += [
+            group[member_id] for member_id in ranked[:MAX_UPSTREAMS_PER_SERVICE]
+        ]
+    return selected
+
+
+def _write_quarantine(platform: Platform, digest: str, value: bytes) -> None:
+    try:
+        platform.write(QUARANTINE_KIND, digest, value, expected_revision=0)
+    except WriteConflict:
+        # Another entry found the same request.
+        return
--- /dev/null
+++ b/src/bamboolever/_operator.py
@@ -0,0 +1,269 @@
+"""What operators do: apply, diff, get, status, rollout and drain.
+
+Every write is conditional on the revision that was read before, so of two
+operators one wins and the other is told what changed.
+"""
+
+import json
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from pydantic import BaseModel
+from returns.result import Failure, Result, Success
+
+from bamboolever._agent import MANIFEST_KIND
+from bamboolever._documents import (
+    CONFIGURATION_KINDS,
+    ROLLOUT_KIND,
+    Document,
+    DocumentError,
+    DocumentFile,
+    DocumentKey,
+    Fault,
+    Rollout,
+    decode_document,
+    encode_document,
+    list_documents,
+    load_toml,
+)
+from bamboolever._entry import DRAIN_KIND, STATUS_KIND
+from bamboolever._manifest import Manifest
+from bamboolever._origin import Origin
+from bamboolever._platform import (
+    Platform,
+    StoredObject,
+    WriteConflict,
+    write_resolved,
+)
+
+STALE_AFTER_S = 15.0
+
+
+class RaceLost(Exception):
+    """Another operator changed the same document first."""
+
+    def __init__(self, key: DocumentKey, differences: list[str], changed_by: str):
+        super().__init__(
+            f"{key.kind}/{key.name} was changed by {changed_by} at the same time: "
+            f"{'; '.join(differences) or 'same content'}; look at it and apply again"
+        )
+        self.key = key
+
+
+@dataclass(frozen=True)
+class Change:
+    """What applying one document would do."""
+
+    key: DocumentKey
+    document: Document
+    known_revision: int
+    differences: tuple[str, ...]
+
+    @property
+    def is_needed(self) -> bool:
+        """Whether anything differs."""
+        return bool(self.differences)
+
+
+@dataclass
+class FleetStatus:
+    """What the system reported, merged over all entries."""
+
+    entries: list[dict[str, Any]] = field(default_factory=list)
+    agents: list[dict[str, Any]] = field(default_factory=list)
+    services: dict[str, dict[str, Any]] = field(default_factory=dict)
+
+
+def load_files(paths: list[Path]) -> Result[dict[DocumentKey, Document], list[Fault]]:
+    """Return the documents of several files, or all faults in all of them."""
+    documents: dict[DocumentKey, Document] = {}
+    faults: list[Fault] = []
+    for path in paths:
+        loaded = load_toml(path, DocumentFile)
+        if isinstance(loaded, Failure):
+            faults += loaded.failure()
+            continue
+        for key, document in list_documents(loaded.unwrap()).items():
+            if key in documents:
+                problem = "is defined in an earlier file too; keep one"
+                faults.append(Fault(str(path), f"{key.kind}/{key.name}", problem))
+            documents[key] = document
+    return Failure(faults) if faults else Success(documents)
+
+
+def plan_changes(
+    platform: Platform, documents: dict[DocumentKey, Document]
+) -> list[Change]:
+    """Compare documents with those in the platform."""
+    snapshot = platform.list_objects(CONFIGURATION_KINDS)
+    known = {DocumentKey(o.kind, o.name): o for o in snapshot.objects}
+    return [
+        _compare(key, document, known.get(key))
+        for key, document in sorted(documents.items(), key=lambda row: str(row[0]))
+    ]
+
+
+def apply_changes(platform: Platform, changes: list[Change], operator: str) -> int:
+    """Write the needed changes; return how many were written.
+
+    Raises `RaceLost` when another operator was faster.
+    """
+    written = 0
+    for change in changes:
+        if not change.is_needed:
+            continue
+        document = change.document.model_copy(update={"changed_by": operator})
+        _write_document(platform, change.key, document, change.known_revision)
+        written += 1
+    return written
+
+
+def start_rollout(
+    platform: Platform,
+    origin: Origin,
+    *,
+    service: str,
+    model: str,
+    version: str,
+    operator: str,
+) -> int:
+    """Make ``version`` the target of a service; return the rollout's revision.
+
+    Raises `ManifestError`, `OriginError` or `RaceLost`.
+    """
+    current = platform.get(ROLLOUT_KIND, service)
+    data = origin.read_manifest(model, version)
+    manifest = Manifest.decode(data)
+    stored = manifest.encode()
+    try:
+        write_resolved(
+            platform, MANIFEST_KIND, manifest.digest, stored, expected_revision=0
+        )
+    except WriteConflict:
+        # Named by its digest, so what is there is the same manifest.
+        pass
+    rollout = Rollout(
+        service=service,
+        model=model,
+        version=version,
+        manifest_digest=manifest.digest,
+        changed_by=operator,
+    )
+    key = DocumentKey(ROLLOUT_KIND, service)
+    return _write_document(platform, key, rollout, current.revision if current else 0)
+
+
+def set_drain(platform: Platform, instance_id: str, operator: str) -> int:
+    """Ask the entries to send no new work to an instance."""
+    value = json.dumps({"changed_by": operator}).encode()
+    current = platform.get(DRAIN_KIND, instance_id)
+    if current is not None:
+        return current.revision
+    return write_resolved(platform, DRAIN_KIND, instance_id, value, expected_revision=0)
+
+
+def read_status(platform: Platform, now: float | None = None) -> FleetStatus:
+    """Merge the status objects of all entries, offline ones included."""
+    now = time.time() if now is None else now
+    snapshot = platform.list_objects((STATUS_KIND, ROLLOUT_KIND))
+    status = FleetStatus()
+    agents: dict[str, dict[str, Any]] = {}
+    for stored in snapshot.objects:
+        if stored.kind != STATUS_KIND:
+            continue
+        content = json.loads(stored.value)
+        age_s = max(0.0, now - float(content["written_at"]))
+        content["age_s"] = round(age_s, 1)
+        content["is_stale"] = age_s > STALE_AFTER_S
+        for report in content.pop("agents"):
+            report = {**report, "reported_at": content["written_at"]}
+            report["is_stale"] = content["is_stale"]
+            known = agents.get(report["instance_id"])
+            if known is None or known["reported_at"] < report["reported_at"]:
+                agents[report["instance_id"]] = report
+        status.entries.append(content)
+    status.agents = [agents[name] for name in sorted(agents)]
+    status.services = _summarize(status.agents, snapshot.objects)
+    return status
+
+
+def _summarize(
+    agents: list[dict[str, Any]], objects: tuple[StoredObject, ...]
+) -> dict[str, dict[str, Any]]:
+    services: dict[str, dict[str, Any]] = {}
+    for stored in objects:
+        if stored.kind != ROLLOUT_KIND:
+            continue
+        rollout = json.loads(stored.value)
+        own = [a for a in agents if a["service_name"] == stored.name]
+        serving = [
+            a
+            for a in own
+            if a["version"] == rollout["version"] and a["state"] == "serving"
+        ]
+        states: dict[str, int] = {}
+        for agent in own:
+            states[agent["state"]] = states.get(agent["state"], 0) + 1
+        services[stored.name] = {
+            "target": rollout["version"],
+            "changed_by": rollout["changed_by"],
+            "revision": stored.revision,
+            "instances": len(own),
+            "serving_target": len(serving),
+            "states": states,
+            "origin_bytes": sum(a["origin_bytes"] for a in own),
+            "import_bytes": sum(a["import_bytes"] for a in own),
+        }
+    return services
+
+
+def _compare(
+    key: DocumentKey, document: Document, known: StoredObject | None
+) -> Change:
+    revision = known.revision if known else 0
+    if known is None:
+        return Change(key, document, revision, ("new",))
+    try:
+        current: BaseModel | None = decode_document(key.kind, known.value)
+    except DocumentError:
+        current = None
+    return Change(key, document, revision, tuple(_differences(current, document)))
+
+
+def _differences(old: BaseModel | None, new: BaseModel) -> list[str]:
+    if old is None:
+        return ["the stored document was unreadable"]
+    before = old.model_dump(mode="json")
+    after = new.model_dump(mode="json")
+    return [
+        f"{name}: {before.get(name)!r} -> {value!r}"
+        for name, value in after.items()
+        if name != "changed_by" and before.get(name) != value
+    ]
+
+
+def _write_document(
+    platform: Platform, key: DocumentKey, document: Document, known_revision: int
+) -> int:
+    value = encode_document(document)
+    try:
+        return write_resolved(
+            platform, key.kind, key.name, value, expected_revision=known_revision
+        )
+    except WriteConflict as conflict:
+        raise _describe_race(key, document, conflict) from conflict
+
+
+def _describe_race(
+    key: DocumentKey, document: Document, conflict: WriteConflict
+) -> RaceLost:
+    if conflict.current is None:
+        return RaceLost(key, ["it was deleted"], "another operator")
+    try:
+        other = decode_document(key.kind, conflict.current.value)
+    except DocumentError:
+        return RaceLost(key, ["it is unreadable now"], "another operator")
+    changed_by = getattr(other, "changed_by", "another operator")
+    return RaceLost(key, _differences(document, other), changed_by)
--- /dev/null
+++ b/src/bamboolever/_origin.py
@@ -0,0 +1,59 @@
+"""The origin of weights, behind an abstract base class."""
+
+import http.client
+import urllib.parse
+from abc import ABC, abstractmethod
+from typing import final
+
+from bamboolever._manifest import MAX_MANIFEST_BYTES
+
+
+class OriginError(Exception):
+    """The origin did not give what was asked."""
+
+
+class Origin(ABC):
+    """What the system needs of the origin; methods block."""
+
+    @abstractmethod
+    def read_manifest(self, model: str, version: str) -> bytes:
+        """Return a version's encoded manifest. Raises `OriginError`."""
+
+    @abstractmethod
+    def read_chunk(self, digest: str, size: int) -> bytes:
+        """Return up to ``size`` bytes of a chunk. Raises `OriginError`."""
+
+
+@final
+class HttpOrigin(Origin):
+    """An origin that speaks HTTP."""
+
+    def __init__(self, url: str, *, timeout_s: float = 30.0):
+        parts = urllib.parse.urlsplit(url)
+        self._host = parts.hostname or ""
+        self._port = parts.port or 80
+        self._timeout_s = timeout_s
+
+    def read_manifest(self, model: str, version: str) -> bytes:
+        """See `Origin.read_manifest`."""
+        return self._get(f"/manifests/{model}/{version}", MAX_MANIFEST_BYTES)
+
+    def read_chunk(self, digest: str, size: int) -> bytes:
+        """See `Origin.read_chunk`."""
+        return self._get(f"/chunks/{digest}", size)
+
+    def _get(self, path: str, limit: int) -> bytes:
+        connection = http.client.HTTPConnection(
+            self._host, self._port, timeout=self._timeout_s
+        )
+        try:
+            connection.request("GET", path)
+            response = connection.getresponse()
+            data = response.read(limit)
+        except (OSError, http.client.HTTPException) as error:
+            raise OriginError(f"GET {path}: {error}") from error
+        finally:
+            connection.close()
+        if response.status != 200:
+            raise OriginError(f"GET {path}: status {response.status}")
+        return data
--- /dev/null
+++ b/src/bamboolever/_planner.py
@@ -0,0 +1,165 @@
+"""What one agent knows of a burst, and the interface of its policies.
+
+Sets of chunks are integers used as bitmaps: bit ``i`` stands for chunk ``i``.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import final
+
+from bamboolever._grants import SegmentGrants, count_segments, segment_of
+from bamboolever._manifest import Manifest
+
+
+@dataclass(frozen=True)
+class PeerPlace:
+    """Where an instance is."""
+
+    instance_id: str
+    region: str
+    availability_zone: str
+
+
+@dataclass
+class PeerView:
+    """An open connection to a peer and what the peer said it holds."""
+
+    place: PeerPlace
+    have: int = 0
+    uploads: int = 0
+    in_flight: int = 0
+    is_banned: bool = False
+    retry_at: float = 0.0
+
+
+@dataclass(frozen=True)
+class FetchFromPeer:
+    """Ask a peer for one chunk."""
+
+    index: int
+    peer_id: str
+
+
+@dataclass(frozen=True)
+class FetchFromOrigin:
+    """Read one chunk from the origin."""
+
+    index: int
+
+
+@dataclass(frozen=True)
+class RequestGrant:
+    """Ask the platform for leave to bring a segment into this region."""
+
+    segment: int
+    missing: tuple[int, ...]
+    dead_holders: frozenset[str]
+
+
+Action = FetchFromPeer | FetchFromOrigin | RequestGrant
+
+
+@dataclass
+class GrantState:
+    """What this agent knows of one segment's grants."""
+
+    grants: SegmentGrants = field(default_factory=SegmentGrants)
+    is_pending: bool = False
+    retry_at: float = 0.0
+    # Chunk indexes that this agent may still read from the origin, once each.
+    origin_budget: set[int] = field(default_factory=set)
+
+
+@final
+class BurstView:
+    """Everything a policy may look at; changed only by its owner."""
+
+    def __init__(
+        self,
+        place: PeerPlace,
+        manifest: Manifest,
+        *,
+        aim: str = "time-to-n",
+        origin_copies: int = 4,
+        started_at: float = 0.0,
+    ):
+        self.place = place
+        self.manifest = manifest
+        self.aim = aim
+        self.origin_copies = origin_copies
+        self.started_at = started_at
+        self.have = 0
+        self.in_flight: dict[int, str] = {}
+        self.peers: dict[str, PeerView] = {}
+        self.fleet: dict[str, PeerPlace] = {place.instance_id: place}
+        self.chunk_count = len(manifest.chunks)
+        self.segment_count = count_segments(self.chunk_count)
+        self.segment_masks = [0] * self.segment_count
+        for index in range(self.chunk_count):
+            segment = segment_of(index, self.chunk_count)
+            self.segment_masks[segment] |= 1 << index
+        self.grants = [GrantState() for _ in range(self.segment_count)]
+        self.progress_at = [started_at] * self.segment_count
+        self.all_chunks = (1 << self.chunk_count) - 1
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every chunk is held."""
+        return self.have == self.all_chunks
+
+    @property
+    def missing(self) -> int:
+        """Bitmap of the chunks neither held nor being fetched."""
+        busy = 0
+        for index in self.in_flight:
+            busy |= 1 << index
+        return self.all_chunks & ~self.have & ~busy
+
+    def add_chunk(self, index: int, now: float) -> None:
+        """Note a verified chunk."""
+        self.have |= 1 << index
+        self.progress_at[segment_of(index, self.chunk_count)] = now
+
+    def region_members(self) -> list[str]:
+        """Return the ids of the fleet's members in this region."""
+        return [
+            place.instance_id
+            for place in self.fleet.values()
+            if place.region == self.place.region
+        ]
+
+    def local_peers(self) -> list[PeerView]:
+        """Return the connected peers of this region that are not banned."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.place.region == self.place.region and not peer.is_banned
+        ]
+
+
+def iterate_bits(bitmap: int) -> Iterator[int]:
+    """Yield the indexes of the set bits, lowest first."""
+    while bitmap:
+        lowest = bitmap & -bitmap
+        yield lowest.bit_length() - 1
+        bitmap ^= lowest
+
+
+class DistributionPolicy(ABC):
+    """Decides where an agent gets its chunks; pure, so easy to replace."""
+
+    #: Whether origin reads need a grant, and so stay under the cap.
+    is_capped = True
+
+    def __init__(self, seed: int = 0):
+        """Take the seed of the policy's random choices."""
+        self._seed = seed
+
+    @abstractmethod
+    def wanted_peers(self, view: BurstView) -> list[str]:
+        """Return the ids of the instances to hold connections to."""
+
+    @abstractmethod
+    def plan(self, view: BurstView, now: float) -> list[Action]:
+        """Return the next actions; the owner applies each of them."""
--- /dev/null
+++ b/src/bamboolever/_policies.py
@@ -0,0 +1,311 @@
+"""The distribution policies that ship with the product."""
+
+import random
+from typing import final
+
+from bamboolever._planner import (
+    Action,
+    BurstView,
+    DistributionPolicy,
+    FetchFromOrigin,
+    FetchFromPeer,
+    PeerView,
+    RequestGrant,
+    iterate_bits,
+)
+from bamboolever._subset import rank_members, score_member, select_subset
+
+LOCAL_PEERS = 8
+MAX_FETCHES = 6
+MAX_FETCHES_PER_PEER = 3
+MAX_ORIGIN_FETCHES = 3
+RANK_DELAY_S = 1.0
+STALL_S = 3.0
+RARITY_SAMPLE = 64
+
+
+class _PeerChooser:
+    """Shared choice of chunk and source among connected peers."""
+
+    def __init__(self, seed: int = 0):
+        self._random = random.Random(seed)
+
+    def fetch_from_peers(
+        self, view: BurstView, peers: list[PeerView], wanted: int, now: float
+    ) -> list[Action]:
+        """Return fetches of the rarest wanted chunks from the freest peers."""
+        actions: list[Action] = []
+        free = MAX_FETCHES - len(view.in_flight)
+        usable = [p for p in peers if p.retry_at <= now and p.have & wanted]
+        if free <= 0 or not usable:
+            return actions
+        load = {p.place.instance_id: p.in_flight for p in usable}
+        for index in self._rarest(usable, wanted, free * 2):
+            source = self._freest(view, usable, load, index)
+            if source is None:
+                continue
+            load[source] += 1
+            actions.append(FetchFromPeer(index, source))
+            if len(actions) >= free:
+                break
+        return actions
+
+    def _rarest(self, peers: list[PeerView], wanted: int, limit: int) -> list[int]:
+        offered = 0
+        for peer in peers:
+            offered |= peer.have
+        candidates = list(iterate_bits(offered & wanted))
+        if len(candidates) > RARITY_SAMPLE:
+            candidates = self._random.sample(candidates, RARITY_SAMPLE)
+        self._random.shuffle(candidates)
+        candidates.sort(key=lambda index: sum(p.have >> index & 1 for p in peers))
+        return candidates[:limit]
+
+    def _freest(
+        self, view: BurstView, peers: list[PeerView], load: dict[str, int], index: int
+    ) -> str | None:
+        holders = [
+            p
+            for p in peers
+            if p.have >> index & 1 and load[p.place.instance_id] < MAX_FETCHES_PER_PEER
+        ]
+        if not holders:
+            return None
+        zone = view.place.availability_zone
+        best = min(
+            holders,
+            key=lambda p: (
+                load[p.place.instance_id],
+                p.uploads,
+                p.place.availability_zone != zone,
+                self._random.random(),
+            ),
+        )
+        return best.place.instance_id
+
+
+@final
+class BudgetedPolicy(DistributionPolicy):
+    """One import of each segment into a region, then peers within it.
+
+    Under the aim ``time-to-n`` every region reads from the origin while the cap
+    allows it; under ``origin-bytes`` one region does, and the others import.
+    """
+
+    def __init__(self, seed: int = 0):
+        self._chooser = _PeerChooser(seed)
+
+    def wanted_peers(self, view: BurstView) -> list[str]:
+        """Return a subset of the region, and the sources of held imports."""
+        own = view.place.instance_id
+        others = [member for member in view.region_members() if member != own]
+        wanted = select_subset(own, others, LOCAL_PEERS)
+        for segment in range(view.segment_count):
+            wanted += self._import_sources(view, segment)
+        return list(dict.fromkeys(wanted))
+
+    def plan(self, view: BurstView, now: float) -> list[Action]:
+        """Return fetches from near peers, held grants, and grant requests."""
+        missing = view.missing
+        if not missing:
+            return []
+        actions = self._chooser.fetch_from_peers(view, view.local_peers(), missing, now)
+        for action in actions:
+            if isinstance(action, FetchFromPeer):
+                missing &= ~(1 << action.index)
+        offered = 0
+        for peer in view.local_peers():
+            offered |= peer.have
+        for segment in range(view.segment_count):
+            wanted = missing & view.segment_masks[segment] & ~offered
+            if wanted:
+                actions += self._plan_segment(view, segment, wanted, now)
+        return _limit_origin(view, actions)
+
+    def _plan_segment(
+        self, view: BurstView, segment: int, wanted: int, now: float
+    ) -> list[Action]:
+        state = view.grants[segment]
+        own = view.place.instance_id
+        if state.grants.importer_of(view.place.region) != own:
+            return self._request_if_due(view, segment, wanted, now)
+        from_origin = [i for i in iterate_bits(wanted) if i in state.origin_budget]
+        if from_origin:
+            return [FetchFromOrigin(index) for index in from_origin]
+        abroad = [
+            peer
+            for peer in view.peers.values()
+            if peer.place.region != view.place.region and not peer.is_banned
+        ]
+        fetches = self._chooser.fetch_from_peers(view, abroad, wanted, now)
+        if fetches:
+            return fetches
+        return self._request_if_due(view, segment, wanted, now)
+
+    def _request_if_due(
+        self, view: BurstView, segment: int, wanted: int, now: float
+    ) -> list[Action]:
+        state = view.grants[segment]
+        if state.is_pending or now < state.retry_at:
+            return []
+        own = view.place.instance_id
+        key = f"{view.manifest.digest}/{segment}"
+        rank = rank_members(key, view.region_members()).index(own)
+        importer = state.grants.importer_of(view.place.region)
+        idle_s = now - view.progress_at[segment]
+        dead = self._dead_holders(view, segment, idle_s)
+        if importer is None:
+            is_due = idle_s >= rank * RANK_DELAY_S
+        elif importer == own:
+            is_due = idle_s >= STALL_S or bool(dead)
+        else:
+            is_due = importer in dead and idle_s >= rank * RANK_DELAY_S
+        if not is_due:
+            return []
+        return [RequestGrant(segment, tuple(iterate_bits(wanted)), dead)]
+
+    def _dead_holders(
+        self, view: BurstView, segment: int, idle_s: float
+    ) -> frozenset[str]:
+        grants = view.grants[segment].grants
+        holders = grants.origin_holders() | {g.holder for g in grants.imports}
+        own = view.place.instance_id
+        if idle_s >= STALL_S * 2:
+            return frozenset(holders - {own})
+        return frozenset(h for h in holders if h not in view.fleet)
+
+    def _import_sources(self, view: BurstView, segment: int) -> list[str]:
+        grants = view.grants[segment].grants
+        own = view.place.instance_id
+        if grants.importer_of(view.place.region) != own:
+            return []
+        if not view.segment_masks[segment] & ~view.have:
+            return []
+        holders = grants.origin_holders() | {g.holder for g in grants.imports}
+        return sorted(h for h in holders if h != own and h in view.fleet)
+
+
+@final
+class SwarmPolicy(DistributionPolicy):
+    """A plain swarm over all regions; one instance reads each chunk first."""
+
+    is_capped = False
+
+    def __init__(self, seed: int = 0):
+        self._chooser = _PeerChooser(seed)
+
+    def wanted_peers(self, view: BurstView) -> list[str]:
+        """Return a subset of the whole fleet."""
+        own = view.place.instance_id
+        others = [member for member in view.fleet if member != own]
+        return select_subset(own, others, LOCAL_PEERS)
+
+    def plan(self, view: BurstView, now: float) -> list[Action]:
+        """Return fetches from any peer, and of own chunks from the origin."""
+        peers = [peer for peer in view.peers.values() if not peer.is_banned]
+        actions = self._chooser.fetch_from_peers(view, peers, view.missing, now)
+        planned = {a.index for a in actions if isinstance(a, FetchFromPeer)}
+        idle_s = now - max(view.progress_at)
+        for index in iterate_bits(view.missing):
+            if index not in planned and self._is_first(view, index, idle_s):
+                actions.append(FetchFromOrigin(index))
+        return _limit_origin(view, actions)
+
+    def _is_first(self, view: BurstView, index: int, idle_s: float) -> bool:
+        if idle_s > STALL_S * 2:
+            return True
+        key = view.manifest.chunks[index].digest
+        first = max(view.fleet, key=lambda member: score_member(key, member))
+        return first == view.place.instance_id
+
+
+@final
+class StaticTreePolicy(DistributionPolicy):
+    """A binary tree in the order of instance ids; the root reads the origin."""
+
+    is_capped = False
+
+    def __init__(self, seed: int = 0):
+        self._chooser = _PeerChooser(seed)
+
+    def wanted_peers(self, view: BurstView) -> list[str]:
+        """Return the parent, if there is one."""
+        order = sorted(view.fleet)
+        position = order.index(view.place.instance_id)
+        return [order[(position - 1) // 2]] if position else []
+
+    def plan(self, view: BurstView, now: float) -> list[Action]:
+        """Return fetches from the parent, or at the root from the origin."""
+        wanted = self.wanted_peers(view)
+        if not wanted:
+            return _read_all_from_origin(view)
+        parents = [view.peers[p] for p in wanted if p in view.peers]
+        return self._chooser.fetch_from_peers(view, parents, view.missing, now)
+
+
+@final
+class OriginOnlyPolicy(DistributionPolicy):
+    """Everyone reads everything from the origin."""
+
+    is_capped = False
+
+    def wanted_peers(self, view: BurstView) -> list[str]:
+        """Return no peers."""
+        return []
+
+    def plan(self, view: BurstView, now: float) -> list[Action]:
+        """Return origin reads of all missing chunks."""
+        return _read_all_from_origin(view)
+
+
+def _read_all_from_origin(view: BurstView) -> list[Action]:
+    actions: list[Action] = [FetchFromOrigin(i) for i in iterate_bits(view.missing)]
+    return _limit_origin(view, actions)
+
+
+def _limit_origin(view: BurstView, actions: list[Action]) -> list[Action]:
+    free = MAX_ORIGIN_FETCHES
+    free -= sum(1 for source in view.in_flight.values() if source == ORIGIN_SOURCE)
+    limited: list[Action] = []
+    seen: set[int] = set()
+    for action in actions:
+        if isinstance(action, FetchFromOrigin):
+            if free <= 0 or action.index in seen:
+                continue
+            free -= 1
+        if not isinstance(action, RequestGrant):
+            seen.add(action.index)
+        limited.append(action)
+    return limited
+
+
+#: Name of the origin among the sources in `BurstView.in_flight`.
+ORIGIN_SOURCE = "(origin)"
+
+POLICIES: dict[str, type[DistributionPolicy]] = {
+    "budgeted": BudgetedPolicy,
+    "swarm": SwarmPolicy,
+    "static-tree": StaticTreePolicy,
+    "origin-only": OriginOnlyPolicy,
+}
+
+
+class UnknownPolicy(LookupError):
+    """No distribution policy is registered under the name."""
+
+
+def register_policy(name: str, policy: type[DistributionPolicy]) -> None:
+    """Make a policy selectable by ``name`` in service documents."""
+    POLICIES[name] = policy
+
+
+def make_policy(name: str, seed: int) -> DistributionPolicy:
+    """Return a new policy.
+
+    Raises `UnknownPolicy` when no policy has this name.
+    """
+    policy = POLICIES.get(name)
+    if policy is None:
+        known = ", ".join(sorted(POLICIES))
+        raise UnknownPolicy(f"no distribution policy {name!r}; use one of {known}")
+    return policy(seed)
--- /dev/null
+++ b/src/bamboolever/_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the outside systems, for tests, the demo and the bench."""
--- /dev/null
+++ b/src/bamboolever/_standins/engine.py
@@ -0,0 +1,214 @@
+"""Stand-in for an upstream: a model engine or a plain service.
+
+Answers are a function of the loaded weights and the request, so a caller can
+check that an answer is whole, its own, and from one version.
+"""
+
+import hashlib
+import json
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any, final
+
+from bamboolever._webserver import WebRequest, WebResponse, WebServer
+
+SERVER_THREADS = 24
+POISON_MARK = "crash-this-engine"
+EVENT_STREAM = "text/event-stream"
+
+
+@dataclass(frozen=True)
+class EngineTiming:
+    """How long the stand-in takes, in seconds."""
+
+    first_token_s: float = 0.02
+    token_s: float = 0.01
+    load_s: float = 0.1
+    restart_s: float = 0.5
+
+
+def expected_token(weights_digest: str, prompt: str, index: int) -> str:
+    """Return the token that these weights yield at ``index``."""
+    seed = f"{weights_digest}|{prompt}|{index}".encode()
+    return hashlib.sha256(seed).hexdigest()[:8] + " "
+
+
+def expected_text(weights_digest: str, prompt: str, max_tokens: int) -> str:
+    """Return the whole answer that these weights yield."""
+    return "".join(
+        expected_token(weights_digest, prompt, index) for index in range(max_tokens)
+    )
+
+
+@final
+class StandInEngine:
+    """One upstream instance that can crash, stall and ignore fencing."""
+
+    def __init__(
+        self,
+        kind: str = "model",
+        host: str = "127.0.0.1",
+        port: int = 0,
+        *,
+        timing: EngineTiming = EngineTiming(),
+        is_fencing_checked: bool = True,
+    ):
+        self._kind = kind
+        self._host = host
+        self._timing = timing
+        self._is_fencing_checked = is_fencing_checked
+        self._lock = threading.Lock()
+        self._staged: dict[str, dict[int, bytes]] = {}
+        self._generation = 0
+        self._fencing = 0
+        self._in_flight = 0
+        self.weights_digest = ""
+        self.version = ""
+        self.runs: Counter[str] = Counter()
+        self.orders: list[tuple[str, int]] = []
+        self.fail_loads = 0
+        self.crashes = 0
+        self._server = WebServer(host, port, self._handle, threads=SERVER_THREADS)
+        self.port = self._server.port
+        self.url = f"http://{host}:{self.port}"
+
+    def start(self) -> None:
+        """Serve until `stop`."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close every connection."""
+        self._generation += 1
+        self._server.stop()
+
+    def crash(self) -> None:
+        """Lose everything, cut every connection and come back later."""
+        self.crashes += 1
+        with self._lock:
+            self._forget_model()
+        self._server.stop()
+        threading.Timer(self._timing.restart_s, self._restart).start()
+
+    def _restart(self) -> None:
+        try:
+            self._server = WebServer(
+                self._host, self.port, self._handle, threads=SERVER_THREADS
+            )
+        except OSError:
+            threading.Timer(0.2, self._restart).start()
+            return
+        self._server.start()
+
+    def _forget_model(self) -> None:
+        self._generation += 1
+        self._staged.clear()
+        self._in_flight = 0
+        self._fencing = 0
+        self.weights_digest = ""
+        self.version = ""
+
+    def _handle(self, request: WebRequest) -> WebResponse:
+        parts = request.path.strip("/").split("/")
+        if parts[0] == "staging" and len(parts) == 3:
+            return self._stage(parts[1], int(parts[2]), request.body)
+        if parts[0] == "orders" and len(parts) == 2 and parts[1] == "load":
+            return self._load(json.loads(request.body))
+        if parts[0] == "model" and request.method == "GET":
+            return WebResponse.from_json(self._describe())
+        if parts[0] == "load" and request.method == "GET":
+            return WebResponse.from_json({"in_flight": self._in_flight})
+        if parts[0] == "_runs":
+            return WebResponse.from_json(dict(self.runs))
+        if self._kind == "model":
+            return self._complete(request)
+        return self._run_plain(request)
+
+    def _describe(self) -> dict[str, Any]:
+        return {
+            "version": self.version,
+            "weights_digest": self.weights_digest,
+            "fencing": self._fencing,
+            "generation": self._generation,
+        }
+
+    def _stage(self, manifest_digest: str, index: int, data: bytes) -> WebResponse:
+        with self._lock:
+            if manifest_digest not in self._staged:
+                self._staged = {manifest_digest: {}}
+            self._staged[manifest_digest][index] = data
+        return WebResponse.from_json({})
+
+    def _load(self, order: dict[str, Any]) -> WebResponse:
+        fencing = int(order["fencing"])
+        with self._lock:
+            if self._is_fencing_checked and fencing < self._fencing:
+                return WebResponse.from_json({"error": "old fencing"}, status=412)
+            self.orders.append((str(order["version"]), fencing))
+            if self.fail_loads > 0:
+                self.fail_loads -= 1
+                return WebResponse.from_json({"error": "load failed"}, status=500)
+            self._fencing = max(fencing, self._fencing)
+            self.weights_digest = ""
+            self.version = ""
+            staged = self._staged.get(str(order["manifest_digest"]), {})
+            data = b"".join(staged[index] for index in sorted(staged))
+            generation = self._generation
+        time.sleep(self._timing.load_s)
+        with self._lock:
+            if generation != self._generation:
+                return WebResponse.from_json({"error": "restarted"}, status=500)
+            self.weights_digest = hashlib.sha256(data).hexdigest()
+            self.version = str(order["version"])
+            self._staged.clear()
+        return WebResponse.from_json(self._describe())
+
+    def _run_plain(self, request: WebRequest) -> WebResponse:
+        key = request.headers.get("x-dispatch-key", "")
+        self.runs[key] += 1
+        time.sleep(self._timing.first_token_s)
+        digest = hashlib.sha256(request.body).hexdigest()
+        return WebResponse.from_json({"path": request.path, "body_sha256": digest})
+
+    def _complete(self, request: WebRequest) -> WebResponse:
+        body = json.loads(request.body)
+        prompt = str(body.get("prompt", ""))
+        if POISON_MARK in prompt:
+            threading.Thread(target=self.crash).start()
+            time.sleep(1.0)
+        if not self.weights_digest:
+            return WebResponse.from_json({"error": "no model loaded"}, status=503)
+        self.runs[request.headers.get("x-dispatch-key", "")] += 1
+        max_tokens = int(body.get("max_tokens", 16))
+        start = int(body.get("resume_from", 0))
+        headers = {"X-Model-Version": self.version}
+        tokens = self._generate(prompt, start, max_tokens)
+        if body.get("stream"):
+            events = self._stream(tokens)
+            return WebResponse(200, events, EVENT_STREAM, headers)
+        content = {"object": "text_completion", "choices": [{"text": "".join(tokens)}]}
+        return WebResponse(body=json.dumps(content).encode(), headers=headers)
+
+    def _generate(self, prompt: str, start: int, max_tokens: int) -> Iterator[str]:
+        generation = self._generation
+        self._in_flight += 1
+        try:
+            time.sleep(self._timing.first_token_s)
+            for index in range(start, max_tokens):
+                if generation != self._generation:
+                    raise ConnectionAbortedError("the engine crashed")
+                yield expected_token(self.weights_digest, prompt, index)
+                time.sleep(self._timing.token_s)
+        finally:
+            self._in_flight = max(0, self._in_flight - 1)
+
+    def _stream(self, tokens: Iterator[str]) -> Iterator[bytes]:
+        try:
+            for token in tokens:
+                content = {"object": "text_completion", "choices": [{"text": token}]}
+                yield b"data: " + json.dumps(content).encode() + b"\n\n"
+            yield b"data: [DONE]\n\n"
+        except ConnectionAbortedError:
+            return
--- /dev/null
+++ b/src/bamboolever/_standins/platform.py
@@ -0,0 +1,198 @@
+"""Stand-in for the platform: object API, instance list, and their faults."""
+
+import base64
+import json
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any, final
+
+from bamboolever._webserver import WebRequest, WebResponse, WebServer
+
+MAX_KEPT_EVENTS = 2000
+SERVER_THREADS = 48
+
+
+@dataclass
+class _Object:
+    kind: str
+    name: str
+    revision: int
+    value: bytes
+    is_deleted: bool = False
+
+    def encode(self) -> dict[str, Any]:
+        return {
+            "kind": self.kind,
+            "name": self.name,
+            "revision": self.revision,
+            "value": base64.b64encode(self.value).decode(),
+            "deleted": self.is_deleted,
+        }
+
+
+@dataclass
+class PlatformFaults:
+    """Failures to bring about; ``lose_answers`` counts down per write."""
+
+    is_down: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    drop_events: int = 0
+
+
+@dataclass
+class _Instance:
+    record: dict[str, Any]
+    addresses: dict[str, tuple[str, int]] = field(default_factory=dict)
+
+
+@final
+class StandInPlatform:
+    """Keeps objects in memory and serves them over HTTP."""
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0):
+        self._changed = threading.Condition()
+        self._objects: dict[tuple[str, str], _Object] = {}
+        self._events: list[_Object] = []
+        self._first_event_revision = 0
+        self._revision = 0
+        self._instances: dict[str, _Instance] = {}
+        self.faults = PlatformFaults()
+        self.calls: Counter[str] = Counter()
+        self._server = WebServer(host, port, self._handle, threads=SERVER_THREADS)
+        self.port = self._server.port
+        self.url = f"http://{host}:{self.port}"
+
+    def start(self) -> None:
+        """Serve until `stop`."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close every connection."""
+        self._server.stop()
+
+    def put_instance(
+        self, record: dict[str, Any], addresses: dict[str, tuple[str, int]]
+    ) -> None:
+        """Add or replace a row; ``addresses`` gives other ones by region."""
+        with self._changed:
+            self._instances[record["instance_id"]] = _Instance(record, addresses)
+
+    def remove_instance(self, instance_id: str) -> None:
+        """Remove a row of the instance list."""
+        with self._changed:
+            self._instances.pop(instance_id, None)
+
+    def _handle(self, request: WebRequest) -> WebResponse:
+        parts = request.path.strip("/").split("/")
+        if parts[0] == "_faults":
+            return self._set_faults(request)
+        if parts[0] == "_calls":
+            return WebResponse.from_json(dict(self.calls))
+        self.calls[f"{request.method} {parts[0]}"] += 1
+        if self.faults.is_down:
+            return WebResponse.from_json({"error": "down"}, status=503)
+        if self.faults.delay_s:
+            time.sleep(self.faults.delay_s)
+        if parts[0] == "objects" and len(parts) == 3:
+            return self._handle_object(request, parts[1], parts[2])
+        if parts[0] == "objects":
+            return self._list_objects(request)
+        if parts[0] == "watch":
+            return self._watch(request)
+        if parts[0] == "instances":
+            return self._handle_instances(request)
+        return WebResponse.from_json({"error": "unknown path"}, status=404)
+
+    def _set_faults(self, request: WebRequest) -> WebResponse:
+        for name, value in json.loads(request.body or b"{}").items():
+            if not hasattr(self.faults, name):
+                return WebResponse.from_json({"error": name}, status=400)
+            setattr(self.faults, name, value)
+        return WebResponse.from_json(vars(self.faults))
+
+    def _handle_object(self, request: WebRequest, kind: str, name: str) -> WebResponse:
+        if request.method == "GET":
+            with self._changed:
+                found = self._objects.get((kind, name))
+            if found is None:
+                return WebResponse.from_json({"error": "not found"}, status=404)
+            return WebResponse.from_json(found.encode())
+        return self._change(request, kind, name)
+
+    def _change(self, request: WebRequest, kind: str, name: str) -> WebResponse:
+        expected = int(request.query.get("expected", "0"))
+        with self._changed:
+            current = self._objects.get((kind, name))
+            if (current.revision if current else 0) != expected:
+                encoded = current.encode() if current else None
+                return WebResponse.from_json({"current": encoded}, status=409)
+            self._revision += 1
+            is_deleted = request.method == "DELETE"
+            changed = _Object(kind, name, self._revision, request.body, is_deleted)
+            if is_deleted:
+                self._objects.pop((kind, name), None)
+            else:
+                self._objects[(kind, name)] = changed
+            self._append_event(changed)
+            self._changed.notify_all()
+            if self.faults.lose_answers > 0:
+                self.faults.lose_answers -= 1
+                return WebResponse.from_json({"error": "answer lost"}, status=500)
+        return WebResponse.from_json({"revision": changed.revision})
+
+    def _append_event(self, changed: _Object) -> None:
+        if self.faults.drop_events > 0:
+            self.faults.drop_events -= 1
+            return
+        self._events.append(changed)
+        if len(self._events) > MAX_KEPT_EVENTS:
+            dropped = self._events.pop(0)
+            self._first_event_revision = dropped.revision
+
+    def _list_objects(self, request: WebRequest) -> WebResponse:
+        kinds = request.query.get("kinds", "").split(",")
+        with self._changed:
+            rows = [o.encode() for o in self._objects.values() if o.kind in kinds]
+            revision = self._revision
+        return WebResponse.from_json({"revision": revision, "objects": rows})
+
+    def _watch(self, request: WebRequest) -> WebResponse:
+        kinds = request.query.get("kinds", "").split(",")
+        after = int(request.query.get("after", "0"))
+        deadline = time.monotonic() + float(request.query.get("timeout", "1"))
+        with self._changed:
+            if after < self._first_event_revision or after > self._revision:
+                return WebResponse.from_json({"error": "gone"}, status=410)
+            while True:
+                rows = [
+                    o for o in self._events if o.revision > after and o.kind in kinds
+                ]
+                left_s = deadline - time.monotonic()
+                if rows or left_s <= 0 or self.faults.is_down:
+                    break
+                self._changed.wait(min(left_s, 0.5))
+            revision = self._revision
+        encoded = [row.encode() for row in rows]
+        return WebResponse.from_json({"revision": revision, "objects": encoded})
+
+    def _handle_instances(self, request: WebRequest) -> WebResponse:
+        if request.method == "PUT":
+            row = json.loads(request.body)
+            self.put_instance(row["record"], row.get("addresses", {}))
+            return WebResponse.from_json({})
+        region = request.query.get("region", "")
+        with self._changed:
+            rows = [
+                _view_from(instance, region) for instance in self._instances.values()
+            ]
+        return WebResponse.from_json({"instances": rows})
+
+
+def _view_from(instance: _Instance, region: str) -> dict[str, Any]:
+    address = instance.addresses.get(region)
+    if address is None:
+        return instance.record
+    return {**instance.record, "host": address[0], "port": address[1]}
--- /dev/null
+++ b/src/bamboolever/_subset.py
@@ -0,0 +1,27 @@
+"""Rendezvous hashing: stable, even subsets without shared state."""
+
+import hashlib
+from collections.abc import Iterable
+
+
+def score_member(key: str, member: str) -> int:
+    """Return the member's weight for ``key``; the highest wins."""
+    digest = hashlib.blake2b(f"{key}\0{member}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def rank_members(key: str, members: Iterable[str]) -> list[str]:
+    """Return the members by falling weight for ``key``.
+
+    >>> rank_members("k", ["a", "b"]) == rank_members("k", ["b", "a"])
+    True
+    """
+    return sorted(members, key=lambda member: (-score_member(key, member), member))
+
+
+def select_subset(key: str, members: Iterable[str], size: int) -> list[str]:
+    """Return the ``size`` members that weigh most for ``key``.
+
+    A membership change moves only the places it must.
+    """
+    return rank_members(key, members)[:size]
--- /dev/null
+++ b/src/bamboolever/_task.py
@@ -0,0 +1,190 @@
+"""Tasks: one thread that owns its sockets and state and reads a mailbox.
+
+Other threads talk to a task only through `IoTask.send`. Blocking work runs on
+a `concurrent.futures` executor and its result comes back as a message.
+"""
+
+import collections
+import heapq
+import itertools
+import logging
+import selectors
+import socket
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import Executor, Future
+from dataclasses import dataclass, field
+from typing import Any
+
+logger = logging.getLogger(__name__)
+
+MAX_WAIT_S = 1.0
+READ = selectors.EVENT_READ
+WRITE = selectors.EVENT_WRITE
+
+
+@dataclass(order=True)
+class Timer:
+    """A callback due at a time of the monotonic clock."""
+
+    due: float
+    order: int
+    callback: Callable[[], None] = field(compare=False)
+    is_cancelled: bool = field(default=False, compare=False)
+
+    def cancel(self) -> None:
+        """Keep the callback from running."""
+        self.is_cancelled = True
+
+
+class IoTask:
+    """A selector loop with a mailbox and timers.
+
+    Every callback runs on the task's own thread. An exception in a callback is
+    logged and does not end the task.
+    """
+
+    def __init__(self, name: str, *, clock: Callable[[], float] = time.monotonic):
+        self._name = name
+        self._clock = clock
+        self._selector = selectors.DefaultSelector()
+        self._mailbox: collections.deque[Callable[[], None]] = collections.deque()
+        self._timers: list[Timer] = []
+        self._timer_order = itertools.count()
+        self._wake_receiver, self._wake_sender = socket.socketpair()
+        self._wake_receiver.setblocking(False)
+        self._wake_sender.setblocking(False)
+        self._selector.register(self._wake_receiver, READ, self._drain_wakeups)
+        self._is_awake = threading.Event()
+        self._is_stopping = False
+        self._thread: threading.Thread | None = None
+
+    @property
+    def name(self) -> str:
+        """Name of the task, also of its thread."""
+        return self._name
+
+    def now(self) -> float:
+        """Return the task's monotonic time in seconds."""
+        return self._clock()
+
+    def start(self) -> None:
+        """Start the task's thread."""
+        self._thread = threading.Thread(target=self.run, name=self._name, daemon=True)
+        self._thread.start()
+
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """Ask the loop to end and wait for its thread."""
+        self.send(self._request_stop)
+        if self._thread is not None and self._thread is not threading.current_thread():
+            self._thread.join(timeout_s)
+
+    def send(self, message: Callable[[], None]) -> None:
+        """Run ``message`` on the task's thread; safe from any thread."""
+        self._mailbox.append(message)
+        if self._is_awake.is_set():
+            return
+        self._is_awake.set()
+        try:
+            self._wake_sender.send(b"\0")
+        except (BlockingIOError, OSError):
+            pass
+
+    def submit(
+        self,
+        executor: Executor,
+        work: Callable[[], Any],
+        reply: Callable[["Future[Any]"], None],
+    ) -> None:
+        """Run ``work`` on the executor and ``reply`` with its future here."""
+        try:
+            future = executor.submit(work)
+        except RuntimeError:
+            logger.debug("%s: the executor has stopped", self._name)
+            return
+        future.add_done_callback(lambda done: self.send(lambda: reply(done)))
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Timer:
+        """Run ``callback`` after ``delay_s``; only from the task's thread."""
+        timer = Timer(self.now() + delay_s, next(self._timer_order), callback)
+        heapq.heappush(self._timers, timer)
+        return timer
+
+    def call_every(self, period_s: float, callback: Callable[[], None]) -> None:
+        """Run ``callback`` each ``period_s`` until the task stops."""
+
+        def run_and_rearm() -> None:
+            self.call_later(period_s, run_and_rearm)
+            callback()
+
+        self.call_later(period_s, run_and_rearm)
+
+    def register(
+        self, sock: socket.socket, events: int, callback: Callable[[int], None]
+    ) -> None:
+        """Call ``callback`` with the ready events of ``sock``."""
+        self._selector.register(sock, events, callback)
+
+    def modify(
+        self, sock: socket.socket, events: int, callback: Callable[[int], None]
+    ) -> None:
+        """Change the events that a registered socket waits for."""
+        self._selector.modify(sock, events, callback)
+
+    def unregister(self, sock: socket.socket) -> None:
+        """Forget a socket; unknown sockets are ignored."""
+        try:
+            self._selector.unregister(sock)
+        except (KeyError, ValueError):
+            pass
+
+    def run(self) -> None:
+        """Run the loop on the calling thread until `stop`."""
+        while not self._is_stopping:
+            self._run_once()
+        self._selector.close()
+        self._wake_receiver.close()
+        self._wake_sender.close()
+
+    def _run_once(self) -> None:
+        for key, events in self._selector.select(self._wait_s()):
+            self._guard(lambda key=key, events=events: key.data(events))  # type: ignore[misc]
+        self._run_messages()
+        self._run_timers()
+
+    def _wait_s(self) -> float:
+        if self._mailbox:
+            return 0.0
+        if not self._timers:
+            return MAX_WAIT_S
+        return min(MAX_WAIT_S, max(0.0, self._timers[0].due - self.now()))
+
+    def _run_messages(self) -> None:
+        # Messages sent by these callbacks wait for the next turn.
+        for _ in range(len(self._mailbox)):
+            self._guard(self._mailbox.popleft())
+
+    def _run_timers(self) -> None:
+        now = self.now()
+        while self._timers and self._timers[0].due <= now:
+            timer = heapq.heappop(self._timers)
+            if not timer.is_cancelled:
+                self._guard(timer.callback)
+
+    def _guard(self, callback: Callable[[], None]) -> None:
+        try:
+            callback()
+        except Exception:
+            logger.exception("%s: a callback failed", self._name)
+
+    def _drain_wakeups(self, _events: int) -> None:
+        try:
+            while self._wake_receiver.recv(4096):
+                pass
+        except (BlockingIOError, OSError):
+            pass
+        self._is_awake.clear()
+
+    def _request_stop(self) -> None:
+        self._is_stopping = True
--- /dev/null
+++ b/src/bamboolever/_telemetry.py
@@ -0,0 +1,103 @@
+"""Counters by reason through OpenTelemetry, JSON logs, and process memory."""
+
+import logging
+import sys
+import threading
+from dataclasses import dataclass
+from typing import final
+
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader, NumberDataPoint
+from pythonjsonlogger.json import JsonFormatter
+
+PAGE_BYTES = 4096
+LOG_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+
+
+@dataclass(frozen=True)
+class CounterValue:
+    """One counter with its attributes and current value."""
+
+    name: str
+    attributes: tuple[tuple[str, str], ...]
+    value: float
+
+
+@final
+class Telemetry:
+    """The metrics of one process, readable as text over HTTP."""
+
+    def __init__(self, process_name: str):
+        self._reader = InMemoryMetricReader()
+        self._provider = MeterProvider(metric_readers=[self._reader])
+        self._meter = self._provider.get_meter(process_name)
+        self._lock = threading.Lock()
+        self._instruments: dict[str, object] = {}
+
+    def count(self, name: str, amount: float = 1, **attributes: str) -> None:
+        """Add ``amount`` to the counter ``name`` with these attributes."""
+        with self._lock:
+            counter = self._instruments.get(name)
+            if counter is None:
+                counter = self._meter.create_counter(name)
+                self._instruments[name] = counter
+        counter.add(amount, attributes)  # type: ignore[attr-defined]
+
+    def read(self) -> list[CounterValue]:
+        """Return every counter, sorted by name and attributes."""
+        data = self._reader.get_metrics_data()
+        if data is None:
+            return []
+        values = [
+            CounterValue(
+                metric.name,
+                tuple(sorted((k, str(v)) for k, v in (point.attributes or {}).items())),
+                point.value,
+            )
+            for resource in data.resource_metrics
+            for scope in resource.scope_metrics
+            for metric in scope.metrics
+            for point in metric.data.data_points
+            if isinstance(point, NumberDataPoint)
+        ]
+        return sorted(values, key=lambda value: (value.name, value.attributes))
+
+    def read_by(self, name: str, attribute: str) -> dict[str, int]:
+        """Return the values of counter ``name`` summed by one attribute."""
+        totals: dict[str, int] = {}
+        for value in self.read():
+            if value.name != name:
+                continue
+            key = dict(value.attributes).get(attribute, "")
+            totals[key] = totals.get(key, 0) + int(value.value)
+        return totals
+
+    def render_text(self) -> str:
+        """Return the counters in the text exposition form."""
+        lines = []
+        for value in self.read():
+            labels = ",".join(f'{key}="{text}"' for key, text in value.attributes)
+            lines.append(f"{value.name}{{{labels}}} {value.value:g}")
+        return "\n".join(lines) + "\n"
+
+    def shutdown(self) -> None:
+        """Release the metric provider."""
+        self._provider.shutdown()
+
+
+def configure_logging(level: str = "INFO") -> None:
+    """Write JSON logs, one object a line, to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(JsonFormatter(LOG_FIELDS))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+
+
+def read_rss_bytes() -> int:
+    """Return this process's resident memory in bytes, 0 where unknown."""
+    try:
+        with open("/proc/self/statm") as statm:
+            return int(statm.read().split()[1]) * PAGE_BYTES
+    except (OSError, ValueError, IndexError):
+        return 0
--- /dev/null
+++ b/src/bamboolever/_webserver.py
@@ -0,0 +1,145 @@
+"""A small HTTP server on `waitress` for operators' ports and stand-ins."""
+
+import json
+import logging
+import socket
+import threading
+import urllib.parse
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any, final
+
+from waitress.server import create_server
+
+logger = logging.getLogger(__name__)
+
+# Bodies stay in memory: an instance has no disk to spill them to.
+MAX_BODY_BYTES = 64 * 2**20
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    410: "Gone",
+    412: "Precondition Failed",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
+
+
+@dataclass(frozen=True)
+class WebRequest:
+    """One received request."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True)
+class WebResponse:
+    """One response; ``body`` may be an iterable of pieces."""
+
+    status: int = 200
+    body: bytes | Iterable[bytes] = b""
+    content_type: str = "application/json"
+    headers: dict[str, str] = field(default_factory=dict)
+
+    @classmethod
+    def from_json(cls, content: Any, *, status: int = 200) -> "WebResponse":
+        """Build a response that carries ``content`` as JSON."""
+        return cls(status=status, body=json.dumps(content).encode())
+
+
+WebHandler = Callable[[WebRequest], WebResponse]
+
+
+@final
+class WebServer:
+    """Serves one handler on threads until it is stopped."""
+
+    def __init__(self, host: str, port: int, handler: WebHandler, *, threads: int = 4):
+        self._handler = handler
+        self._server = create_server(
+            self._serve,
+            host=host,
+            port=port,
+            threads=threads,
+            asyncore_use_poll=True,
+            inbuf_overflow=MAX_BODY_BYTES,
+            outbuf_overflow=MAX_BODY_BYTES,
+            max_request_body_size=MAX_BODY_BYTES,
+            send_bytes=1,
+            clear_untrusted_proxy_headers=True,
+            map={},
+            ident=None,
+        )
+        self._server.log_socket_errors = False
+        self.port: int = self._server.effective_port
+        self._thread = threading.Thread(
+            target=self._run, name=f"web-{self.port}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Serve on a thread of its own."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the listener and every connection."""
+        self._server.close()
+        for channel in list(self._server._map.values()):
+            _close_quietly(channel)
+        self._server.task_dispatcher.shutdown(cancel_pending=True, timeout=0.1)
+
+    def _run(self) -> None:
+        try:
+            self._server.run()
+        except OSError:
+            logger.debug("web server on port %d ended", self.port)
+
+    def _serve(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        request = _read_request(environ)
+        try:
+            response = self._handler(request)
+        except Exception:
+            logger.exception("%s %s failed", request.method, request.path)
+            response = WebResponse.from_json({"error": "internal error"}, status=500)
+        headers = [("Content-Type", response.content_type), *response.headers.items()]
+        if isinstance(response.body, bytes):
+            headers.append(("Content-Length", str(len(response.body))))
+        reason = REASONS.get(response.status, "Unknown")
+        start_response(f"{response.status} {reason}", headers)
+        if isinstance(response.body, bytes):
+            return [response.body]
+        return response.body
+
+
+def _close_quietly(channel: Any) -> None:
+    try:
+        sock: socket.socket | None = getattr(channel, "socket", None)
+        if sock is not None:
+            sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+
+
+def _read_request(environ: dict[str, Any]) -> WebRequest:
+    query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
+    headers = {
+        key[5:].replace("_", "-").lower(): value
+        for key, value in environ.items()
+        if key.startswith("HTTP_")
+    }
+    headers["content-type"] = environ.get("CONTENT_TYPE", "")
+    return WebRequest(
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"],
+        query={key: values[0] for key, values in query.items()},
+        headers=headers,
+        body=environ["wsgi.input"].read(),
+    )
