Bound the upstreams lost to one request; stop grants taken in a lone view

Cause 1: each entry counted deaths alone and blamed neighbours of a suspect, so one crashing request ended 6 to 8 engines and an innocent one was quarantined. Change: the agent names every call its upstream died with to all entries, and runs a suspect apart from all else; only lone deaths convict. Cause 2: an agent without an instance list believed every grant holder dead. Change: no plan before the first list; dead means listed once and gone. Cause 3: a stream that broke on a version no longer served waited for its deadline (20 s). Change: it is given up after 2 s. Cause 4 (stand-in): closing waitress from another thread freed descriptors that its threads still wrote to, which corrupted callers' requests. Change: the loop closes its own sockets.

Ruled out: h11 mixing requests (the extra byte came from the stand-in).

--- a/protocol/bamboolever.thrift
+++ b/protocol/bamboolever.thrift
@@ -40,6 +40,8 @@
   10: string required_version
   11: i32 resume_from
   12: string dispatch_key
+  13: string body_digest
+  14: bool suspect
 }
 
 struct CallHead {
@@ -64,6 +66,12 @@
 
 struct CallCancel { 1: i64 call_id }
 
+// The upstream died while it ran these calls of all entries.
+struct UpstreamDeath {
+  1: list<string> body_digests
+  2: bool exclusive
+}
+
 struct Target {
   1: string service_name
   2: string model
@@ -157,4 +165,5 @@
   15: optional ManifestRequest manifest_request
   16: optional ManifestReply manifest_reply
   17: optional ConfigUpdate config_update
+  18: optional UpstreamDeath upstream_death
 }
--- a/src/bamboolever/_agent.py
+++ b/src/bamboolever/_agent.py
@@ -53,6 +53,7 @@
     ManifestRequest,
     Report,
     Target,
+    UpstreamDeath,
 )
 from bamboolever._settings import AgentSettings
 from bamboolever._swapslot import SLOT_KIND, SwapSlots, find_shard
@@ -125,6 +126,7 @@
             capacity=settings.capacity,
             on_upstream_lost=self._on_upstream_lost,
             on_finished=self._check_drained,
+            on_upstream_death=self._tell_death,
         )
         self._burst = self._make_burst(origin)
         address = (settings.host, settings.port)
@@ -515,6 +517,10 @@
         self._activation.on_upstream_lost()
         self._advance()
 
+    def _tell_death(self, death: UpstreamDeath) -> None:
+        for connection in self._entries:
+            connection.send(upstream_death=death)
+
     # Calls.
 
     def on_call_start(self, connection: FrameConnection, start: CallStart) -> None:
--- a/src/bamboolever/_burst.py
+++ b/src/bamboolever/_burst.py
@@ -110,6 +110,7 @@
         self._policy = make_policy("budgeted", 0)
         self._is_verifying = False
         self._members: dict[str, Member] = {}
+        self._has_members = False
         self._peers: dict[str, FrameConnection] = {}
         self._peer_retry_at: dict[str, float] = {}
         self._subscribers: set[FrameConnection] = set()
@@ -162,6 +163,7 @@
 
     def set_members(self, members: list[Member]) -> None:
         """Take the current agents of this service."""
+        self._has_members = self._has_members or bool(members)
         self._members = {m.record.instance_id: m for m in members if not m.is_leaving}
         self._update_fleet()
 
@@ -235,7 +237,7 @@
             for member in self._members.values()
         }
         fleet[self._place.instance_id] = self._place
-        self._view.fleet = fleet
+        self._view.set_fleet(fleet)
 
     def _add_peer_view(self, peer_id: str) -> None:
         if self._view is None or peer_id in self._view.peers:
@@ -261,6 +263,9 @@
         if view.is_complete:
             self._verify(view)
             return
+        if not self._has_members:
+            # Alone in its view, an agent would take every grant for itself.
+            return
         self._connect_peers(view)
         now = self._task.now()
         for action in self._policy.plan(view, now):
--- a/src/bamboolever/_callrelay.py
+++ b/src/bamboolever/_callrelay.py
@@ -18,6 +18,7 @@
     CallPiece,
     CallStart,
     Outcome,
+    UpstreamDeath,
 )
 from bamboolever._task import IoTask
 from bamboolever._telemetry import Telemetry
@@ -34,6 +35,7 @@
 logger = logging.getLogger(__name__)
 
 MAX_REMEMBERED_KEYS = 20_000
+SUSPECT_HOLD_S = 1.0
 
 # Reasons of an agent's refusal; each has a counter.
 REFUSED_LEAVING = "leaving"
@@ -41,6 +43,8 @@
 REFUSED_BUSY = "upstream-busy"
 REFUSED_VERSION = "version-not-served"
 REFUSED_REPEAT = "repeated-dispatch"
+REFUSED_SUSPECT_WAITS = "suspect-waits"
+REFUSED_SUSPECT_RUNNING = "suspect-running"
 REFUSED_UNREACHABLE = "upstream-unreachable"
 
 
@@ -51,6 +55,10 @@
     call_id: int
     connection: FrameConnection
     dispatch_key: str = ""
+    body_digest: str = ""
+    is_suspect: bool = False
+    # Whether its upstream's death was already reported with it.
+    is_blamed: bool = False
     is_cancelled: bool = False
     abort: Callable[[], None] | None = field(default=None, repr=False)
 
@@ -69,6 +77,7 @@
         capacity: int,
         on_upstream_lost: Callable[[], None],
         on_finished: Callable[[], None],
+        on_upstream_death: Callable[[UpstreamDeath], None],
     ):
         self._task = task
         self._executor = executor
@@ -77,6 +86,8 @@
         self._capacity = capacity
         self._on_upstream_lost = on_upstream_lost
         self._on_finished = on_finished
+        self._on_upstream_death = on_upstream_death
+        self._held_until = float("-inf")
         self._running: dict[tuple[FrameConnection, int], RunningCall] = {}
         self._seen_keys: OrderedDict[str, None] = OrderedDict()
 
@@ -93,7 +104,13 @@
         if reason is not None:
             self._refuse(connection, start.call_id, reason)
             return
-        running = RunningCall(start.call_id, connection, start.dispatch_key or "")
+        running = RunningCall(
+            start.call_id,
+            connection,
+            dispatch_key=start.dispatch_key or "",
+            body_digest=start.body_digest or "",
+            is_suspect=bool(start.suspect),
+        )
         self._running[(connection, start.call_id)] = running
         call = _make_upstream_call(start)
         sink = _FrameSink(self._task, running)
@@ -122,8 +139,9 @@
     def _find_refusal(self, start: CallStart) -> str | None:
         if len(self._running) >= self._capacity:
             return REFUSED_BUSY
-        if not start.dispatch_key:
-            return None
+        reason = self._check_suspects(bool(start.suspect))
+        if reason is not None or not start.dispatch_key:
+            return reason
         if start.dispatch_key in self._seen_keys:
             return REFUSED_REPEAT
         self._seen_keys[start.dispatch_key] = None
@@ -131,6 +149,30 @@
             self._seen_keys.popitem(last=False)
         return None
 
+    def _check_suspects(self, is_suspect: bool) -> str | None:
+        """Run a suspect apart from everything else, so that a death tells."""
+        now = self._task.now()
+        if any(running.is_suspect for running in self._running.values()):
+            return REFUSED_SUSPECT_WAITS if is_suspect else REFUSED_SUSPECT_RUNNING
+        if is_suspect and self._running:
+            self._held_until = now + SUSPECT_HOLD_S
+            return REFUSED_SUSPECT_WAITS
+        if is_suspect:
+            self._held_until = float("-inf")
+            return None
+        return REFUSED_SUSPECT_RUNNING if now < self._held_until else None
+
+    def _report_death(self, running: RunningCall) -> None:
+        """Name every call that ran, once for each death of the upstream."""
+        if running.is_blamed:
+            return
+        blamed = [running, *self._running.values()]
+        for call in blamed:
+            call.is_blamed = True
+        digests = sorted({call.body_digest for call in blamed if call.body_digest})
+        is_exclusive = running.is_suspect and len(digests) == 1
+        self._on_upstream_death(UpstreamDeath(digests, is_exclusive))
+
     def _refuse(self, connection: FrameConnection, call_id: int, reason: str) -> None:
         self._telemetry.count("refusals", reason=reason)
         # An earlier dispatch with the same key may well have run.
@@ -145,6 +187,8 @@
         if end.outcome == Outcome.NOT_RUN:
             self._telemetry.count("refusals", reason=end.reason)
             self._seen_keys.pop(running.dispatch_key, None)
+        if end.reason == "upstream-broken":
+            self._report_death(running)
         if end.reason in (REFUSED_UNREACHABLE, "upstream-broken"):
             self._on_upstream_lost()
         running.connection.send(call_end=end)
--- a/src/bamboolever/_calls.py
+++ b/src/bamboolever/_calls.py
@@ -37,6 +37,7 @@
     UPSTREAM_LOST = "upstream-lost"
     TIMED_OUT = "timed-out"
     RETRIES_EXHAUSTED = "retries-exhausted"
+    VERSION_GONE = "version-gone"
 
 
 STATUS_BY_REASON: dict[Reason, int] = {
@@ -62,6 +63,7 @@
     Reason.UPSTREAM_LOST: 502,
     Reason.TIMED_OUT: 504,
     Reason.RETRIES_EXHAUSTED: 502,
+    Reason.VERSION_GONE: 502,
 }
 
 
@@ -153,6 +155,7 @@
     deadline_at: float
     required_version: str
     resume_from: int
+    is_suspect: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/_coordinator.py
+++ b/src/bamboolever/_coordinator.py
@@ -40,9 +40,13 @@
     UpstreamView,
     select_usable,
 )
+from bamboolever._subset import rank_members, score_member
 
 MAX_ATTEMPTS = 6
 MAX_QUEUED_PER_SERVICE = 2000
+SUSPECT_SHARE_DIVISOR = 4
+SUSPECT_RETRY_S = 0.05
+VERSION_GONE_S = 2.0
 SERVICE_RETRY_SHARE = 0.1
 RETRY_AFTER_S = 1.0
 IN_PROGRESS_RETRY_S = 2.0
@@ -50,7 +54,15 @@
 RETRIED_STATUSES = frozenset({500, 502, 503})
 #: Reasons for which an agent refused work that another one may take.
 NEUTRAL_REFUSALS = frozenset(
-    {"leaving", "swapping", "upstream-busy", "version-not-served", "connection-lost"}
+    {
+        "leaving",
+        "swapping",
+        "upstream-busy",
+        "version-not-served",
+        "connection-lost",
+        "suspect-waits",
+        "suspect-running",
+    }
 )
 DEATH_REASONS = frozenset({"upstream-broken", "connection-lost"})
 
@@ -66,8 +78,8 @@
     version: str = ""
     has_head: bool = False
     is_held_back: bool = False
-    # Whether its upstream's death was already counted against it.
-    is_blamed: bool = False
+    # Whether the agent runs it apart from all other calls.
+    is_suspect: bool = False
     body: bytearray = field(default_factory=bytearray)
 
 
@@ -82,6 +94,7 @@
     attempt: _Attempt | None = None
     attempts: int = 0
     retry_at: float = 0.0
+    ended_at: float = 0.0
     pieces_sent: int = 0
     stream_version: str = ""
     has_started: bool = False
@@ -184,7 +197,7 @@
         if call.attempt is not None and not call.request.is_idempotent:
             # It runs at most once, so its outcome is awaited and recorded.
             return []
-        actions = self._drop_attempt(call)
+        actions = self._drop_attempt(call, now)
         if call.claim is not None:
             actions.append(_settle(call, RunOutcome.NOT_RUN))
         return self._finish(call, actions, now)
@@ -230,15 +243,23 @@
             if call.attempt is not None and call.attempt.upstream_id == upstream_id
         ]
         actions: list[CallAction] = []
-        if not is_silent:
-            actions += self._blame(lost, now)
+        if lost and not is_silent:
+            is_exclusive = all(c.attempt and c.attempt.is_suspect for c in lost)
+            digests = {call.request.body_digest for call in lost}
+            actions += self._blame(digests, now, is_exclusive=is_exclusive)
         for call in lost:
             attempt = call.attempt
-            self._forget_attempt(call)
+            self._forget_attempt(call, now)
             if attempt is not None:
                 actions += self._after_unknown(call, "connection-lost", now)
         return actions
 
+    def on_upstream_death(
+        self, digests: set[str], now: float, *, is_exclusive: bool
+    ) -> list[CallAction]:
+        """Take an agent's word of which calls its upstream died with."""
+        return self._blame(digests, now, is_exclusive=is_exclusive)
+
     # Attempts.
 
     def on_head(
@@ -307,17 +328,17 @@
             return []
         attempt = call.attempt
         view = self._upstreams.get(attempt.upstream_id)
-        actions: list[CallAction] = []
-        if outcome is RunOutcome.UNKNOWN and reason in DEATH_REASONS:
-            actions += self._on_upstream_died(attempt, now)
-        self._forget_attempt(call)
+        self._forget_attempt(call, now)
         if outcome is RunOutcome.NOT_RUN:
             return self._after_not_run(call, attempt, reason, now)
         if outcome is RunOutcome.RAN and is_complete and not attempt.is_held_back:
             return self._after_complete(call, attempt, view, now)
         if view is not None:
             view.on_failure(now)
-        return actions + self._after_unknown(call, reason, now)
+        if view is not None and reason in DEATH_REASONS:
+            # New calls keep away until the agent reports the upstream again.
+            view.is_accepting = False
+        return self._after_unknown(call, reason, now)
 
     # Time.
 
@@ -426,7 +447,8 @@
         usable = select_usable(views, now, required_version=call.stream_version)
         with_room = [view for view in usable if view.has_room(now)]
         if self._poison.is_suspect(request.body_digest, now):
-            with_room = [v for v in with_room if not self._has_suspect(v, now)]
+            # Few upstreams, the same at every entry: a suspect empties its own.
+            return self._choose_for_suspect(call, usable)
         fresh = [v for v in with_room if v.upstream_id not in call.tried]
         candidates = fresh or with_room
         if not candidates:
@@ -443,21 +465,20 @@
             self._policies[service.name] = known
         return known[1]
 
-    def _has_suspect(self, view: UpstreamView, now: float) -> bool:
-        return any(
-            self._poison.is_suspect(digest, now)
-            for digest in self._digests_at(view.upstream_id)
-        )
-
-    def _digests_at(self, upstream_id: str) -> set[str]:
-        return {
-            call.request.body_digest
-            for call in self._calls_by_attempt.values()
-            if call.attempt is not None and call.attempt.upstream_id == upstream_id
-        }
+    def _choose_for_suspect(
+        self, call: _Call, usable: list[UpstreamView]
+    ) -> UpstreamView | None:
+        if not usable:
+            return None
+        by_id = {view.upstream_id: view for view in usable}
+        ranked = rank_members(f"suspects/{call.request.service}", by_id)
+        share = max(1, len(ranked) // SUSPECT_SHARE_DIVISOR)
+        place = score_member("suspect", call.request.body_digest) % share
+        return by_id[ranked[place]]
 
     def _start_attempt(self, call: _Call, view: UpstreamView, now: float) -> Dispatch:
         attempt = _Attempt(self._next_attempt, view.upstream_id, now, now)
+        attempt.is_suspect = self._poison.is_suspect(call.request.body_digest, now)
         self._next_attempt += 1
         call.attempt = attempt
         call.attempts += 1
@@ -475,13 +496,15 @@
             call.request.deadline_at,
             call.stream_version,
             call.pieces_sent,
+            attempt.is_suspect,
         )
 
-    def _forget_attempt(self, call: _Call) -> None:
+    def _forget_attempt(self, call: _Call, now: float) -> None:
         attempt = call.attempt
         if attempt is None:
             return
         call.attempt = None
+        call.ended_at = now
         self._calls_by_attempt.pop(attempt.attempt_id, None)
         view = self._upstreams.get(attempt.upstream_id)
         if view is not None:
@@ -493,11 +516,11 @@
         else:
             self._running.pop(workspace, None)
 
-    def _drop_attempt(self, call: _Call) -> list[CallAction]:
+    def _drop_attempt(self, call: _Call, now: float) -> list[CallAction]:
         attempt = call.attempt
         if attempt is None:
             return []
-        self._forget_attempt(call)
+        self._forget_attempt(call, now)
         return [CancelAttempt(attempt.attempt_id, attempt.upstream_id)]
 
     # Ends of attempts.
@@ -591,7 +614,11 @@
             if call.claim is not None:
                 actions.append(_settle(call, RunOutcome.NOT_RUN))
             return self._finish(call, actions, now)
-        call.retry_at = now + backoff_s(min(call.attempts, 6), self._random)
+        delay_s = backoff_s(min(call.attempts, 6), self._random)
+        if reason == "suspect-waits":
+            # The agent keeps its upstream free for a suspect that asks again.
+            delay_s = SUSPECT_RETRY_S
+        call.retry_at = now + delay_s
         self._delayed.add(call.request.call_id)
         return [CountRetry(reason)]
 
@@ -617,7 +644,7 @@
         self, call: _Call, actions: list[CallAction], now: float
     ) -> list[CallAction]:
         request = call.request
-        self._forget_attempt(call)
+        self._forget_attempt(call, now)
         self._calls.pop(request.call_id, None)
         self._delayed.discard(request.call_id)
         queue = self._queues.get(request.service)
@@ -627,28 +654,10 @@
 
     # Failures.
 
-    def _on_upstream_died(self, attempt: _Attempt, now: float) -> list[CallAction]:
-        """Blame the calls that ran, once for each death of an upstream."""
-        view = self._upstreams.get(attempt.upstream_id)
-        if view is not None:
-            # New calls keep away until the agent reports the upstream again.
-            view.is_accepting = False
-        if attempt.is_blamed:
-            return []
-        neighbours = [
-            call
-            for call in self._calls_by_attempt.values()
-            if call.attempt is not None
-            and call.attempt.upstream_id == attempt.upstream_id
-        ]
-        return self._blame(neighbours, now)
-
-    def _blame(self, calls: list[_Call], now: float) -> list[CallAction]:
-        for call in calls:
-            if call.attempt is not None:
-                call.attempt.is_blamed = True
-        digests = {call.request.body_digest for call in calls}
-        found = self._poison.on_upstream_died(digests, now)
+    def _blame(
+        self, digests: set[str], now: float, *, is_exclusive: bool
+    ) -> list[CallAction]:
+        found = self._poison.on_upstream_died(digests, now, is_exclusive=is_exclusive)
         return [ShareQuarantine(digest) for digest in found]
 
     def _check_call(self, call: _Call, now: float) -> list[CallAction]:
@@ -657,6 +666,9 @@
         if now >= call.request.deadline_at:
             return self._on_deadline(call, now)
         attempt = call.attempt
+        if attempt is None and self._is_version_gone(call, now):
+            message = "no upstream serves the version that began this answer"
+            return self._give_up(call, Reason.VERSION_GONE, message, now)
         if attempt is None or not call.request.is_idempotent:
             return []
         limit_s = call.service.first_byte_timeout
@@ -667,9 +679,18 @@
         view = self._upstreams.get(attempt.upstream_id)
         if view is not None:
             view.on_failure(now)
-        actions = self._drop_attempt(call)
+        actions = self._drop_attempt(call, now)
         return actions + self._after_unknown(call, "stalled", now)
 
+    def _is_version_gone(self, call: _Call, now: float) -> bool:
+        """Whether a broken stream can no longer be resumed on its version."""
+        if not call.stream_version or now - call.ended_at < VERSION_GONE_S:
+            return False
+        return not any(
+            view.service == call.request.service and view.version == call.stream_version
+            for view in self._upstreams.values()
+        )
+
     def _on_deadline(self, call: _Call, now: float) -> list[CallAction]:
         if call.attempt is None and not call.may_have_run:
             has_upstream = any(
@@ -679,7 +700,7 @@
             reason = Reason.DEADLINE_QUEUED if has_upstream else Reason.NO_UPSTREAM
             return self._give_up(call, reason, "the deadline passed in the queue", now)
         call.may_have_run = True
-        actions = self._drop_attempt(call)
+        actions = self._drop_attempt(call, now)
         message = "no whole answer before the deadline"
         return actions + self._give_up(call, Reason.TIMED_OUT, message, now)
 
--- a/src/bamboolever/_demo.py
+++ b/src/bamboolever/_demo.py
@@ -27,6 +27,7 @@
     make_documents,
     write_documents,
 )
+from bamboolever._manifest import Manifest
 from bamboolever._operator import (
     apply_changes,
     load_files,
@@ -46,6 +47,8 @@
 POISON_TIMEOUT_S = 15.0
 SHARED_SHARE = 0.25
 OPERATOR = "demo"
+#: The upstream that a poison request ends first, and two more.
+MAX_CRASHES = 3
 
 
 @dataclass(frozen=True)
@@ -75,6 +78,7 @@
         self._operator = self.fleet.make_platform_client()
         self._size = options.weights_mb * 10**6
         self._digests: dict[str, str] = {}
+        self._manifests: list[Manifest] = []
         self.time_to_n_s = 0.0
         self._burst_origin_bytes = 0
         self._burst_cross_bytes = 0
@@ -89,6 +93,7 @@
                     MODEL, version, self._size, shared_share=SHARED_SHARE
                 )
                 self._digests[version] = manifest.weights_digest
+                self._manifests.append(manifest)
             self._progress.say("version 1 goes out to an empty fleet")
             self._roll("v1")
             self._wait_until_serving("v1")
@@ -165,6 +170,15 @@
         time.sleep(FAULT_DELAY_S * 2)
         self._roll("v2")
 
+    def _most_copies(self) -> float:
+        """Return how often the origin sent the version that it sent most."""
+        sent = self.fleet.origin.sent_by_digest
+        copies = [
+            sum(c.size * sent.get(c.digest, 0) for c in m.chunks) / m.total_bytes
+            for m in self._manifests
+        ]
+        return round(max(copies), 3)
+
     def _collect(self, callers: CallerFleet) -> dict[str, Any]:
         counts = callers.counts
         runs: Counter[str] = Counter()
@@ -182,7 +196,7 @@
             "serving": self.count_serving("v2"),
             "time_to_n_s": round(self.time_to_n_s, 2),
             "origin_bytes": self._burst_origin_bytes,
-            "origin_copies": round(self._burst_origin_bytes / self._size, 3),
+            "origin_copies": self._most_copies(),
             "cross_region_bytes": self._burst_cross_bytes,
             "calls": {
                 "sent": counts.sent,
@@ -267,6 +281,7 @@
         and calls["wrong"] == 0
         and calls["ran_twice"] == 0
         and calls["complete"] > 0
+        and result["engine_crashes"] <= MAX_CRASHES
         and (result["policy"] != "budgeted" or result["origin_copies"] <= 4.0)
     )
 
--- a/src/bamboolever/_democallers.py
+++ b/src/bamboolever/_democallers.py
@@ -17,6 +17,8 @@
 CALL_TIMEOUT_S = 25.0
 MAX_REPEATS = 8
 PAUSE_S = 0.02
+#: The one caller that sends the request which crashes engines, again and again.
+POISON_CALLER = "0"
 
 
 @dataclass
@@ -127,8 +129,9 @@
         is_stream: bool,
     ) -> None:
         prompt = f"inscription {source.randrange(8)} for {name}"
-        if self.poison_prompts and source.random() < 0.1:
+        if self.poison_prompts and name.split("-")[-2] == POISON_CALLER:
             prompt = self.poison_prompts[0]
+            is_stream = False
         content = {
             "model": MODEL,
             "prompt": prompt,
@@ -147,6 +150,7 @@
         if not is_terminated:
             with self._lock:
                 self.counts.broken_streams += 1
+                self.counts.refusals["stream-aborted"] += 1
                 self.counts.unknown += 1
             return
         digest = self._digests.get(answer.version, "")
--- a/src/bamboolever/_entry.py
+++ b/src/bamboolever/_entry.py
@@ -98,6 +98,7 @@
 CONNECT_RETRY_S = 0.5
 MAX_UPSTREAMS_PER_SERVICE = 64
 MANIFEST_CACHE = 8
+MAX_DEATH_DIGESTS = 4096
 
 OUTCOMES = {
     Outcome.NOT_RUN: RunOutcome.NOT_RUN,
@@ -439,6 +440,15 @@
             )
         elif frame.report is not None:
             self._on_report(agent_id, connection, frame.report)
+        elif frame.upstream_death is not None:
+            death = frame.upstream_death
+            digests = set((death.body_digests or [])[:MAX_DEATH_DIGESTS])
+            is_exclusive = bool(death.exclusive)
+            self._execute(
+                self._coordinator.on_upstream_death(
+                    digests, now, is_exclusive=is_exclusive
+                )
+            )
         elif frame.manifest_request is not None:
             self._on_manifest_request(connection, frame.manifest_request)
 
@@ -652,6 +662,8 @@
                 required_version=dispatch.required_version,
                 resume_from=dispatch.resume_from,
                 dispatch_key="" if request.is_idempotent else request.idempotency_key,
+                body_digest=request.body_digest,
+                suspect=dispatch.is_suspect,
             )
         )
 
--- a/src/bamboolever/_planner.py
+++ b/src/bamboolever/_planner.py
@@ -93,6 +93,8 @@
         self.in_flight: dict[int, str] = {}
         self.peers: dict[str, PeerView] = {}
         self.fleet: dict[str, PeerPlace] = {place.instance_id: place}
+        #: Members that were in the fleet once and are no longer.
+        self.departed: set[str] = set()
         self.chunk_count = len(manifest.chunks)
         self.segment_count = count_segments(self.chunk_count)
         self.segment_masks = [0] * self.segment_count
@@ -116,6 +118,12 @@
             busy |= 1 << index
         return self.all_chunks & ~self.have & ~busy
 
+    def set_fleet(self, fleet: dict[str, PeerPlace]) -> None:
+        """Take the fleet as it is seen now, this agent included."""
+        self.departed |= set(self.fleet)
+        self.departed -= set(fleet)
+        self.fleet = fleet
+
     def add_chunk(self, index: int, now: float) -> None:
         """Note a verified chunk."""
         self.have |= 1 << index
--- a/src/bamboolever/_poison.py
+++ b/src/bamboolever/_poison.py
@@ -1,9 +1,9 @@
 """Finds requests that crash the upstreams which run them.
 
-Pure. When an upstream dies, each call it ran is a suspect. A suspect is run
-again only where no other suspect runs; one that is the only suspect at two
-further deaths is quarantined, so at most three upstreams are lost to it here.
-A suspect that completes is cleared.
+Pure. When an upstream dies, every call that it ran, of all entries, is a
+suspect. A suspect runs again only where nothing else runs; an agent sees to
+that. One that is alone at two further deaths is quarantined, so at most three
+upstreams are lost to it. A suspect that completes is cleared.
 """
 
 from collections import OrderedDict
@@ -12,7 +12,7 @@
 
 SUSPICION_S = 60.0
 QUARANTINE_S = 600.0
-SOLE_DEATHS_TO_QUARANTINE = 2
+LONE_DEATHS_TO_QUARANTINE = 2
 MAX_SUSPECTS = 10_000
 MAX_QUARANTINED = 10_000
 
@@ -20,7 +20,7 @@
 @dataclass
 class _Suspect:
     seen_at: float
-    sole_deaths: int = 0
+    lone_deaths: int = 0
 
 
 @final
@@ -58,20 +58,24 @@
         self._quarantined.pop(digest, None)
         self._suspects.pop(digest, None)
 
-    def on_upstream_died(self, digests: set[str], now: float) -> list[str]:
-        """Blame the requests that ran; return those quarantined by this."""
-        known = {digest for digest in digests if self.is_suspect(digest, now)}
-        if not known:
+    def on_upstream_died(
+        self, digests: set[str], now: float, *, is_exclusive: bool
+    ) -> list[str]:
+        """Blame the requests that ran; return those quarantined by this.
+
+        ``is_exclusive`` says that an agent ran one suspect apart from all else.
+        """
+        if not is_exclusive or len(digests) != 1:
             for digest in digests:
                 self._add_suspect(digest, now)
             return []
-        if len(known) > 1:
+        (digest,) = digests
+        if self.is_quarantined(digest, now):
             return []
-        (digest,) = known
+        self._add_suspect(digest, now)
         suspect = self._suspects[digest]
-        suspect.sole_deaths += 1
-        suspect.seen_at = now
-        if suspect.sole_deaths < SOLE_DEATHS_TO_QUARANTINE:
+        suspect.lone_deaths += 1
+        if suspect.lone_deaths < LONE_DEATHS_TO_QUARANTINE:
             return []
         self.quarantine(digest, now)
         return [digest]
@@ -81,7 +85,8 @@
         self._suspects.pop(digest, None)
 
     def _add_suspect(self, digest: str, now: float) -> None:
-        self._suspects[digest] = _Suspect(now)
+        suspect = self._suspects.setdefault(digest, _Suspect(now))
+        suspect.seen_at = now
         self._suspects.move_to_end(digest)
         if len(self._suspects) > MAX_SUSPECTS:
             self._suspects.popitem(last=False)
--- a/src/bamboolever/_policies.py
+++ b/src/bamboolever/_policies.py
@@ -172,7 +172,8 @@
         own = view.place.instance_id
         if idle_s >= STALL_S * 2:
             return frozenset(holders - {own})
-        return frozenset(h for h in holders if h not in view.fleet)
+        # One that is not listed yet is no dead one: the list lags.
+        return frozenset(holders & view.departed)
 
     def _import_sources(self, view: BurstView, segment: int) -> list[str]:
         grants = view.grants[segment].grants
--- a/src/bamboolever/_protocol/ttypes.py
+++ b/src/bamboolever/_protocol/ttypes.py
@@ -393,6 +393,8 @@
      - required_version
      - resume_from
      - dispatch_key
+     - body_digest
+     - suspect
 
     """
 
@@ -409,10 +411,12 @@
         'required_version',
         'resume_from',
         'dispatch_key',
+        'body_digest',
+        'suspect',
     )
 
 
-    def __init__(self, call_id=None, trace_id=None, method=None, path=None, content_type=None, body=None, stream=None, priority=None, deadline_ms=None, required_version=None, resume_from=None, dispatch_key=None,):
+    def __init__(self, call_id=None, trace_id=None, method=None, path=None, content_type=None, body=None, stream=None, priority=None, deadline_ms=None, required_version=None, resume_from=None, dispatch_key=None, body_digest=None, suspect=None,):
         self.call_id = call_id
         self.trace_id = trace_id
         self.method = method
@@ -425,6 +429,8 @@
         self.required_version = required_version
         self.resume_from = resume_from
         self.dispatch_key = dispatch_key
+        self.body_digest = body_digest
+        self.suspect = suspect
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -495,6 +501,16 @@
                     self.dispatch_key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.body_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.suspect = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -553,6 +569,14 @@
             oprot.writeFieldBegin('dispatch_key', TType.STRING, 12)
             oprot.writeString(self.dispatch_key.encode('utf-8') if sys.version_info[0] == 2 else self.dispatch_key)
             oprot.writeFieldEnd()
+        if self.body_digest is not None:
+            oprot.writeFieldBegin('body_digest', TType.STRING, 13)
+            oprot.writeString(self.body_digest.encode('utf-8') if sys.version_info[0] == 2 else self.body_digest)
+            oprot.writeFieldEnd()
+        if self.suspect is not None:
+            oprot.writeFieldBegin('suspect', TType.BOOL, 14)
+            oprot.writeBool(self.suspect)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -946,6 +970,94 @@
         return not (self == other)
 
 
+class UpstreamDeath(object):
+    """
+    Attributes:
+     - body_digests
+     - exclusive
+
+    """
+
+    __slots__ = (
+        'body_digests',
+        'exclusive',
+    )
+
+
+    def __init__(self, body_digests=None, exclusive=None,):
+        self.body_digests = body_digests
+        self.exclusive = exclusive
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.body_digests = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.body_digests.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.exclusive = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamDeath')
+        if self.body_digests is not None:
+            oprot.writeFieldBegin('body_digests', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.body_digests))
+            for iter6 in self.body_digests:
+                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.exclusive is not None:
+            oprot.writeFieldBegin('exclusive', TType.BOOL, 2)
+            oprot.writeBool(self.exclusive)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Target(object):
     """
     Attributes:
@@ -1992,11 +2104,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.objects = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = ConfigObject()
-                        _elem5.read(iprot)
-                        self.objects.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = ConfigObject()
+                        _elem12.read(iprot)
+                        self.objects.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2026,8 +2138,8 @@
         if self.objects is not None:
             oprot.writeFieldBegin('objects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.objects))
-            for iter6 in self.objects:
-                iter6.write(oprot)
+            for iter13 in self.objects:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.snapshot is not None:
@@ -2079,6 +2191,7 @@
      - manifest_request
      - manifest_reply
      - config_update
+     - upstream_death
 
     """
 
@@ -2100,10 +2213,11 @@
         'manifest_request',
         'manifest_reply',
         'config_update',
+        'upstream_death',
     )
 
 
-    def __init__(self, challenge=None, hello=None, welcome=None, heartbeat=None, call_start=None, call_head=None, call_piece=None, call_end=None, call_cancel=None, target=None, report=None, chunk_request=None, chunk_reply=None, have_map=None, manifest_request=None, manifest_reply=None, config_update=None,):
+    def __init__(self, challenge=None, hello=None, welcome=None, heartbeat=None, call_start=None, call_head=None, call_piece=None, call_end=None, call_cancel=None, target=None, report=None, chunk_request=None, chunk_reply=None, have_map=None, manifest_request=None, manifest_reply=None, config_update=None, upstream_death=None,):
         self.challenge = challenge
         self.hello = hello
         self.welcome = welcome
@@ -2121,6 +2235,7 @@
         self.manifest_request = manifest_request
         self.manifest_reply = manifest_reply
         self.config_update = config_update
+        self.upstream_death = upstream_death
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2233,6 +2348,12 @@
                     self.config_update.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.upstream_death = UpstreamDeath()
+                    self.upstream_death.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2311,6 +2432,10 @@
             oprot.writeFieldBegin('config_update', TType.STRUCT, 17)
             self.config_update.write(oprot)
             oprot.writeFieldEnd()
+        if self.upstream_death is not None:
+            oprot.writeFieldBegin('upstream_death', TType.STRUCT, 18)
+            self.upstream_death.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2375,6 +2500,8 @@
     (10, TType.STRING, 'required_version', 'UTF8', None, ),  # 10
     (11, TType.I32, 'resume_from', None, None, ),  # 11
     (12, TType.STRING, 'dispatch_key', 'UTF8', None, ),  # 12
+    (13, TType.STRING, 'body_digest', 'UTF8', None, ),  # 13
+    (14, TType.BOOL, 'suspect', None, None, ),  # 14
 )
 all_structs.append(CallHead)
 CallHead.thrift_spec = (
@@ -2404,6 +2531,12 @@
     None,  # 0
     (1, TType.I64, 'call_id', None, None, ),  # 1
 )
+all_structs.append(UpstreamDeath)
+UpstreamDeath.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'body_digests', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.BOOL, 'exclusive', None, None, ),  # 2
+)
 all_structs.append(Target)
 Target.thrift_spec = (
     None,  # 0
@@ -2510,6 +2643,7 @@
     (15, TType.STRUCT, 'manifest_request', [ManifestRequest, None], None, ),  # 15
     (16, TType.STRUCT, 'manifest_reply', [ManifestReply, None], None, ),  # 16
     (17, TType.STRUCT, 'config_update', [ConfigUpdate, None], None, ),  # 17
+    (18, TType.STRUCT, 'upstream_death', [UpstreamDeath, None], None, ),  # 18
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/bamboolever/_webserver.py
+++ b/src/bamboolever/_webserver.py
@@ -15,6 +15,8 @@
 
 # Bodies stay in memory: an instance has no disk to spill them to.
 MAX_BODY_BYTES = 64 * 2**20
+LOOP_TIMEOUT_S = 1.0
+STOP_TIMEOUT_S = 5.0
 REASONS = {
     200: "OK",
     400: "Bad Request",
@@ -79,6 +81,7 @@
             map={},
             ident=None,
         )
+        self._is_stopping = False
         self._server.log_socket_errors = False
         self.port: int = self._server.effective_port
         self._thread = threading.Thread(
@@ -91,16 +94,22 @@
 
     def stop(self) -> None:
         """Close the listener and every connection."""
-        self._server.close()
-        for channel in list(self._server._map.values()):
-            _close_quietly(channel)
-        self._server.task_dispatcher.shutdown(cancel_pending=True, timeout=0.1)
+        self._is_stopping = True
+        self._server.pull_trigger()
+        if self._thread.is_alive() and self._thread is not threading.current_thread():
+            self._thread.join(STOP_TIMEOUT_S)
 
     def _run(self) -> None:
-        try:
-            self._server.run()
-        except OSError:
-            logger.debug("web server on port %d ended", self.port)
+        while not self._is_stopping:
+            self._server.asyncore.loop(
+                timeout=LOOP_TIMEOUT_S, map=self._server._map, use_poll=True, count=1
+            )
+        # The trigger stays open: worker threads that still run write to its
+        # descriptor, whose number must not come to mean another socket.
+        for dispatcher in list(self._server._map.values()):
+            if dispatcher is not self._server.trigger:
+                _close_dispatcher(dispatcher)
+        self._server.task_dispatcher.shutdown(cancel_pending=True, timeout=0.0)
 
     def _serve(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         request = _read_request(environ)
@@ -119,13 +128,13 @@
         return response.body
 
 
-def _close_quietly(channel: Any) -> None:
+def _close_dispatcher(dispatcher: Any) -> None:
     try:
-        sock: socket.socket | None = getattr(channel, "socket", None)
-        if sock is not None:
-            sock.shutdown(socket.SHUT_RDWR)
+        dispatcher.socket.shutdown(socket.SHUT_RDWR)
     except OSError:
         pass
+    dispatcher.del_channel()
+    dispatcher.socket.close()
 
 
 def _read_request(environ: dict[str, Any]) -> WebRequest:
