--- a/src/bamboolever/_claims.py
+++ b/src/bamboolever/_claims.py
@@ -123,7 +123,7 @@
                 if now - record.claimed_at < RETENTION_S
             }
         )
-        is_full = len(self.encode()) > MAX_SHARD_BYTES
+        is_full = len(changed.encode()) > MAX_SHARD_BYTES
         results = [changed._apply_one(operation, is_full) for operation in operations]
         return changed, results
 
--- a/src/bamboolever/_feed.py
+++ b/src/bamboolever/_feed.py
@@ -43,6 +43,8 @@
         self._documents: dict[DocumentKey, Document] = {}
         self._refused: dict[DocumentKey, RefusedDocument] = {}
         self._revision = 0
+        # Up to here a whole copy was seen: what it lacked does not exist.
+        self._copied_revision = 0
 
     @property
     def revision(self) -> int:
@@ -93,7 +95,10 @@
             if key not in named and not known.is_deleted and known.revision <= revision
         ]
         self._revision = revision
-        return self._take([*objects, *missing])
+        self._copied_revision = 0
+        changed = self._take([*objects, *missing])
+        self._copied_revision = revision
+        return changed
 
     def apply_changes(
         self, from_revision: int, revision: int, objects: list[StoredObject]
@@ -114,7 +119,8 @@
         for stored in sorted(objects, key=lambda o: o.revision):
             key = DocumentKey(stored.kind, stored.name)
             known = self._stored.get(key)
-            if known is not None and stored.revision <= known.revision:
+            known_revision = known.revision if known else self._copied_revision
+            if stored.revision <= known_revision:
                 continue
             self._stored[key] = stored
             if self._put_in_force(key, stored):
--- a/src/bamboolever/_webserver.py
+++ b/src/bamboolever/_webserver.py
@@ -76,7 +76,6 @@
             inbuf_overflow=MAX_BODY_BYTES,
             outbuf_overflow=MAX_BODY_BYTES,
             max_request_body_size=MAX_BODY_BYTES,
-            send_bytes=1,
             clear_untrusted_proxy_headers=True,
             map={},
             ident=None,
--- /dev/null
+++ b/testing/test_feed.py
@@ -0,0 +1,116 @@
+"""Configuration feed: never reverts, and converges on what the platform holds."""
+
+import pytest
+from builders import make_rollout_object
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from bamboolever._documents import DocumentKey
+from bamboolever._feed import ConfigurationFeed
+from bamboolever._platform import StoredObject
+
+NAMES = st.sampled_from(["engraver", "orders", "admin"])
+
+
+class FeedMachine(RuleBasedStateMachine):
+    """Two processes hear of one platform, late, twice, out of order, with holes."""
+
+    def __init__(self):
+        super().__init__()
+        self.revision = 0
+        self.platform = {}
+        self.history = []
+        self.feeds = [ConfigurationFeed(), ConfigurationFeed()]
+        self.seen = [{}, {}]
+
+    @rule(name=NAMES)
+    def change(self, name):
+        self.revision += 1
+        stored = make_rollout_object(f"v{self.revision}", self.revision, name)
+        self.platform[name] = stored
+        self.history.append(stored)
+
+    @precondition(lambda self: self.platform)
+    @rule(data=st.data())
+    def delete(self, data):
+        name = data.draw(st.sampled_from(sorted(self.platform)))
+        self.revision += 1
+        del self.platform[name]
+        self.history.append(
+            StoredObject("rollouts", name, self.revision, b"", is_deleted=True)
+        )
+
+    @rule(which=st.integers(0, 1))
+    def hear_snapshot(self, which):
+        objects = list(self.platform.values())
+        self.feeds[which].apply_snapshot(self.revision, objects)
+        held = {name for name, _ in self.feeds[which].list_documents("rollouts")}
+        assert held == set(self.platform)
+
+    @precondition(lambda self: self.history)
+    @rule(which=st.integers(0, 1), data=st.data())
+    def hear_old_snapshot(self, which, data):
+        until = data.draw(st.integers(0, len(self.history)))
+        state = {}
+        for stored in self.history[:until]:
+            state[stored.name] = stored
+        live = [stored for stored in state.values() if not stored.is_deleted]
+        self.feeds[which].apply_snapshot(until, live)
+
+    @precondition(lambda self: self.history)
+    @rule(which=st.integers(0, 1), data=st.data())
+    def hear_changes(self, which, data):
+        start = data.draw(st.integers(0, len(self.history)))
+        end = data.draw(st.integers(start, len(self.history)))
+        self.feeds[which].apply_changes(start, end, self.history[start:end])
+
+    @rule()
+    def hear_from_the_other_process(self):
+        source, target = self.feeds
+        target.apply_changes(0, source.revision, source.stored)
+
+    @invariant()
+    def no_document_reverts(self):
+        for feed, seen in zip(self.feeds, self.seen, strict=True):
+            for name in ("engraver", "orders", "admin"):
+                revision = feed.get_revision("rollouts", name)
+                assert revision >= seen.get(name, 0)
+                seen[name] = revision
+
+    @rule()
+    def an_old_change_after_a_copy_without_the_document(self):
+        """The case that once brought a deleted document back."""
+        if self.history:
+            first = self.history[0]
+            self.feeds[0].apply_changes(0, first.revision, [first])
+
+    @invariant()
+    def what_is_in_force_is_never_older_than_the_known_revision(self):
+        for feed in self.feeds:
+            latest = {s.name: s for s in self.history[: feed.revision]}
+            for name, stored in latest.items():
+                in_force = feed.get("rollouts", name) is not None
+                revision = feed.get_revision("rollouts", name)
+                if stored.is_deleted:
+                    assert not in_force or revision > stored.revision
+                else:
+                    assert revision >= stored.revision
+
+
+TestFeed = FeedMachine.TestCase
+
+
+def test_a_document_that_fails_its_checks_does_not_displace_a_good_one():
+    feed = ConfigurationFeed()
+    feed.apply_snapshot(1, [make_rollout_object("v1", 1)])
+    bad = StoredObject("rollouts", "engraver", 2, b'{"service": 3}')
+    feed.apply_changes(1, 2, [bad])
+    assert feed.get("rollouts", "engraver").version == "v1"
+    assert feed.refused[0].key == DocumentKey("rollouts", "engraver")
+    feed.apply_changes(2, 3, [make_rollout_object("v3", 3)])
+    assert feed.refused == []
+
+
+@pytest.mark.parametrize("from_revision", [1, 5])
+def test_a_hole_in_the_changes_is_noticed(from_revision):
+    assert ConfigurationFeed().apply_changes(from_revision, 9, []) is None
