Never start a call after its deadline; sharpen the machine of calls

Cause: the machine, given time to recover after faults, found a claimed call that was dispatched after its deadline. Change: an expired call is not started and gets its answer at the next tick.

--- a/src/bamboolever/_coordinator.py
+++ b/src/bamboolever/_coordinator.py
@@ -432,6 +432,9 @@
         if call is None:
             queue.pop(workspace)
             return None
+        if now >= call.request.deadline_at:
+            # Never started; the next tick gives its final answer.
+            return None
         limit = max(1.0, call.contract.concurrency * self._share)
         if self._running.get(workspace, 0) >= limit:
             return None
--- a/testing/test_activation.py
+++ b/testing/test_activation.py
@@ -73,6 +73,13 @@
         if self.activation.is_accepting:
             self.in_flight += 1
 
+    @rule()
+    def settle_down(self):
+        """Go on without faults until nothing more is asked for."""
+        for _ in range(12):
+            self.action_ends(True)
+            self.step(0.5)
+
     @rule()
     def call_ends(self):
         self.in_flight = max(0, self.in_flight - 1)
@@ -105,6 +112,7 @@
         elif action is ActivationAction.SEND_ORDER:
             target = self.activation.target
             is_loaded = is_good and self.engine.load(target.version, target.fencing)
+            assert not self.activation.is_accepting
             self.activation.on_order_done(is_loaded, self.now)
 
     @rule()
@@ -151,6 +159,37 @@
 TestActivation = ActivationMachine.TestCase
 
 
+def make_serving_v1_with_v2_ready():
+    activation = Activation()
+    for fencing, version in enumerate(["v1", "v2"], 1):
+        activation.on_target(make_target(version, fencing))
+        activation.on_weights_verified(f"manifest-{version}", f"digest-{version}")
+    activation.advance(0.0, in_flight=1)
+    activation.on_read_back(ServedModel("v1", "digest-v1"), 0.0)
+    return activation
+
+
+def test_a_swap_waits_for_the_calls_in_flight_and_admits_no_more():
+    activation = make_serving_v1_with_v2_ready()
+    assert activation.is_accepting
+    assert activation.advance(0.1, in_flight=1) is ActivationAction.ACQUIRE_SLOT
+    assert activation.is_accepting
+    activation.on_slot(True, 0.1)
+    assert activation.advance(0.2, in_flight=1) is None
+    assert not activation.is_accepting
+    assert activation.advance(0.3, in_flight=0) is ActivationAction.SEND_ORDER
+
+
+def test_what_is_served_is_read_back_again_and_again():
+    activation = make_serving_v1_with_v2_ready()
+    activation.on_target(make_target("v1", 3))
+    activation.on_weights_verified("manifest-v1", "digest-v1")
+    now = READ_BACK_PERIOD_S + 0.1
+    assert activation.advance(now, in_flight=0) is ActivationAction.READ_BACK
+    activation.on_read_back(ServedModel("v0", "digest-of-a-stale-order"), now)
+    assert not activation.is_accepting
+
+
 def run_to_order(activation, now=0.0):
     for _ in range(20):
         action = activation.advance(now, in_flight=0)
--- a/testing/test_coordinator.py
+++ b/testing/test_coordinator.py
@@ -7,6 +7,7 @@
     make_service,
     make_upstream,
 )
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -103,11 +104,14 @@
         result = ClaimResult(verdict, record)
         self.do(self.coordinator.on_claim(number, result, self.now))
 
-    @rule(data=st.data())
-    def answer_goes_on(self, data):
+    @rule(data=st.data(), steps=st.integers(1, PIECES + 2))
+    def answer_goes_on(self, data, steps):
         attempt = self.pick(data)
-        if attempt is None:
-            return
+        for _ in range(steps):
+            if attempt is not None and not attempt.is_over:
+                self.go_on(attempt)
+
+    def go_on(self, attempt):
         attempt_id = attempt.dispatch.attempt_id
         if not attempt.has_head:
             attempt.has_head = True
@@ -130,19 +134,29 @@
             return
         self.end(attempt, RunOutcome.RAN, True, "complete")
 
-    @rule(data=st.data(), reason=st.sampled_from(["upstream-broken", "agent-error"]))
-    def answer_breaks(self, data, reason):
+    @rule(
+        data=st.data(),
+        reason=st.sampled_from(["upstream-broken", "agent-error"]),
+        wait=st.sampled_from([0.0, 0.1, 1.0]),
+    )
+    def answer_breaks(self, data, reason, wait):
         attempt = self.pick(data)
         if attempt is not None:
             self.end(attempt, RunOutcome.UNKNOWN, False, reason)
+            self.recover(wait)
 
-    @rule(data=st.data(), reason=st.sampled_from(["leaving", "swapping", "other"]))
-    def agent_refuses(self, data, reason):
+    @rule(
+        data=st.data(),
+        reason=st.sampled_from(["leaving", "swapping", "other"]),
+        wait=st.sampled_from([0.0, 0.1, 1.0]),
+    )
+    def agent_refuses(self, data, reason, wait):
         attempt = self.pick(data)
         if attempt is None or attempt.has_head:
             return
         attempt.may_have_run = False
         self.end(attempt, RunOutcome.NOT_RUN, False, reason)
+        self.recover(wait)
 
     @rule(data=st.data())
     def a_late_answer_arrives(self, data):
@@ -157,8 +171,12 @@
         )
         assert late_end == []
 
-    @rule(name=st.sampled_from(UPSTREAMS), is_silent=st.booleans())
-    def upstream_lost(self, name, is_silent):
+    @rule(
+        name=st.sampled_from(UPSTREAMS),
+        is_silent=st.booleans(),
+        wait=st.sampled_from([0.0, 0.1, 1.0]),
+    )
+    def upstream_lost(self, name, is_silent, wait):
         if name not in self.versions:
             return
         del self.versions[name]
@@ -178,6 +196,9 @@
             return
         if is_leaving:
             self.leaving.add(name)
+        self.report_one(name, is_leaving)
+
+    def report_one(self, name, is_leaving):
         self.do(
             self.coordinator.on_report(
                 name,
@@ -203,6 +224,17 @@
         self.now += step
         self.do(self.coordinator.tick(self.now))
 
+    def recover(self, wait):
+        """Let the agents report and, unless ``wait`` is 0, let time pass."""
+        if not wait:
+            return
+        for name in UPSTREAMS:
+            if name not in self.versions:
+                self.join(name, "v1")
+            self.report_one(name, name in self.leaving)
+        self.now += wait
+        self.do(self.coordinator.tick(self.now))
+
     # The oracle.
 
     def do(self, actions):
@@ -229,7 +261,7 @@
 
     def check_dispatch(self, dispatch):
         number = dispatch.request.call_id
-        assert number not in self.final or not dispatch.request.is_idempotent
+        assert number not in self.final
         assert dispatch.upstream_id in self.versions
         assert dispatch.upstream_id not in self.leaving
         assert self.now < dispatch.deadline_at
@@ -318,6 +350,7 @@
 
 
 TestCalls = CallMachine.TestCase
+TestCalls.settings = settings(max_examples=200, stateful_step_count=40)
 
 
 def make_coordinator(*upstreams):
@@ -473,3 +506,32 @@
                 order.append(action.request.workspace)
                 running.append(action.attempt_id)
     assert "small" in order[:2]
+
+
+def test_a_job_whose_caller_went_away_is_not_started_elsewhere():
+    coordinator = make_coordinator(make_upstream("u1"), make_upstream("u2"))
+    request = make_request(is_idempotent=False, idempotency_key="k")
+    only(arrive(coordinator, request), ClaimCall)
+    granted = ClaimResult(ClaimVerdict.GRANTED, make_claim("k").record)
+    dispatch = only(coordinator.on_claim(request.call_id, granted, 0.0), Dispatch)
+    assert coordinator.on_caller_gone(request.call_id, 0.1) == []
+    actions = coordinator.on_end(
+        dispatch.attempt_id,
+        RunOutcome.NOT_RUN,
+        is_complete=False,
+        reason="swapping",
+        now=0.2,
+    )
+    assert only(actions, SettleClaim).outcome is RunOutcome.NOT_RUN
+    assert coordinator.tick(5.0) == []
+
+
+def test_a_call_whose_deadline_passed_while_it_was_claimed_is_not_started():
+    coordinator = make_coordinator(make_upstream())
+    request = make_request(is_idempotent=False, idempotency_key="k", deadline_at=0.5)
+    arrive(coordinator, request)
+    granted = ClaimResult(ClaimVerdict.GRANTED, make_claim("k").record)
+    assert coordinator.on_claim(request.call_id, granted, 1.0) == []
+    actions = coordinator.tick(1.0)
+    assert only(actions, Refusal).outcome is RunOutcome.NOT_RUN
+    assert only(actions, SettleClaim).outcome is RunOutcome.NOT_RUN
