Add distribution and control benches; plan from cached ranks

Cause: the control bench showed a planning decision at 950 instances to cost 9.4 ms against a target of 1 ms: each one ranked the region for 16 segments. Change: ranks and near peers are kept until the fleet changes, chunks are taken from a random point of the bitmap, and plans are coalesced over 3 ms.

--- /dev/null
+++ b/src/bamboolever/_benchdistribution.py
@@ -0,0 +1,264 @@
+"""Distribution bench: every policy in one run, on the same weights and seeds.
+
+Links between regions and the origin's link are shaped by token buckets around
+real loopback sockets; what is counted is counted by the stand-ins.
+"""
+
+import math
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, replace
+from typing import Any
+
+from bamboolever._democallers import CallerFleet
+from bamboolever._demofleet import (
+    MODEL,
+    EmbeddedFleet,
+    FleetOptions,
+    make_documents,
+)
+from bamboolever._operator import apply_changes, plan_changes, start_rollout
+
+BURST_TIMEOUT_S = 90.0
+POLL_S = 0.02
+QUIET_S = 3.0
+LIVE_CALLERS = 4
+ORIGIN_RATE = 20_000_000.0
+WEIGHTS_BYTES = 8_000_000
+DEATH_DELAY_S = 0.2
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """The shape of a user's fleet."""
+
+    name: str
+    regions: int
+    order_workers: int
+
+
+@dataclass(frozen=True)
+class PolicyChoice:
+    """A policy with its aim."""
+
+    name: str
+    policy: str
+    aim: str
+
+
+@dataclass(frozen=True)
+class DistributionRow:
+    """One measured burst; copies are in units of the weights' size."""
+
+    deployment: str
+    policy: str
+    n: int
+    fault: str
+    serving: int
+    time_to_n_s: float
+    floor_s: float
+    ratio_to_floor: float
+    origin_copies: float
+    cross_region_copies: float
+    max_pair_copies: float
+    platform_calls: int
+    live_p95_ratio: float | None
+
+
+DEPLOYMENTS = (Deployment("engrave-host", 3, 3), Deployment("heredia", 3, 3))
+POLICIES = (
+    PolicyChoice("origin-only", "origin-only", "time-to-n"),
+    PolicyChoice("static-tree", "static-tree", "time-to-n"),
+    PolicyChoice("swarm", "swarm", "time-to-n"),
+    PolicyChoice("budgeted/time-to-n", "budgeted", "time-to-n"),
+    PolicyChoice("budgeted/origin-bytes", "budgeted", "origin-bytes"),
+)
+
+
+def run_distribution_bench(
+    *, is_quick: bool, say: Callable[[str], None]
+) -> list[dict[str, Any]]:
+    """Run every policy and return one row for each burst."""
+    sizes = (8,) if is_quick else (8, 16, 32)
+    deployments = DEPLOYMENTS[:1] if is_quick else DEPLOYMENTS
+    rows: list[DistributionRow] = []
+    for deployment in deployments:
+        for n in sizes:
+            for choice in POLICIES:
+                rows.append(_run_burst(deployment, choice, n, "none"))
+                say(_format_row(rows[-1]))
+        for choice in POLICIES[3:]:
+            rows.append(_run_burst(deployment, choice, sizes[0], "agent-dies"))
+            say(_format_row(rows[-1]))
+    rows.append(_run_live_burst(DEPLOYMENTS[0], POLICIES[3], 8))
+    say(_format_row(rows[-1]))
+    return [asdict(row) for row in rows]
+
+
+def _format_row(row: DistributionRow) -> str:
+    return (
+        f"{row.deployment:13} {row.policy:22} N={row.n:<3} {row.fault:11} "
+        f"time {row.time_to_n_s:6.2f} s (floor {row.floor_s:.2f}) "
+        f"origin {row.origin_copies:5.2f} pair {row.max_pair_copies:4.2f}"
+    )
+
+
+def _make_fleet(deployment: Deployment, choice: PolicyChoice, n: int) -> EmbeddedFleet:
+    options = FleetOptions(
+        n,
+        deployment.regions,
+        choice.policy,
+        choice.aim,
+        origin_rate=ORIGIN_RATE,
+        order_workers=deployment.order_workers,
+    )
+    fleet = EmbeddedFleet(options)
+    fleet.start()
+    operator = fleet.make_platform_client()
+    documents = make_documents(options)
+    apply_changes(operator, plan_changes(operator, documents), "bench")
+    return fleet
+
+
+def _roll(fleet: EmbeddedFleet, version: str) -> str:
+    manifest = fleet.origin.add_version(MODEL, version, WEIGHTS_BYTES)
+    start_rollout(
+        fleet.make_platform_client(),
+        fleet.make_origin_client(),
+        service=MODEL,
+        model=MODEL,
+        version=version,
+        operator="bench",
+    )
+    return manifest.weights_digest
+
+
+def _count_serving(fleet: EmbeddedFleet, digest: str) -> int:
+    return sum(m.engine.weights_digest == digest for m in fleet.model_members())
+
+
+def _wait_for_all(fleet: EmbeddedFleet, digest: str) -> int:
+    deadline = time.monotonic() + BURST_TIMEOUT_S
+    while time.monotonic() < deadline:
+        if _count_serving(fleet, digest) == len(fleet.model_members()):
+            break
+        time.sleep(POLL_S)
+    return _count_serving(fleet, digest)
+
+
+def _wait_until_connected(fleet: EmbeddedFleet) -> None:
+    """Let entries and agents find each other, so that it is not timed."""
+    total = len(fleet.members)
+    deadline = time.monotonic() + BURST_TIMEOUT_S
+    while time.monotonic() < deadline:
+        known = [len(e.describe_status()["agents"]) for e in fleet.entries]
+        if min(known) == total:
+            break
+        time.sleep(POLL_S)
+    time.sleep(QUIET_S)
+
+
+def _run_burst(
+    deployment: Deployment, choice: PolicyChoice, n: int, fault: str
+) -> DistributionRow:
+    """Push a version to an empty fleet, which needs no swap."""
+    fleet = _make_fleet(deployment, choice, n)
+    try:
+        _wait_until_connected(fleet)
+        return _measure(fleet, deployment, choice, fault)
+    finally:
+        fleet.stop()
+
+
+def _measure(
+    fleet: EmbeddedFleet, deployment: Deployment, choice: PolicyChoice, fault: str
+) -> DistributionRow:
+    origin_before = fleet.origin.sent_bytes
+    links_before = dict(fleet.network.bytes_by_link)
+    calls_before = sum(fleet.platform.calls.values())
+    started = time.monotonic()
+    digest = _roll(fleet, f"v{time.monotonic_ns()}")
+    if fault == "agent-dies":
+        _replace_one_agent(fleet)
+    serving = _wait_for_all(fleet, digest)
+    elapsed_s = time.monotonic() - started
+    pairs = [
+        amount - links_before.get(link, 0)
+        for link, amount in fleet.network.bytes_by_link.items()
+        if link.source != link.destination
+    ]
+    floor_s = _floor_s(deployment, choice, len(fleet.model_members()))
+    return DistributionRow(
+        deployment=deployment.name,
+        policy=choice.name,
+        n=len(fleet.model_members()),
+        fault=fault,
+        serving=serving,
+        time_to_n_s=round(elapsed_s, 3),
+        floor_s=round(floor_s, 3),
+        ratio_to_floor=round(elapsed_s / floor_s, 2),
+        origin_copies=_copies(fleet.origin.sent_bytes - origin_before),
+        cross_region_copies=_copies(sum(pairs)),
+        max_pair_copies=_copies(max(pairs, default=0)),
+        platform_calls=sum(fleet.platform.calls.values()) - calls_before,
+        live_p95_ratio=None,
+    )
+
+
+def _replace_one_agent(fleet: EmbeddedFleet) -> None:
+    time.sleep(DEATH_DELAY_S)
+    member = fleet.model_members()[0]
+    dead_id = member.agent.record.instance_id
+    member.agent.stop()
+    fleet.forget_instance(dead_id)
+    fleet.replace_agent(member)
+
+
+def _run_live_burst(
+    deployment: Deployment, choice: PolicyChoice, n: int
+) -> DistributionRow:
+    """Swap a version under live calls and compare their latency."""
+    fleet = _make_fleet(deployment, choice, n)
+    try:
+        _wait_until_connected(fleet)
+        digest = _roll(fleet, "base")
+        _wait_for_all(fleet, digest)
+        callers = CallerFleet([e.port for e in fleet.entries], {}, seed=1)
+        callers.start(LIVE_CALLERS)
+        time.sleep(QUIET_S * 2)
+        quiet = len(callers.counts.latencies_s)
+        row = _measure(fleet, deployment, choice, "live-calls")
+        callers.stop()
+    finally:
+        fleet.stop()
+    latencies = callers.counts.latencies_s
+    ratio = _p95(latencies[quiet:]) / max(1e-6, _p95(latencies[:quiet]))
+    return replace(row, live_p95_ratio=round(ratio, 2))
+
+
+def _floor_s(deployment: Deployment, choice: PolicyChoice, n: int) -> float:
+    """Return the least time for one copy into each region, then doublings.
+
+    Under the aim origin-bytes one copy leaves the origin and each region pair
+    carries its part of it; otherwise each region's copy crosses the origin's
+    link, which is faster than the pairs.
+    """
+    options = FleetOptions(n, deployment.regions, choice.policy, choice.aim)
+    doublings = math.ceil(math.log2(max(2, n)))
+    chunk_s = options.chunk_bytes / ORIGIN_RATE
+    if choice.aim == "origin-bytes":
+        share = WEIGHTS_BYTES / deployment.regions
+        return share / options.region_pair_rate + doublings * chunk_s
+    copies = min(deployment.regions, n)
+    return copies * WEIGHTS_BYTES / ORIGIN_RATE + doublings * chunk_s
+
+
+def _copies(amount: int) -> float:
+    return round(amount / WEIGHTS_BYTES, 3)
+
+
+def _p95(values: list[float]) -> float:
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * 0.95))]
--- a/src/bamboolever/_burst.py
+++ b/src/bamboolever/_burst.py
@@ -46,6 +46,7 @@
 logger = logging.getLogger(__name__)
 
 PLAN_PERIOD_S = 0.05
+PLAN_DELAY_S = 0.003
 HAVE_PERIOD_S = 0.02
 LOCAL_FETCH_TIMEOUT_S = 5.0
 REMOTE_FETCH_TIMEOUT_S = 30.0
@@ -118,6 +119,7 @@
         self._next_request = 1
         self._upload_count = 0
         self._is_have_scheduled = False
+        self._is_plan_scheduled = False
         self._random = random.Random(identity.instance_id)
         self.counts = TransferCounts()
 
@@ -256,6 +258,16 @@
         self._drop_fetches(lambda fetch: fetch.deadline <= now)
         self._plan()
 
+    def _plan_soon(self) -> None:
+        """Plan once for all that arrives within a short time."""
+        if not self._is_plan_scheduled:
+            self._is_plan_scheduled = True
+            self._task.call_later(PLAN_DELAY_S, self._plan_scheduled)
+
+    def _plan_scheduled(self) -> None:
+        self._is_plan_scheduled = False
+        self._plan()
+
     def _plan(self) -> None:
         view = self._view
         if view is None:
@@ -350,7 +362,7 @@
             return
         view.add_chunk(index, self._task.now())
         self._announce_have()
-        self._plan()
+        self._plan_soon()
 
     def _on_have(self, peer_id: str, have: HaveMap) -> None:
         view = self._view
@@ -365,7 +377,7 @@
         bitmap = int.from_bytes(have.bitmap or b"", "little")
         peer.have = bitmap & view.all_chunks
         peer.uploads = have.uploads or 0
-        self._plan()
+        self._plan_soon()
 
     def _on_reply(self, peer_id: str, reply: ChunkReply) -> None:
         fetch = self._fetches.pop(reply.request_id or 0, None)
--- a/src/bamboolever/_cli.py
+++ b/src/bamboolever/_cli.py
@@ -35,6 +35,8 @@
     help="Small fakes of the outside systems, for trials.", no_args_is_help=True
 )
 app.add_typer(stand_in_app, name="stand-in")
+bench_app = typer.Typer(help="Measurements on this machine.", no_args_is_help=True)
+app.add_typer(bench_app, name="bench")
 
 SettingsFile = Annotated[Path, typer.Option("--settings", help="TOML settings file.")]
 PlatformUrl = Annotated[
@@ -321,6 +323,33 @@
     raise typer.Exit(EXIT_OK if is_right else EXIT_WRONG)
 
 
+@bench_app.command("distribution", epilog=EXIT_CODES)
+def bench_distribution(quick: bool = False, as_json: AsJson = False) -> None:
+    """Push weights with every policy over shaped links."""
+    import logging
+
+    from bamboolever._benchdistribution import run_distribution_bench
+
+    logging.basicConfig(level=logging.ERROR)
+    rows = run_distribution_bench(is_quick=quick, say=_say)
+    if as_json:
+        typer.echo(json.dumps({"rows": rows}))
+
+
+@bench_app.command("control", epilog=EXIT_CODES)
+def bench_control(quick: bool = False, as_json: AsJson = False) -> None:
+    """Measure decisions and messages at growing fleet views."""
+    from bamboolever._benchcontrol import run_control_bench
+
+    result = run_control_bench(is_quick=quick, say=_say)
+    if as_json:
+        typer.echo(json.dumps(result))
+
+
+def _say(line: str) -> None:
+    typer.echo(line, err=True)
+
+
 @stand_in_app.command("platform")
 def stand_in_platform(port: int = 7000) -> None:
     """Run a stand-in for the platform's object API."""
--- a/src/bamboolever/_planner.py
+++ b/src/bamboolever/_planner.py
@@ -3,6 +3,7 @@
 Sets of chunks are integers used as bitmaps: bit ``i`` stands for chunk ``i``.
 """
 
+import itertools
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -10,6 +11,7 @@
 
 from bamboolever._grants import SegmentGrants, count_segments, segment_of
 from bamboolever._manifest import Manifest
+from bamboolever._subset import score_member
 
 
 @dataclass(frozen=True)
@@ -93,6 +95,10 @@
         self.in_flight: dict[int, str] = {}
         self.peers: dict[str, PeerView] = {}
         self.fleet: dict[str, PeerPlace] = {place.instance_id: place}
+        #: Grows with each change of the fleet, so that policies may cache.
+        self.fleet_version = 0
+        self._own_ranks: dict[str, int] = {}
+        self._region_members: list[str] | None = None
         #: Members that were in the fleet once and are no longer.
         self.departed: set[str] = set()
         self.chunk_count = len(manifest.chunks)
@@ -120,6 +126,11 @@
 
     def set_fleet(self, fleet: dict[str, PeerPlace]) -> None:
         """Take the fleet as it is seen now, this agent included."""
+        if fleet == self.fleet:
+            return
+        self._own_ranks.clear()
+        self._region_members = None
+        self.fleet_version += 1
         self.departed |= set(self.fleet)
         self.departed -= set(fleet)
         self.fleet = fleet
@@ -131,11 +142,25 @@
 
     def region_members(self) -> list[str]:
         """Return the ids of the fleet's members in this region."""
-        return [
-            place.instance_id
-            for place in self.fleet.values()
-            if place.region == self.place.region
-        ]
+        if self._region_members is None:
+            self._region_members = [
+                place.instance_id
+                for place in self.fleet.values()
+                if place.region == self.place.region
+            ]
+        return self._region_members
+
+    def own_rank(self, key: str) -> int:
+        """Return this agent's rank for ``key`` in its region, 0 the first."""
+        rank = self._own_ranks.get(key)
+        if rank is None:
+            own = (score_member(key, self.place.instance_id), self.place.instance_id)
+            rank = sum(
+                (score_member(key, member), member) > own
+                for member in self.region_members()
+            )
+            self._own_ranks[key] = rank
+        return rank
 
     def local_peers(self) -> list[PeerView]:
         """Return the connected peers of this region that are not banned."""
@@ -154,6 +179,14 @@
         bitmap ^= lowest
 
 
+def take_bits(bitmap: int, start: int, limit: int) -> list[int]:
+    """Return up to ``limit`` set bits, from ``start`` on and then from 0."""
+    upper = bitmap >> start << start
+    taken = list(itertools.islice(iterate_bits(upper), limit))
+    lower = bitmap ^ upper
+    return taken + list(itertools.islice(iterate_bits(lower), limit - len(taken)))
+
+
 class DistributionPolicy(ABC):
     """Decides where an agent gets its chunks; pure, so easy to replace."""
 
--- a/src/bamboolever/_policies.py
+++ b/src/bamboolever/_policies.py
@@ -12,8 +12,9 @@
     PeerView,
     RequestGrant,
     iterate_bits,
+    take_bits,
 )
-from bamboolever._subset import rank_members, score_member, select_subset
+from bamboolever._subset import score_member, select_subset
 
 LOCAL_PEERS = 8
 MAX_FETCHES = 6
@@ -54,9 +55,9 @@
         offered = 0
         for peer in peers:
             offered |= peer.have
-        candidates = list(iterate_bits(offered & wanted))
-        if len(candidates) > RARITY_SAMPLE:
-            candidates = self._random.sample(candidates, RARITY_SAMPLE)
+        common = offered & wanted
+        start = self._random.randrange(max(1, common.bit_length()))
+        candidates = take_bits(common, start, RARITY_SAMPLE)
         self._random.shuffle(candidates)
         candidates.sort(key=lambda index: sum(p.have >> index & 1 for p in peers))
         return candidates[:limit]
@@ -94,16 +95,24 @@
 
     def __init__(self, seed: int = 0):
         self._chooser = _PeerChooser(seed)
+        self._near: list[str] = []
+        self._near_version = (0, -1)
 
     def wanted_peers(self, view: BurstView) -> list[str]:
         """Return a subset of the region, and the sources of held imports."""
-        own = view.place.instance_id
-        others = [member for member in view.region_members() if member != own]
-        wanted = select_subset(own, others, LOCAL_PEERS)
+        wanted = self._near_peers(view)
         for segment in range(view.segment_count):
             wanted += self._import_sources(view, segment)
         return list(dict.fromkeys(wanted))
 
+    def _near_peers(self, view: BurstView) -> list[str]:
+        if self._near_version != (id(view), view.fleet_version):
+            own = view.place.instance_id
+            others = [member for member in view.region_members() if member != own]
+            self._near = select_subset(own, others, LOCAL_PEERS)
+            self._near_version = (id(view), view.fleet_version)
+        return list(self._near)
+
     def plan(self, view: BurstView, now: float) -> list[Action]:
         """Return fetches from near peers, held grants, and grant requests."""
         missing = view.missing
@@ -150,7 +159,7 @@
             return []
         own = view.place.instance_id
         key = f"{view.manifest.digest}/{segment}"
-        rank = rank_members(key, view.region_members()).index(own)
+        rank = view.own_rank(key)
         importer = state.grants.importer_of(view.place.region)
         idle_s = now - view.progress_at[segment]
         dead = self._dead_holders(view, segment, idle_s)
--- a/src/bamboolever/_standins/network.py
+++ b/src/bamboolever/_standins/network.py
@@ -9,8 +9,8 @@
 from bamboolever._ratelimit import TokenBucket
 from bamboolever._task import READ, WRITE, IoTask
 
-READ_BYTES = 16 * 1024
-MAX_PENDING_BYTES = 256 * 1024
+READ_BYTES = 64 * 1024
+MAX_PENDING_BYTES = 512 * 1024
 BURST_BYTES = 64 * 1024
 
 
--- a/src/bamboolever/_webserver.py
+++ b/src/bamboolever/_webserver.py
@@ -16,6 +16,7 @@
 # Bodies stay in memory: an instance has no disk to spill them to.
 MAX_BODY_BYTES = 64 * 2**20
 LOOP_TIMEOUT_S = 1.0
+RECEIVE_BYTES = 256 * 1024
 STOP_TIMEOUT_S = 5.0
 REASONS = {
     200: "OK",
@@ -76,6 +77,7 @@
             inbuf_overflow=MAX_BODY_BYTES,
             outbuf_overflow=MAX_BODY_BYTES,
             max_request_body_size=MAX_BODY_BYTES,
+            recv_bytes=RECEIVE_BYTES,
             clear_untrusted_proxy_headers=True,
             map={},
             ident=None,
