Read one copy first; take more from the origin only where that is sooner

Change: a segment's home region reads it first, the others import; a region asks for a further copy only once every chunk is out and only for the share that the origin, at its measured pace, brings sooner. A slow origin is no dead holder.

--- a/src/bamboolever/_agent.py
+++ b/src/bamboolever/_agent.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any, final
 
@@ -491,12 +492,15 @@
         )
 
     def _order_load(self, manifest: Manifest, target: ActivationTarget) -> None:
-        for index, chunk in enumerate(manifest.chunks):
+        self._upstream.stage_chunks(manifest.digest, self._read_chunks(manifest))
+        self._upstream.load(manifest.digest, target.version, target.fencing)
+
+    def _read_chunks(self, manifest: Manifest) -> Iterator[bytes]:
+        for chunk in manifest.chunks:
             data = self._store.get(chunk.digest)
             if data is None:
-                raise UpstreamError(f"chunk {index} is no longer held")
-            self._upstream.stage_chunk(manifest.digest, index, data)
-        self._upstream.load(manifest.digest, target.version, target.fencing)
+                raise UpstreamError(f"the chunk {chunk.digest} is no longer held")
+            yield data
 
     def _on_order_done(self, future: "Future[None]") -> None:
         is_loaded = True
--- a/src/bamboolever/_burst.py
+++ b/src/bamboolever/_burst.py
@@ -52,6 +52,7 @@
 REMOTE_FETCH_TIMEOUT_S = 30.0
 PEER_RETRY_S = 1.0
 GRANT_RETRY_S = 1.0
+SOURCE_RETRY_S = 0.2
 BUSY_RETRY_S = 0.2
 MAX_QUEUED_UPLOAD_BYTES = 8 * 2**20
 
@@ -60,6 +61,7 @@
 class _Fetch:
     index: int
     peer_id: str
+    started_at: float
     deadline: float
 
 
@@ -313,7 +315,7 @@
         request_id = self._next_request
         self._next_request += 1
         self._fetches[request_id] = _Fetch(
-            action.index, action.peer_id, now + timeout_s
+            action.index, action.peer_id, now, now + timeout_s
         )
         view.in_flight[action.index] = action.peer_id
         peer.in_flight += 1
@@ -328,16 +330,22 @@
             # Spent when asked for: an answer that is lost was still sent.
             state.origin_budget.discard(index)
         chunk = view.manifest.chunks[index]
+        started_at = self._task.now()
         self._task.submit(
             self._executor,
             lambda: self._origin.read_chunk(chunk.digest, chunk.size),
-            lambda future: self._on_origin_chunk(view, index, future),
+            lambda future: self._on_origin_chunk(view, index, started_at, future),
         )
 
     def _on_origin_chunk(
-        self, view: BurstView, index: int, future: "Future[bytes]"
+        self,
+        view: BurstView,
+        index: int,
+        started_at: float,
+        future: "Future[bytes]",
     ) -> None:
         view.in_flight.pop(index, None)
+        view.on_origin_fetched(self._task.now() - started_at)
         try:
             data = future.result()
         except OriginError as error:
@@ -392,6 +400,8 @@
             self._telemetry.count("fetch_failures", reason="peer-refused")
             return
         self._count_received(peer, len(reply.data))
+        if peer is not None and peer.place.region != self._place.region:
+            view.on_imported(self._task.now() - fetch.started_at)
         self._accept_chunk(view, fetch.index, reply.data, peer_id)
 
     def _count_received(self, peer: PeerView | None, amount: int) -> None:
@@ -428,7 +438,7 @@
         self._task.submit(
             self._executor,
             lambda: _obtain_grant(self._platform, name, request),
-            lambda future: self._on_grant(view, action.segment, future),
+            lambda future: self._on_grant(view, action, future),
         )
 
     def _make_request(self, view: BurstView, action: RequestGrant) -> GrantRequest:
@@ -443,15 +453,19 @@
             aim=view.aim,
             origin_copies=view.origin_copies,
             dead_holders=action.dead_holders,
+            wants_copy=action.wants_copy,
         )
 
     def _on_grant(
-        self, view: BurstView, segment: int, future: "Future[_GrantResult]"
+        self, view: BurstView, action: RequestGrant, future: "Future[_GrantResult]"
     ) -> None:
-        state = view.grants[segment]
+        state = view.grants[action.segment]
         state.is_pending = False
         jitter = 0.5 + self._random.random()
         state.retry_at = self._task.now() + GRANT_RETRY_S * jitter
+        if not future.exception() and not future.result().grants.origin:
+            # The segment's home has yet to ask; its holder is needed soon.
+            state.retry_at = self._task.now() + SOURCE_RETRY_S * jitter
         try:
             result = future.result()
         except (PlatformError, GrantError) as error:
@@ -460,8 +474,9 @@
             return
         state.grants = result.grants
         state.origin_budget |= result.new_indexes
+        state.is_copy_refused = action.wants_copy and not result.new_indexes
         if result.new_indexes:
-            view.progress_at[segment] = self._task.now()
+            view.progress_at[action.segment] = self._task.now()
         if view is self._view:
             self._plan()
 
--- a/src/bamboolever/_grants.py
+++ b/src/bamboolever/_grants.py
@@ -48,6 +48,8 @@
     aim: str
     origin_copies: int
     dead_holders: frozenset[str] = frozenset()
+    #: Whether to read from the origin although another region has the segment.
+    wants_copy: bool = True
 
 
 @final
@@ -132,12 +134,14 @@
         if self.origin_bytes + request.missing_bytes > cap:
             return False
         is_lost = self.origin_holders() <= request.dead_holders
+        if not self.origin and not request.wants_copy:
+            return False
         if not self.origin or is_lost:
             return True
         if any(grant.holder == request.holder for grant in self.origin):
             # A repeat: a chunk that arrived corrupt or not at all.
             return True
-        if request.aim != "time-to-n":
+        if request.aim != "time-to-n" or not request.wants_copy:
             return False
         # One copy stays in reserve for holders that fail.
         reserved = min(request.segment_bytes, cap - request.segment_bytes)
--- a/src/bamboolever/_planner.py
+++ b/src/bamboolever/_planner.py
@@ -13,6 +13,8 @@
 from bamboolever._manifest import Manifest
 from bamboolever._subset import score_member
 
+SMOOTHING = 0.3
+
 
 @dataclass(frozen=True)
 class PeerPlace:
@@ -57,6 +59,7 @@
     segment: int
     missing: tuple[int, ...]
     dead_holders: frozenset[str]
+    wants_copy: bool = True
 
 
 Action = FetchFromPeer | FetchFromOrigin | RequestGrant
@@ -69,6 +72,8 @@
     grants: SegmentGrants = field(default_factory=SegmentGrants)
     is_pending: bool = False
     retry_at: float = 0.0
+    # Whether the origin's cap leaves no further copy of this segment.
+    is_copy_refused: bool = False
     # Chunk indexes that this agent may still read from the origin, once each.
     origin_budget: set[int] = field(default_factory=set)
 
@@ -91,6 +96,9 @@
         self.aim = aim
         self.origin_copies = origin_copies
         self.started_at = started_at
+        #: Smoothed seconds from asking for a chunk to having it, by source.
+        self.origin_fetch_s: float | None = None
+        self.import_fetch_s: float | None = None
         self.have = 0
         self.in_flight: dict[int, str] = {}
         self.peers: dict[str, PeerView] = {}
@@ -140,6 +148,14 @@
         self.have |= 1 << index
         self.progress_at[segment_of(index, self.chunk_count)] = now
 
+    def on_origin_fetched(self, seconds: float) -> None:
+        """Note how long a read from the origin took."""
+        self.origin_fetch_s = _smooth(self.origin_fetch_s, seconds)
+
+    def on_imported(self, seconds: float) -> None:
+        """Note how long a fetch from another region took."""
+        self.import_fetch_s = _smooth(self.import_fetch_s, seconds)
+
     def region_members(self) -> list[str]:
         """Return the ids of the fleet's members in this region."""
         if self._region_members is None:
@@ -171,6 +187,12 @@
         ]
 
 
+def _smooth(known: float | None, sample: float) -> float:
+    if known is None:
+        return sample
+    return known + SMOOTHING * (sample - known)
+
+
 def iterate_bits(bitmap: int) -> Iterator[int]:
     """Yield the indexes of the set bits, lowest first."""
     while bitmap:
--- a/src/bamboolever/_policies.py
+++ b/src/bamboolever/_policies.py
@@ -20,8 +20,10 @@
 MAX_FETCHES = 6
 MAX_FETCHES_PER_PEER = 3
 MAX_ORIGIN_FETCHES = 3
+MAX_IMPORTS = 2
 RANK_DELAY_S = 1.0
 STALL_S = 3.0
+STALL_FETCHES = 8
 RARITY_SAMPLE = 64
 
 
@@ -146,9 +148,47 @@
             for peer in view.peers.values()
             if peer.place.region != view.place.region and not peer.is_banned
         ]
-        fetches = self._chooser.fetch_from_peers(view, abroad, wanted, now)
+        fetches = self._fetch_abroad(view, abroad, wanted, now)
         if fetches:
             return fetches
+        return self._request_copy(view, segment, wanted, abroad, now)
+
+    def _fetch_abroad(
+        self, view: BurstView, abroad: list[PeerView], wanted: int, now: float
+    ) -> list[Action]:
+        free = MAX_IMPORTS - sum(peer.in_flight for peer in abroad)
+        if free <= 0:
+            return []
+        return self._chooser.fetch_from_peers(view, abroad, wanted, now)[:free]
+
+    def _request_copy(
+        self,
+        view: BurstView,
+        segment: int,
+        wanted: int,
+        abroad: list[PeerView],
+        now: float,
+    ) -> list[Action]:
+        """Ask the origin for what the links from other regions leave waiting.
+
+        Only once a peer holds every chunk that is missing here: until then the
+        origin's link is better used for the first copy.
+        """
+        offered = 0
+        for peer in abroad:
+            offered |= peer.have
+        waiting = list(iterate_bits(wanted & offered))
+        state = view.grants[segment]
+        is_free = not state.is_pending and now >= state.retry_at
+        is_first_out = not view.missing & ~_offered_by_all(view)
+        may_copy = view.aim == "time-to-n" and is_first_out
+        may_copy = may_copy and not state.is_copy_refused
+        share = _count_for_origin(view, len(waiting)) if may_copy else 0
+        if share and is_free:
+            # From the end: the imports under way begin at the start.
+            return [RequestGrant(segment, tuple(waiting[-share:]), frozenset(), True)]
+        if waiting:
+            return []
         return self._request_if_due(view, segment, wanted, now)
 
     def _request_if_due(
@@ -166,12 +206,15 @@
         if importer is None:
             is_due = idle_s >= rank * RANK_DELAY_S
         elif importer == own:
-            is_due = idle_s >= STALL_S or bool(dead)
+            is_due = idle_s >= STALL_S or bool(dead) or not state.grants.origin
         else:
             is_due = importer in dead and idle_s >= rank * RANK_DELAY_S
         if not is_due:
             return []
-        return [RequestGrant(segment, tuple(iterate_bits(wanted)), dead)]
+        missing = tuple(iterate_bits(wanted))
+        is_home = _home_region(view, key) == view.place.region
+        wants_copy = is_home or bool(dead)
+        return [RequestGrant(segment, missing, dead, wants_copy)]
 
     def _dead_holders(
         self, view: BurstView, segment: int, idle_s: float
@@ -179,7 +222,8 @@
         grants = view.grants[segment].grants
         holders = grants.origin_holders() | {g.holder for g in grants.imports}
         own = view.place.instance_id
-        if idle_s >= STALL_S * 2:
+        pace_s = max(view.origin_fetch_s or 0.0, view.import_fetch_s or 0.0)
+        if idle_s >= max(STALL_S * 2, STALL_FETCHES * pace_s):
             return frozenset(holders - {own})
         # One that is not listed yet is no dead one: the list lags.
         return frozenset(holders & view.departed)
@@ -268,6 +312,32 @@
         return _read_all_from_origin(view)
 
 
+def _count_for_origin(view: BurstView, waiting: int) -> int:
+    """Return how many of the waiting chunks the origin would bring sooner.
+
+    Splits them so that the origin and the links from other regions, each at
+    its measured pace, end at the same time; none before both are measured.
+    """
+    if view.origin_fetch_s is None or view.import_fetch_s is None:
+        return 0
+    import_s = view.import_fetch_s / MAX_IMPORTS
+    return int(waiting * import_s / (view.origin_fetch_s + import_s))
+
+
+def _offered_by_all(view: BurstView) -> int:
+    """Return the chunks that some connected peer holds."""
+    offered = 0
+    for peer in view.peers.values():
+        offered |= peer.have
+    return offered
+
+
+def _home_region(view: BurstView, key: str) -> str:
+    """Return the region that reads a segment from the origin first."""
+    regions = {place.region for place in view.fleet.values()}
+    return max(regions, key=lambda region: score_member(key, region))
+
+
 def _read_all_from_origin(view: BurstView) -> list[Action]:
     actions: list[Action] = [FetchFromOrigin(i) for i in iterate_bits(view.missing)]
     return _limit_origin(view, actions)
--- a/src/bamboolever/_upstream.py
+++ b/src/bamboolever/_upstream.py
@@ -4,7 +4,7 @@
 import json
 import urllib.parse
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any, final
@@ -86,8 +86,8 @@
         """Return what is served. Raises `UpstreamError`."""
 
     @abstractmethod
-    def stage_chunk(self, manifest_digest: str, index: int, data: bytes) -> None:
-        """Hand over one verified chunk. Raises `UpstreamError`."""
+    def stage_chunks(self, manifest_digest: str, chunks: Iterable[bytes]) -> None:
+        """Hand over verified chunks in their order. Raises `UpstreamError`."""
 
     @abstractmethod
     def load(self, manifest_digest: str, version: str, fencing: int) -> None:
@@ -119,10 +119,12 @@
         except (KeyError, TypeError) as error:
             raise UpstreamBroken("unreadable description") from error
 
-    def stage_chunk(self, manifest_digest: str, index: int, data: bytes) -> None:
-        """See `Upstream.stage_chunk`."""
-        path = f"/staging/{manifest_digest}/{index}"
-        self._order("PUT", path, data, ORDER_TIMEOUT_S)
+    def stage_chunks(self, manifest_digest: str, chunks: Iterable[bytes]) -> None:
+        """See `Upstream.stage_chunks`."""
+        with self._connect(ORDER_TIMEOUT_S) as connection:
+            for index, data in enumerate(chunks):
+                path = f"/staging/{manifest_digest}/{index}"
+                _exchange(connection, "PUT", path, data)
 
     def load(self, manifest_digest: str, version: str, fencing: int) -> None:
         """See `Upstream.load`."""
@@ -157,18 +159,7 @@
 
     def _order(self, method: str, path: str, body: bytes, timeout_s: float) -> Any:
         with self._connect(timeout_s) as connection:
-            try:
-                connection.request(method, path, body=body or None)
-                response = connection.getresponse()
-                data = response.read(MAX_RESPONSE_BYTES)
-            except (OSError, http.client.HTTPException) as error:
-                raise UpstreamBroken(f"{method} {path}: {error}") from error
-        if response.status != 200:
-            raise OrderRefused(f"{method} {path}: status {response.status}")
-        try:
-            return json.loads(data)
-        except ValueError as error:
-            raise UpstreamBroken(f"{method} {path}: unreadable answer") from error
+            return _exchange(connection, method, path, body)
 
     @contextmanager
     def _connect(self, timeout_s: float) -> Iterator[http.client.HTTPConnection]:
@@ -187,6 +178,23 @@
             connection.close()
 
 
+def _exchange(
+    connection: http.client.HTTPConnection, method: str, path: str, body: bytes
+) -> Any:
+    try:
+        connection.request(method, path, body=body or None)
+        response = connection.getresponse()
+        data = response.read(MAX_RESPONSE_BYTES)
+    except (OSError, http.client.HTTPException) as error:
+        raise UpstreamBroken(f"{method} {path}: {error}") from error
+    if response.status != 200:
+        raise OrderRefused(f"{method} {path}: status {response.status}")
+    try:
+        return json.loads(data)
+    except ValueError as error:
+        raise UpstreamBroken(f"{method} {path}: unreadable answer") from error
+
+
 def _abort(sock: Any) -> None:
     try:
         sock.shutdown(2)
