Prefer whichever of origin and regions is measured sooner

Change: a region asks the origin for all of a segment where it answers more than twice as soon; one probe measures the links first; paces outlive a burst.

--- a/src/bamboolever/_burst.py
+++ b/src/bamboolever/_burst.py
@@ -148,6 +148,8 @@
             origin_copies=target.origin_copies,
             started_at=self._task.now(),
         )
+        if self._view is not None:
+            view.keep_paces(self._view)
         view.have = self._store.held(manifest)
         self._view = view
         self._fetches.clear()
@@ -474,6 +476,8 @@
             return
         state.grants = result.grants
         state.origin_budget |= result.new_indexes
+        if result.new_indexes:
+            state.retry_at = self._task.now()
         state.is_copy_refused = action.wants_copy and not result.new_indexes
         if result.new_indexes:
             view.progress_at[action.segment] = self._task.now()
--- a/src/bamboolever/_planner.py
+++ b/src/bamboolever/_planner.py
@@ -148,6 +148,11 @@
         self.have |= 1 << index
         self.progress_at[segment_of(index, self.chunk_count)] = now
 
+    def keep_paces(self, previous: "BurstView") -> None:
+        """Begin with what an earlier burst measured of the links."""
+        self.origin_fetch_s = previous.origin_fetch_s
+        self.import_fetch_s = previous.import_fetch_s
+
     def on_origin_fetched(self, seconds: float) -> None:
         """Note how long a read from the origin took."""
         self.origin_fetch_s = _smooth(self.origin_fetch_s, seconds)
--- a/src/bamboolever/_policies.py
+++ b/src/bamboolever/_policies.py
@@ -24,6 +24,7 @@
 RANK_DELAY_S = 1.0
 STALL_S = 3.0
 STALL_FETCHES = 8
+CLEARLY_SOONER = 2.0
 RARITY_SAMPLE = 64
 
 
@@ -148,15 +149,36 @@
             for peer in view.peers.values()
             if peer.place.region != view.place.region and not peer.is_banned
         ]
+        if state.is_pending or self._is_origin_sooner(view, segment):
+            return self._request_all(view, segment, wanted, now)
         fetches = self._fetch_abroad(view, abroad, wanted, now)
         if fetches:
             return fetches
         return self._request_copy(view, segment, wanted, abroad, now)
 
+    def _is_origin_sooner(self, view: BurstView, segment: int) -> bool:
+        """Whether the origin answers far sooner than the other regions do."""
+        if view.aim != "time-to-n" or view.grants[segment].is_copy_refused:
+            return False
+        if view.origin_fetch_s is None or view.import_fetch_s is None:
+            return False
+        return view.origin_fetch_s * CLEARLY_SOONER < view.import_fetch_s
+
+    def _request_all(
+        self, view: BurstView, segment: int, wanted: int, now: float
+    ) -> list[Action]:
+        state = view.grants[segment]
+        if state.is_pending or now < state.retry_at:
+            return []
+        missing = tuple(iterate_bits(wanted))
+        return [RequestGrant(segment, missing, frozenset(), True)]
+
     def _fetch_abroad(
         self, view: BurstView, abroad: list[PeerView], wanted: int, now: float
     ) -> list[Action]:
-        free = MAX_IMPORTS - sum(peer.in_flight for peer in abroad)
+        # One fetch measures the links before more of them fill up.
+        limit = MAX_IMPORTS if view.import_fetch_s is not None else 1
+        free = limit - sum(peer.in_flight for peer in abroad)
         if free <= 0:
             return []
         return self._chooser.fetch_from_peers(view, abroad, wanted, now)[:free]
