--- a/src/bamboolever/_telemetry.py
+++ b/src/bamboolever/_telemetry.py
@@ -1,6 +1,8 @@
 """Counters by reason through OpenTelemetry, JSON logs, and process memory."""
 
 import logging
+import logging.handlers
+import queue
 import sys
 import threading
 from dataclasses import dataclass
@@ -11,6 +13,7 @@
 from pythonjsonlogger.json import JsonFormatter
 
 PAGE_BYTES = 4096
+MAX_QUEUED_RECORDS = 5000
 LOG_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
@@ -85,13 +88,31 @@
         self._provider.shutdown()
 
 
-def configure_logging(level: str = "INFO") -> None:
-    """Write JSON logs, one object a line, to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(JsonFormatter(LOG_FIELDS))
+class _DroppingHandler(logging.handlers.QueueHandler):
+    """Queues records for a writing thread; drops them while the queue is full."""
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        try:
+            self.queue.put_nowait(record)
+        except queue.Full:
+            pass
+
+
+def configure_logging(level: str = "INFO") -> logging.handlers.QueueListener:
+    """Write JSON logs, one object a line, to standard error.
+
+    A thread of its own writes them, so a reader of the log that stands still
+    costs log lines and never a call.
+    """
+    writer = logging.StreamHandler(sys.stderr)
+    writer.setFormatter(JsonFormatter(LOG_FIELDS))
+    records: queue.Queue[logging.LogRecord] = queue.Queue(MAX_QUEUED_RECORDS)
+    listener = logging.handlers.QueueListener(records, writer)
+    listener.start()
     root = logging.getLogger()
-    root.handlers[:] = [handler]
+    root.handlers[:] = [_DroppingHandler(records)]
     root.setLevel(level)
+    return listener
 
 
 def read_rss_bytes() -> int:
