--- a/src/bamboolever/__init__.py
+++ b/src/bamboolever/__init__.py
@@ -1,1 +1,113 @@
-"""Weight distribution for bursts: coordination parts and thin daemons."""
+"""Weight distribution for bursts: coordination parts and thin daemons.
+
+The parts work without the daemons. Those that decide are pure: they take an
+event and a time in seconds and return what to do.
+"""
+
+from bamboolever._activation import (
+    Activation,
+    ActivationAction,
+    ActivationState,
+    ActivationTarget,
+    ServedModel,
+)
+from bamboolever._chunkstore import ChunkStore, MemoryChunkStore
+from bamboolever._claims import ClaimOperation, ClaimRecord, ClaimShard, ClaimVerdict
+from bamboolever._fairqueue import FairQueue
+from bamboolever._feed import ConfigurationFeed, RefusedDocument
+from bamboolever._grants import GrantRequest, SegmentGrants
+from bamboolever._kernel import Kernel, KernelError, Service
+from bamboolever._manifest import Chunk, Manifest, ManifestError
+from bamboolever._membership import Member, Membership
+from bamboolever._origin import Origin, OriginError
+from bamboolever._planner import (
+    BurstView,
+    DistributionPolicy,
+    FetchFromOrigin,
+    FetchFromPeer,
+    PeerPlace,
+    PeerView,
+    RequestGrant,
+)
+from bamboolever._platform import (
+    InstanceRecord,
+    Platform,
+    PlatformError,
+    PlatformUnavailable,
+    Snapshot,
+    StoredObject,
+    WatchGap,
+    WriteAmbiguous,
+    WriteConflict,
+    update_object,
+    write_resolved,
+)
+from bamboolever._poison import PoisonGuard
+from bamboolever._policies import make_policy, register_policy
+from bamboolever._ratelimit import TokenBucket
+from bamboolever._retry import RetryBudget, backoff_s
+from bamboolever._routing import RoutingPolicy, RoutingRequest, UpstreamView
+from bamboolever._subset import rank_members, select_subset
+from bamboolever._task import IoTask
+from bamboolever._upstream import Upstream, UpstreamError
+
+__all__ = [
+    "Activation",
+    "ActivationAction",
+    "ActivationState",
+    "ActivationTarget",
+    "BurstView",
+    "Chunk",
+    "ChunkStore",
+    "ClaimOperation",
+    "ClaimRecord",
+    "ClaimShard",
+    "ClaimVerdict",
+    "ConfigurationFeed",
+    "DistributionPolicy",
+    "FairQueue",
+    "FetchFromOrigin",
+    "FetchFromPeer",
+    "GrantRequest",
+    "InstanceRecord",
+    "IoTask",
+    "Kernel",
+    "KernelError",
+    "Manifest",
+    "ManifestError",
+    "Member",
+    "Membership",
+    "MemoryChunkStore",
+    "Origin",
+    "OriginError",
+    "PeerPlace",
+    "PeerView",
+    "Platform",
+    "PlatformError",
+    "PlatformUnavailable",
+    "PoisonGuard",
+    "RefusedDocument",
+    "RequestGrant",
+    "RetryBudget",
+    "RoutingPolicy",
+    "RoutingRequest",
+    "SegmentGrants",
+    "ServedModel",
+    "Service",
+    "Snapshot",
+    "StoredObject",
+    "TokenBucket",
+    "Upstream",
+    "UpstreamError",
+    "UpstreamView",
+    "WatchGap",
+    "WriteAmbiguous",
+    "WriteConflict",
+    "backoff_s",
+    "make_policy",
+    "rank_members",
+    "register_policy",
+    "select_subset",
+    "update_object",
+    "write_resolved",
+]
