Do not take a silent but listed grant holder for dead after 6 s

Change: only 15 s, or 8 measured fetch times, of silence count; a holder that left the list counts at once.

--- a/src/bamboolever/_policies.py
+++ b/src/bamboolever/_policies.py
@@ -23,6 +23,7 @@
 MAX_IMPORTS = 2
 RANK_DELAY_S = 1.0
 STALL_S = 3.0
+DEAD_AFTER_S = 15.0
 STALL_FETCHES = 8
 CLEARLY_SOONER = 2.0
 RARITY_SAMPLE = 64
@@ -228,7 +229,9 @@
         if importer is None:
             is_due = idle_s >= rank * RANK_DELAY_S
         elif importer == own:
-            is_due = idle_s >= STALL_S or bool(dead) or not state.grants.origin
+            has_read = own in state.grants.origin_holders()
+            is_stalled = has_read and idle_s >= STALL_S
+            is_due = is_stalled or bool(dead) or not state.grants.origin
         else:
             is_due = importer in dead and idle_s >= rank * RANK_DELAY_S
         if not is_due:
@@ -245,7 +248,7 @@
         holders = grants.origin_holders() | {g.holder for g in grants.imports}
         own = view.place.instance_id
         pace_s = max(view.origin_fetch_s or 0.0, view.import_fetch_s or 0.0)
-        if idle_s >= max(STALL_S * 2, STALL_FETCHES * pace_s):
+        if idle_s >= max(DEAD_AFTER_S, STALL_FETCHES * pace_s):
             return frozenset(holders - {own})
         # One that is not listed yet is no dead one: the list lags.
         return frozenset(holders & view.departed)
