Say unknown for a claim whose holder is gone; tick an idle entry less often

Change: a holder that is not in the instance list makes it unknown, not run again; a test with a claim of a gone entry brings it about. Change: 100 ms without calls; the idle bench uses the default status period.

--- /dev/null
+++ b/bench/idle.py
@@ -0,0 +1,49 @@
+"""Measures idle daemons: CPU, memory, and bytes of control traffic.
+
+Usage: python bench/idle.py [--seconds 10]
+
+Starts stand-ins, one engine with an agent, and an entry, each a process, rolls a
+version out, waits, and prints one JSON object per daemon. This is a bench; the
+product itself starts no process.
+"""
+
+import argparse
+import json
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "testing"))
+
+from streams import read_cpu_s, read_rss_bytes  # noqa: E402
+from test_entry import Deployment, Processes  # noqa: E402
+
+
+def main() -> None:
+    """Run the bench."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seconds", type=float, default=10.0)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as directory:
+        processes = Processes(Path(directory))
+        try:
+            deployment = Deployment(processes, status_period="2 s")
+            deployment.roll_out("v1")
+            daemons = {"entry": deployment.entry, "agent": deployment.agent}
+            before = {name: read_cpu_s(p.pid) for name, p in daemons.items()}
+            time.sleep(options.seconds)
+            for name, process in daemons.items():
+                used_s = read_cpu_s(process.pid) - before[name]
+                row = {
+                    "role": name,
+                    "cpu_share_of_core": round(used_s / options.seconds, 4),
+                    "rss_bytes": read_rss_bytes(process.pid),
+                }
+                print(json.dumps(row))
+        finally:
+            processes.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bamboolever/_entry.py
+++ b/src/bamboolever/_entry.py
@@ -40,7 +40,9 @@
 from bamboolever._claims import (
     ClaimOperation,
     ClaimRecord,
+    ClaimResult,
     ClaimState,
+    ClaimVerdict,
     settle_record,
 )
 from bamboolever._claimwriter import ClaimWriter
@@ -92,6 +94,7 @@
 
 BACKGROUND_THREADS = 8
 TICK_PERIOD_S = 0.02
+IDLE_TICK_PERIOD_S = 0.1
 FIRST_INSTANCE_PERIOD_S = 1.0
 INSTANCES_PER_LIST_SECOND = 100.0
 ENTRIES_PER_STATUS_SECOND = 50.0
@@ -256,12 +259,15 @@
 
     def _on_start(self) -> None:
         self._port.start()
-        self._task.call_every(TICK_PERIOD_S, self._on_tick)
+        self._on_tick()
         self._poll_instances()
         self._task.call_later(self._settings.status_period, self._write_status)
 
     def _on_tick(self) -> None:
         self._execute(self._coordinator.tick(self._task.now()))
+        is_busy = self._coordinator.open_calls > 0
+        period_s = TICK_PERIOD_S if is_busy else IDLE_TICK_PERIOD_S
+        self._task.call_later(period_s, self._on_tick)
 
     # Configuration.
 
@@ -684,11 +690,19 @@
         self._claim_records[request.call_id] = record
         self._claims.claim(
             operation,
-            lambda result: self._execute(
-                self._coordinator.on_claim(request.call_id, result, self._task.now())
-            ),
+            lambda result: self._on_claim(request.call_id, result),
         )
 
+    def _on_claim(self, call_id: int, result: ClaimResult) -> None:
+        record = result.record
+        if result.verdict is ClaimVerdict.IN_PROGRESS and record is not None:
+            entries = self._membership.members(role="entry")
+            if all(m.record.instance_id != record.holder for m in entries):
+                # Its holder is gone: nobody will record how the call ended.
+                result = ClaimResult(ClaimVerdict.UNKNOWN, record)
+        now = self._task.now()
+        self._execute(self._coordinator.on_claim(call_id, result, now))
+
     def _do_settle(self, settle: SettleClaim) -> None:
         request = settle.request
         record = self._claim_records.pop(request.call_id, None)
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -1,6 +1,7 @@
 """Entry and agent as real processes: the whole path, stops and bad input."""
 
 import dataclasses
+import hashlib
 import http.client
 import json
 import os
@@ -12,8 +13,10 @@
 import urllib.parse
 
 import pytest
-from builders import make_contract, make_record, make_service
+from builders import make_claim, make_contract, make_record, make_service
 
+from bamboolever._claims import find_claim_shard
+from bamboolever._claimwriter import _write_batch
 from bamboolever._documents import DocumentKey
 from bamboolever._operator import (
     apply_changes,
@@ -96,7 +99,7 @@
 class Deployment:
     """One entry, one agent, one engine and the stand-ins, each a process."""
 
-    def __init__(self, processes):
+    def __init__(self, processes, *, status_period="200 ms"):
         self.processes = processes
         self.platform_url = processes.start_stand_in("platform")
         self.origin_url = processes.start_stand_in("origin", "--chunk-kb", "16")
@@ -113,10 +116,13 @@
             caller_port=0,
             admin_port=0,
             balancer_delay="50 ms",
-            status_period="200 ms",
+            status_period=status_period,
             **self.common(),
         )
         self.port = self.entry.ports["caller_port"]
+        listed = make_record("entry-1", "entry", service="", port=self.port)
+        content = {"record": dataclasses.asdict(listed)}
+        send(self.platform_url, "PUT", "/instances", json.dumps(content))
         self.put_documents()
         self.weights = {}
 
@@ -241,6 +247,22 @@
     assert runs["studio-a/orders/job-1"] == 1
 
 
+def test_a_key_whose_holder_is_gone_is_unknown_and_not_run_again(deployment):
+    key = "studio-a/orders/job-lost"
+    body_digest = hashlib.sha256(b"POST\0orders\0/jobs\0etch").hexdigest()
+    claim = make_claim(
+        key, body=body_digest, holder="entry-gone", claimed_at=time.time()
+    )
+    _write_batch(deployment.platform, find_claim_shard(key), [claim])
+    headers = {"Idempotency-Key": "job-lost"}
+    answer = deployment.call("POST", "/services/orders/jobs", "etch", **headers)
+    assert answer.status == 409
+    assert json.loads(answer.content)["error"]["code"] == "earlier-outcome-unknown"
+    assert answer.headers["X-Bamboolever-Outcome"] == "unknown"
+    runs = json.loads(send(deployment.jobs_url, "GET", "/_runs")[1])
+    assert key not in runs
+
+
 @pytest.mark.parametrize(
     ("method", "path", "body", "headers", "status", "code"),
     [
