Bound control traffic at the design size: heartbeats, reports, have maps, slots

Cause: worked out from measured message costs, 64 agents cost an entry 33 KB/s and 1.5% of a core (limits 23 KB/s, 1.2%); 950 instances that wait for a swap slot would ask 1,900 times a second; have maps of 2,000 chunks could reach 46 KB/s. Change: any frame counts as a heartbeat; reports each 1 s and at once when readiness changes; have maps of large versions less often; slot requests of a fleet together at 200/s. Unused messages are gone from the protocol.

--- a/protocol/bamboolever.thrift
+++ b/protocol/bamboolever.thrift
@@ -132,21 +132,6 @@
   3: binary document
 }
 
-struct ConfigObject {
-  1: string kind
-  2: string name
-  3: i64 revision
-  4: binary document
-  5: bool deleted
-}
-
-struct ConfigUpdate {
-  1: i64 from_revision
-  2: i64 revision
-  3: list<ConfigObject> objects
-  4: bool snapshot
-}
-
 struct Frame {
   1: optional Challenge challenge
   2: optional Hello hello
@@ -164,6 +149,5 @@
   14: optional HaveMap have_map
   15: optional ManifestRequest manifest_request
   16: optional ManifestReply manifest_reply
-  17: optional ConfigUpdate config_update
-  18: optional UpstreamDeath upstream_death
+  17: optional UpstreamDeath upstream_death
 }
--- a/src/bamboolever/_activation.py
+++ b/src/bamboolever/_activation.py
@@ -161,7 +161,9 @@
         self._served = served
         self._read_at = now
 
-    def on_slot(self, is_held: bool, now: float) -> None:
+    def on_slot(
+        self, is_held: bool, now: float, *, retry_s: float = SLOT_RETRY_S
+    ) -> None:
         """Report the result of an acquire or release of the swap slot."""
         if self._outstanding in SLOT_ACTIONS:
             self._outstanding = None
@@ -169,7 +171,7 @@
             self._may_hold_slot = is_held
         self._outstanding_slot = None
         self._holds_slot = is_held
-        self._slot_retry_at = now + SLOT_RETRY_S
+        self._slot_retry_at = now + retry_s
 
     def on_order_done(self, is_loaded: bool, now: float) -> None:
         """Report the result of `ActivationAction.SEND_ORDER`."""
--- a/src/bamboolever/_agent.py
+++ b/src/bamboolever/_agent.py
@@ -67,10 +67,12 @@
 MANIFEST_KIND = "manifests"
 BACKGROUND_THREADS = 8
 ADVANCE_PERIOD_S = 0.05
-REPORT_PERIOD_S = 0.5
+REPORT_PERIOD_S = 1.0
 FIRST_INSTANCE_PERIOD_S = 2.0
 INSTANCES_PER_LIST_SECOND = 100.0
 LONELY_AFTER_S = 10.0
+MIN_SLOT_RETRY_S = 0.3
+SLOT_REQUESTS_PER_S = 200.0
 MANIFEST_RETRY_S = 1.0
 PLAIN_VERSION = "plain"
 
@@ -116,6 +118,7 @@
         self._is_plain_up = False
         self._is_checking_plain = False
         self._is_leaving = False
+        self._was_ready = False
         self._drained: Future[bool] | None = None
         self._heard_entry_at = self._task.now()
         self._random = random.Random(settings.instance_id)
@@ -404,6 +407,13 @@
         if not self._is_model:
             self._check_plain()
             return
+        self._take_next_action()
+        if self.is_ready() != self._was_ready:
+            # Entries learn at once when calls may come, or must not.
+            self._was_ready = self.is_ready()
+            self._send_reports()
+
+    def _take_next_action(self) -> None:
         now = self._task.now()
         action = self._activation.advance(now, in_flight=self._relay.in_flight)
         if action is ActivationAction.READ_BACK:
@@ -438,7 +448,11 @@
         except PlatformError:
             self.telemetry.count("platform_failures", reason="swap-slot")
             is_held = fallback
-        self._activation.on_slot(is_held, self._task.now())
+        # All waiting instances together ask at a fixed rate.
+        fleet = self._membership.members(role="agent", service=self._settings.service)
+        period_s = max(MIN_SLOT_RETRY_S, len(fleet) / SLOT_REQUESTS_PER_S)
+        retry_s = period_s * (0.5 + self._random.random())
+        self._activation.on_slot(is_held, self._task.now(), retry_s=retry_s)
         self._advance()
 
     def _acquire_slot(self) -> bool:
--- a/src/bamboolever/_burst.py
+++ b/src/bamboolever/_burst.py
@@ -48,6 +48,7 @@
 PLAN_PERIOD_S = 0.05
 PLAN_DELAY_S = 0.003
 HAVE_PERIOD_S = 0.02
+CHUNKS_PER_HAVE_SECOND = 10_000.0
 LOCAL_FETCH_TIMEOUT_S = 5.0
 REMOTE_FETCH_TIMEOUT_S = 30.0
 PEER_RETRY_S = 1.0
@@ -507,7 +508,9 @@
         if self._is_have_scheduled:
             return
         self._is_have_scheduled = True
-        self._task.call_later(HAVE_PERIOD_S, self._broadcast_have)
+        # Large bitmaps go out less often, so that their bytes stay bounded.
+        period_s = max(HAVE_PERIOD_S, self.chunks_total / CHUNKS_PER_HAVE_SECOND)
+        self._task.call_later(period_s, self._broadcast_have)
 
     def _broadcast_have(self) -> None:
         self._is_have_scheduled = False
--- a/src/bamboolever/_connection.py
+++ b/src/bamboolever/_connection.py
@@ -85,6 +85,7 @@
         self._is_open = False
         self._is_closed = False
         self._wants_write = False
+        self._has_sent = False
         self._last_received = task.now()
         self.peer_id = ""
         self.peer_role = ""
@@ -143,6 +144,7 @@
         if len(self._output) + len(data) > MAX_OUTPUT_BYTES:
             self._task.send(lambda: self.close("output buffer full"))
             return
+        self._has_sent = True
         was_empty = not self._output
         self._output += data
         if was_empty and not self._is_connecting:
@@ -277,8 +279,10 @@
         if idle_s > limit_s:
             self.close(f"silent for {idle_s:.1f} s")
             return
-        if self._is_open:
+        if self._is_open and not self._has_sent:
             self._send(heartbeat=Heartbeat(sequence=0))
+        # Any frame tells the peer that this side lives.
+        self._has_sent = False
         self._timer = self._task.call_later(HEARTBEAT_PERIOD_S, self._on_heartbeat)
 
 
--- a/src/bamboolever/_protocol/ttypes.py
+++ b/src/bamboolever/_protocol/ttypes.py
@@ -1942,235 +1942,6 @@
         return not (self == other)
 
 
-class ConfigObject(object):
-    """
-    Attributes:
-     - kind
-     - name
-     - revision
-     - document
-     - deleted
-
-    """
-
-    __slots__ = (
-        'kind',
-        'name',
-        'revision',
-        'document',
-        'deleted',
-    )
-
-
-    def __init__(self, kind=None, name=None, revision=None, document=None, deleted=None,):
-        self.kind = kind
-        self.name = name
-        self.revision = revision
-        self.document = document
-        self.deleted = deleted
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I64:
-                    self.revision = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.STRING:
-                    self.document = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.BOOL:
-                    self.deleted = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('ConfigObject')
-        if self.kind is not None:
-            oprot.writeFieldBegin('kind', TType.STRING, 1)
-            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
-            oprot.writeFieldEnd()
-        if self.name is not None:
-            oprot.writeFieldBegin('name', TType.STRING, 2)
-            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
-            oprot.writeFieldEnd()
-        if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 3)
-            oprot.writeI64(self.revision)
-            oprot.writeFieldEnd()
-        if self.document is not None:
-            oprot.writeFieldBegin('document', TType.STRING, 4)
-            oprot.writeBinary(self.document)
-            oprot.writeFieldEnd()
-        if self.deleted is not None:
-            oprot.writeFieldBegin('deleted', TType.BOOL, 5)
-            oprot.writeBool(self.deleted)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class ConfigUpdate(object):
-    """
-    Attributes:
-     - from_revision
-     - revision
-     - objects
-     - snapshot
-
-    """
-
-    __slots__ = (
-        'from_revision',
-        'revision',
-        'objects',
-        'snapshot',
-    )
-
-
-    def __init__(self, from_revision=None, revision=None, objects=None, snapshot=None,):
-        self.from_revision = from_revision
-        self.revision = revision
-        self.objects = objects
-        self.snapshot = snapshot
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.from_revision = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.revision = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.LIST:
-                    self.objects = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = ConfigObject()
-                        _elem12.read(iprot)
-                        self.objects.append(_elem12)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.BOOL:
-                    self.snapshot = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('ConfigUpdate')
-        if self.from_revision is not None:
-            oprot.writeFieldBegin('from_revision', TType.I64, 1)
-            oprot.writeI64(self.from_revision)
-            oprot.writeFieldEnd()
-        if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 2)
-            oprot.writeI64(self.revision)
-            oprot.writeFieldEnd()
-        if self.objects is not None:
-            oprot.writeFieldBegin('objects', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.objects))
-            for iter13 in self.objects:
-                iter13.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.snapshot is not None:
-            oprot.writeFieldBegin('snapshot', TType.BOOL, 4)
-            oprot.writeBool(self.snapshot)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Frame(object):
     """
     Attributes:
@@ -2190,7 +1961,6 @@
      - have_map
      - manifest_request
      - manifest_reply
-     - config_update
      - upstream_death
 
     """
@@ -2212,12 +1982,11 @@
         'have_map',
         'manifest_request',
         'manifest_reply',
-        'config_update',
         'upstream_death',
     )
 
 
-    def __init__(self, challenge=None, hello=None, welcome=None, heartbeat=None, call_start=None, call_head=None, call_piece=None, call_end=None, call_cancel=None, target=None, report=None, chunk_request=None, chunk_reply=None, have_map=None, manifest_request=None, manifest_reply=None, config_update=None, upstream_death=None,):
+    def __init__(self, challenge=None, hello=None, welcome=None, heartbeat=None, call_start=None, call_head=None, call_piece=None, call_end=None, call_cancel=None, target=None, report=None, chunk_request=None, chunk_reply=None, have_map=None, manifest_request=None, manifest_reply=None, upstream_death=None,):
         self.challenge = challenge
         self.hello = hello
         self.welcome = welcome
@@ -2234,7 +2003,6 @@
         self.have_map = have_map
         self.manifest_request = manifest_request
         self.manifest_reply = manifest_reply
-        self.config_update = config_update
         self.upstream_death = upstream_death
 
     def read(self, iprot):
@@ -2343,12 +2111,6 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 17:
-                if ftype == TType.STRUCT:
-                    self.config_update = ConfigUpdate()
-                    self.config_update.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 18:
                 if ftype == TType.STRUCT:
                     self.upstream_death = UpstreamDeath()
                     self.upstream_death.read(iprot)
@@ -2428,12 +2190,8 @@
             oprot.writeFieldBegin('manifest_reply', TType.STRUCT, 16)
             self.manifest_reply.write(oprot)
             oprot.writeFieldEnd()
-        if self.config_update is not None:
-            oprot.writeFieldBegin('config_update', TType.STRUCT, 17)
-            self.config_update.write(oprot)
-            oprot.writeFieldEnd()
         if self.upstream_death is not None:
-            oprot.writeFieldBegin('upstream_death', TType.STRUCT, 18)
+            oprot.writeFieldBegin('upstream_death', TType.STRUCT, 17)
             self.upstream_death.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2606,23 +2364,6 @@
     (2, TType.BOOL, 'found', None, None, ),  # 2
     (3, TType.STRING, 'document', 'BINARY', None, ),  # 3
 )
-all_structs.append(ConfigObject)
-ConfigObject.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'name', 'UTF8', None, ),  # 2
-    (3, TType.I64, 'revision', None, None, ),  # 3
-    (4, TType.STRING, 'document', 'BINARY', None, ),  # 4
-    (5, TType.BOOL, 'deleted', None, None, ),  # 5
-)
-all_structs.append(ConfigUpdate)
-ConfigUpdate.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'from_revision', None, None, ),  # 1
-    (2, TType.I64, 'revision', None, None, ),  # 2
-    (3, TType.LIST, 'objects', (TType.STRUCT, [ConfigObject, None], False), None, ),  # 3
-    (4, TType.BOOL, 'snapshot', None, None, ),  # 4
-)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2642,8 +2383,7 @@
     (14, TType.STRUCT, 'have_map', [HaveMap, None], None, ),  # 14
     (15, TType.STRUCT, 'manifest_request', [ManifestRequest, None], None, ),  # 15
     (16, TType.STRUCT, 'manifest_reply', [ManifestReply, None], None, ),  # 16
-    (17, TType.STRUCT, 'config_update', [ConfigUpdate, None], None, ),  # 17
-    (18, TType.STRUCT, 'upstream_death', [UpstreamDeath, None], None, ),  # 18
+    (17, TType.STRUCT, 'upstream_death', [UpstreamDeath, None], None, ),  # 17
 )
 fix_spec(all_structs)
 del all_structs
