--- a/src/bamboolever/_calls.py
+++ b/src/bamboolever/_calls.py
@@ -32,8 +32,7 @@
     CLAIM_UNAVAILABLE = "claim-store-unavailable"
     IN_PROGRESS = "already-in-progress"
     OUTCOME_UNKNOWN = "earlier-outcome-unknown"
-    STOPPING = "entry-stopping"
-    TOO_MANY_CONNECTIONS = "too-many-connections"
+    NOT_READY = "entry-not-ready"
     UPSTREAM_LOST = "upstream-lost"
     TIMED_OUT = "timed-out"
     RETRIES_EXHAUSTED = "retries-exhausted"
@@ -58,8 +57,7 @@
     Reason.CLAIM_UNAVAILABLE: 503,
     Reason.IN_PROGRESS: 409,
     Reason.OUTCOME_UNKNOWN: 409,
-    Reason.STOPPING: 503,
-    Reason.TOO_MANY_CONNECTIONS: 503,
+    Reason.NOT_READY: 503,
     Reason.UPSTREAM_LOST: 502,
     Reason.TIMED_OUT: 504,
     Reason.RETRIES_EXHAUSTED: 502,
--- a/src/bamboolever/_entry.py
+++ b/src/bamboolever/_entry.py
@@ -55,6 +55,7 @@
     SERVICE_KIND,
     Contract,
     Distribution,
+    DocumentKey,
     Rollout,
     ServiceDocument,
 )
@@ -69,6 +70,7 @@
     Snapshot,
     WriteConflict,
 )
+from bamboolever._poison import QUARANTINE_S
 from bamboolever._protocol.ttypes import (
     CallCancel,
     CallStart,
@@ -99,6 +101,7 @@
 INSTANCES_PER_LIST_SECOND = 100.0
 ENTRIES_PER_STATUS_SECOND = 50.0
 CONNECT_RETRY_S = 0.5
+RETRY_AFTER_S = 1.0
 MAX_UPSTREAMS_PER_SERVICE = 64
 MANIFEST_CACHE = 8
 MAX_DEATH_DIGESTS = 4096
@@ -143,7 +146,6 @@
         self._requests: dict[int, CallRequest] = {}
         self._agents: dict[str, FrameConnection] = {}
         self._agent_retry_at: dict[str, float] = {}
-        self._drained: set[str] = set()
         self._reports: dict[str, Report] = {}
         self._manifests: dict[str, bytes] = {}
         self._next_call = 1
@@ -278,34 +280,34 @@
         self._task.send(lambda: self._on_changes(from_revision, snapshot))
 
     def _on_snapshot(self, snapshot: Snapshot) -> None:
-        self._feed.apply_snapshot(snapshot.revision, list(snapshot.objects))
+        changed = self._feed.apply_snapshot(snapshot.revision, list(snapshot.objects))
         self._is_ready = True
-        self._apply_configuration()
+        self._apply_configuration(changed)
 
     def _on_changes(self, from_revision: int, snapshot: Snapshot) -> None:
         changed = self._feed.apply_changes(
             from_revision, snapshot.revision, list(snapshot.objects)
         )
-        if changed is not None and snapshot.objects:
-            self._apply_configuration()
+        if changed:
+            self._apply_configuration(changed)
 
-    def _apply_configuration(self) -> None:
+    def _apply_configuration(self, changed: list[DocumentKey]) -> None:
+        if not changed:
+            return
         self._contracts = index_api_keys(self._feed)
-        now = self._task.now()
-        self._drained = {
-            stored.name
-            for stored in self._feed.stored
-            if stored.kind == DRAIN_KIND and not stored.is_deleted
-        }
-        for stored in self._feed.stored:
-            if stored.kind == QUARANTINE_KIND and not stored.is_deleted:
-                if not self._coordinator.poison.is_quarantined(stored.name, now):
-                    self._coordinator.poison.quarantine(stored.name, now)
-            elif stored.kind == QUARANTINE_KIND:
-                self._coordinator.poison.lift(stored.name)
+        for key in changed:
+            if key.kind == QUARANTINE_KIND:
+                self._apply_quarantine(key.name)
+            elif key.kind == DRAIN_KIND:
+                self._apply_drain(key.name)
         for agent_id, connection in self._agents.items():
             self._send_target(agent_id, connection)
-            self._apply_drain(agent_id)
+
+    def _apply_quarantine(self, digest: str) -> None:
+        if self._feed.is_present(QUARANTINE_KIND, digest):
+            self._coordinator.poison.quarantine(digest, self._task.now())
+            return
+        self._coordinator.poison.lift(digest)
 
     def _send_target(self, agent_id: str, connection: FrameConnection) -> None:
         member = self._membership.get(agent_id)
@@ -336,7 +338,7 @@
             view.is_leaving = True
 
     def _is_drained(self, agent_id: str) -> bool:
-        return agent_id in self._drained
+        return self._feed.is_present(DRAIN_KIND, agent_id)
 
     # Instances.
 
@@ -536,6 +538,13 @@
         call_id = self._next_call
         self._next_call += 1
         now = self._task.now()
+        if not self._is_ready:
+            message = "this entry has no configuration yet"
+            refusal = Refusal(
+                call_id, Reason.NOT_READY, RunOutcome.NOT_RUN, message, RETRY_AFTER_S
+            )
+            self._answer_refusal(connection, refusal, "")
+            return
         try:
             parsed = parse_call(
                 received,
@@ -731,14 +740,33 @@
             lambda future: self._on_quarantine_written(digest, future),
         )
 
-    def _on_quarantine_written(self, digest: str, future: "Future[None]") -> None:
+    def _on_quarantine_written(self, digest: str, future: "Future[int]") -> None:
         if future.exception() is None:
+            revision = future.result()
+            self._task.call_later(
+                QUARANTINE_S, lambda: self._delete_quarantine(digest, revision)
+            )
             return
         self.telemetry.count("platform_failures", reason="quarantine")
         self._task.call_later(
             1.0, lambda: self._do_share_quarantine(ShareQuarantine(digest))
         )
 
+    def _delete_quarantine(self, digest: str, revision: int) -> None:
+        if not revision:
+            return
+        self._task.submit(
+            self._background,
+            lambda: self._platform.delete(
+                QUARANTINE_KIND, digest, expected_revision=revision
+            ),
+            self._on_quarantine_deleted,
+        )
+
+    def _on_quarantine_deleted(self, future: "Future[int]") -> None:
+        if future.exception() is not None:
+            self.telemetry.count("platform_failures", reason="quarantine")
+
     def _do_count_retry(self, retry: CountRetry) -> None:
         self.telemetry.count("retries", reason=retry.reason)
 
@@ -860,9 +888,9 @@
     return selected
 
 
-def _write_quarantine(platform: Platform, digest: str, value: bytes) -> None:
+def _write_quarantine(platform: Platform, digest: str, value: bytes) -> int:
+    """Write the mark; return its revision, or 0 when another entry has."""
     try:
-        platform.write(QUARANTINE_KIND, digest, value, expected_revision=0)
+        return platform.write(QUARANTINE_KIND, digest, value, expected_revision=0)
     except WriteConflict:
-        # Another entry found the same request.
-        return
+        return 0
--- a/src/bamboolever/_feed.py
+++ b/src/bamboolever/_feed.py
@@ -10,6 +10,7 @@
 from typing import final
 
 from bamboolever._documents import (
+    MODELS,
     Document,
     DocumentError,
     DocumentKey,
@@ -65,6 +66,11 @@
         """Return the document in force."""
         return self._documents.get(DocumentKey(kind, name))
 
+    def is_present(self, kind: str, name: str) -> bool:
+        """Whether the object exists, as far as is known here."""
+        stored = self._stored.get(DocumentKey(kind, name))
+        return stored is not None and not stored.is_deleted
+
     def get_revision(self, kind: str, name: str) -> int:
         """Return the stored revision of a document, 0 when unknown."""
         stored = self._stored.get(DocumentKey(kind, name))
@@ -129,6 +135,9 @@
 
     def _put_in_force(self, key: DocumentKey, stored: StoredObject) -> bool:
         self._refused.pop(key, None)
+        if key.kind not in MODELS:
+            # A mark, such as a drain: that it exists is all it says.
+            return True
         if stored.is_deleted:
             return self._documents.pop(key, None) is not None
         try:
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -22,6 +22,7 @@
     apply_changes,
     plan_changes,
     read_status,
+    set_drain,
     start_rollout,
 )
 from bamboolever._origin import HttpOrigin
@@ -247,6 +248,41 @@
     assert runs["studio-a/orders/job-1"] == 1
 
 
+def test_operators_see_and_lift_a_quarantine(deployment):
+    body = json.dumps({"model": "engraver", "prompt": "odd", "max_tokens": 4})
+    seed = b"POST\0engraver\0/v1/completions\0" + body.encode()
+    digest = hashlib.sha256(seed).hexdigest()
+    revision = deployment.platform.write(
+        "quarantine", digest, b"{}", expected_revision=0
+    )
+    wait_for(lambda: deployment.complete("odd").status == 422)
+    status = read_status(deployment.platform).entries[0]
+    assert status["refused_documents"] == []
+    deployment.platform.delete("quarantine", digest, expected_revision=revision)
+    wait_for(lambda: deployment.complete("odd").status == 200)
+
+
+def test_a_drained_instance_gets_no_new_work(deployment):
+    set_drain(deployment.platform, "agent-2", "test")
+    path = "/services/orders/jobs"
+    headers = {"Idempotency-Key": "job-drain", "X-Timeout-Ms": "300"}
+    wait_for(
+        lambda: (
+            deployment.call("POST", path, "x", **headers).status in (503, 504)
+            or headers.update({"Idempotency-Key": os.urandom(8).hex()})
+        )
+    )
+    stored = deployment.platform.get("drains", "agent-2")
+    deployment.platform.delete("drains", "agent-2", expected_revision=stored.revision)
+    deployment.jobs.send_signal(signal.SIGTERM)
+    assert deployment.jobs.wait(WAIT_S) == 0
+    deployment.jobs = deployment.start_agent(
+        "agent-4", "orders", "plain", deployment.jobs_url
+    )
+    headers = {"Idempotency-Key": "job-after"}
+    wait_for(lambda: deployment.call("POST", path, "x", **headers).status == 200)
+
+
 def test_a_key_whose_holder_is_gone_is_unknown_and_not_run_again(deployment):
     key = "studio-a/orders/job-lost"
     body_digest = hashlib.sha256(b"POST\0orders\0/jobs\0etch").hexdigest()
--- a/testing/test_feed.py
+++ b/testing/test_feed.py
@@ -114,3 +114,13 @@
 @pytest.mark.parametrize("from_revision", [1, 5])
 def test_a_hole_in_the_changes_is_noticed(from_revision):
     assert ConfigurationFeed().apply_changes(from_revision, 9, []) is None
+
+
+def test_a_mark_is_no_refused_document():
+    feed = ConfigurationFeed()
+    mark = StoredObject("drains", "engraver-1", 1, b"{}")
+    assert feed.apply_snapshot(1, [mark]) == [DocumentKey("drains", "engraver-1")]
+    assert feed.refused == []
+    assert feed.is_present("drains", "engraver-1")
+    feed.apply_snapshot(2, [])
+    assert not feed.is_present("drains", "engraver-1")
