--- a/src/bamboolever/_entry.py
+++ b/src/bamboolever/_entry.py
@@ -9,20 +9,17 @@
 from typing import Any, final
 
 from bamboolever._agent import MANIFEST_KIND, make_target
+from bamboolever._answers import CallerAnswers
 from bamboolever._callerhttp import (
     CallerConnection,
     CallerHandler,
     CallerPort,
     CallerRequest,
-    Headers,
-    make_error_body,
 )
 from bamboolever._callparse import RequestRefused, index_api_keys, parse_call
 from bamboolever._calls import (
-    STATUS_BY_REASON,
     AbortStream,
     CallAction,
-    CallRequest,
     CancelAttempt,
     ClaimCall,
     CountRetry,
@@ -37,13 +34,9 @@
     ShareQuarantine,
     StartStream,
 )
+from bamboolever._claimdesk import ClaimDesk
 from bamboolever._claims import (
-    ClaimOperation,
-    ClaimRecord,
     ClaimResult,
-    ClaimState,
-    ClaimVerdict,
-    settle_record,
 )
 from bamboolever._claimwriter import ClaimWriter
 from bamboolever._configwatch import ConfigurationWatcher
@@ -140,10 +133,11 @@
         self._claims = ClaimWriter(
             self._task, self._background, platform, self.telemetry
         )
-        self._claim_records: dict[int, ClaimRecord] = {}
-        self._callers: dict[int, CallerConnection] = {}
-        self._calls_by_caller: dict[CallerConnection, int] = {}
-        self._requests: dict[int, CallRequest] = {}
+        self._claim_desk = ClaimDesk(
+            settings.instance_id, self._claims, self._membership
+        )
+        self._answers = CallerAnswers(self.telemetry)
+        self._handlers = self._make_handlers()
         self._agents: dict[str, FrameConnection] = {}
         self._agent_retry_at: dict[str, float] = {}
         self._reports: dict[str, Report] = {}
@@ -543,7 +537,7 @@
             refusal = Refusal(
                 call_id, Reason.NOT_READY, RunOutcome.NOT_RUN, message, RETRY_AFTER_S
             )
-            self._answer_refusal(connection, refusal, "")
+            self._answers.send_refusal(connection, refusal, "")
             return
         try:
             parsed = parse_call(
@@ -555,11 +549,9 @@
             )
         except RequestRefused as refused:
             refusal = Refusal(call_id, refused.reason, RunOutcome.NOT_RUN, str(refused))
-            self._answer_refusal(connection, refusal, "")
+            self._answers.send_refusal(connection, refusal, "")
             return
-        self._callers[call_id] = connection
-        self._calls_by_caller[connection] = call_id
-        self._requests[call_id] = parsed.request
+        self._answers.expect(connection, parsed.request)
         self.telemetry.count("calls", workspace=parsed.request.workspace)
         self._execute(
             self._coordinator.arrive(
@@ -569,11 +561,9 @@
 
     def on_caller_gone(self, connection: CallerConnection) -> None:
         """Tell the coordinator that nobody waits for an answer."""
-        call_id = self._calls_by_caller.pop(connection, None)
+        call_id = self._answers.forget_caller(connection)
         if call_id is None:
             return
-        self._callers.pop(call_id, None)
-        self._requests.pop(call_id, None)
         self.telemetry.count("callers_gone")
         now = self._task.now()
         self._execute(self._coordinator.on_caller_gone(call_id, now))
@@ -582,71 +572,24 @@
 
     def _execute(self, actions: list[CallAction]) -> None:
         for action in actions:
-            handler = self._handlers[type(action)]
-            handler(self, action)
-
-    def _do_refuse(self, refusal: Refusal) -> None:
-        request = self._requests.get(refusal.call_id)
-        connection = self._release_caller(refusal.call_id)
-        if connection is None:
-            self._count_refusal(refusal.reason)
-            return
-        trace_id = request.trace_id if request else ""
-        self._answer_refusal(connection, refusal, trace_id)
-
-    def _answer_refusal(
-        self, connection: CallerConnection, refusal: Refusal, trace_id: str
-    ) -> None:
-        self._count_refusal(refusal.reason)
-        headers: Headers = [("X-Bamboolever-Outcome", refusal.outcome.value)]
-        if trace_id:
-            headers.append(("X-Request-Id", trace_id))
-        if refusal.retry_after_s is not None:
-            headers.append(("Retry-After", str(max(1, round(refusal.retry_after_s)))))
-        body = make_error_body(refusal.reason.value, refusal.message)
-        status = STATUS_BY_REASON[refusal.reason]
-        logger.info(
-            "call refused: %s", refusal.reason.value, extra={"trace_id": trace_id}
-        )
-        connection.respond(status, "application/json", body, headers)
-
-    def _count_refusal(self, reason: Reason) -> None:
-        self.telemetry.count("refusals", reason=reason.value)
+            self._handlers[type(action)](action)
 
-    def _do_respond(self, respond: Respond) -> None:
-        request = self._requests.get(respond.call_id)
-        connection = self._release_caller(respond.call_id)
-        if connection is None or request is None:
-            return
-        headers = self._answer_headers(request, respond.version)
-        logger.info("call answered", extra={"trace_id": request.trace_id})
-        connection.respond(respond.status, respond.content_type, respond.body, headers)
-
-    def _do_start_stream(self, start: StartStream) -> None:
-        connection = self._callers.get(start.call_id)
-        request = self._requests.get(start.call_id)
-        if connection is None or request is None:
-            return
-        headers = self._answer_headers(request, start.version)
-        connection.start_stream(start.status, start.content_type, headers)
-
-    def _do_send_piece(self, piece: SendPiece) -> None:
-        connection = self._callers.get(piece.call_id)
-        if connection is not None:
-            connection.send_piece(piece.data)
-
-    def _do_finish_stream(self, finish: FinishStream) -> None:
-        request = self._requests.get(finish.call_id)
-        connection = self._release_caller(finish.call_id)
-        if connection is not None and request is not None:
-            logger.info("stream finished", extra={"trace_id": request.trace_id})
-            connection.finish_stream()
-
-    def _do_abort_stream(self, abort: AbortStream) -> None:
-        self._count_refusal(abort.reason)
-        connection = self._release_caller(abort.call_id)
-        if connection is not None:
-            connection.abort()
+    def _make_handlers(self) -> dict[type, Callable[[Any], None]]:
+        answers = self._answers
+        return {
+            Refusal: answers.refuse,
+            Respond: answers.respond,
+            StartStream: answers.start_stream,
+            SendPiece: answers.send_piece,
+            FinishStream: answers.finish_stream,
+            AbortStream: answers.abort_stream,
+            Dispatch: self._do_dispatch,
+            CancelAttempt: self._do_cancel,
+            ClaimCall: self._do_claim,
+            SettleClaim: self._claim_desk.settle,
+            ShareQuarantine: self._do_share_quarantine,
+            CountRetry: self._do_count_retry,
+        }
 
     def _do_dispatch(self, dispatch: Dispatch) -> None:
         request = dispatch.request
@@ -688,47 +631,15 @@
             connection.send(call_cancel=CallCancel(cancel.attempt_id))
 
     def _do_claim(self, claim: ClaimCall) -> None:
-        request = claim.request
-        record = ClaimRecord(
-            body_digest=request.body_digest,
-            holder=self._settings.instance_id,
-            nonce=uuid.uuid4().hex,
-            claimed_at=time.time(),
-        )
-        operation = ClaimOperation(request.idempotency_key, record)
-        self._claim_records[request.call_id] = record
-        self._claims.claim(
-            operation,
-            lambda result: self._on_claim(request.call_id, result),
+        call_id = claim.request.call_id
+        self._claim_desk.claim(
+            claim.request, lambda result: self._on_claim(call_id, result)
         )
 
     def _on_claim(self, call_id: int, result: ClaimResult) -> None:
-        record = result.record
-        if result.verdict is ClaimVerdict.IN_PROGRESS and record is not None:
-            entries = self._membership.members(role="entry")
-            if all(m.record.instance_id != record.holder for m in entries):
-                # Its holder is gone: nobody will record how the call ended.
-                result = ClaimResult(ClaimVerdict.UNKNOWN, record)
         now = self._task.now()
         self._execute(self._coordinator.on_claim(call_id, result, now))
 
-    def _do_settle(self, settle: SettleClaim) -> None:
-        request = settle.request
-        record = self._claim_records.pop(request.call_id, None)
-        if record is None:
-            return
-        if settle.outcome is RunOutcome.NOT_RUN:
-            self._claims.settle(
-                ClaimOperation(request.idempotency_key, record, is_release=True)
-            )
-            return
-        is_done = settle.outcome is RunOutcome.RAN
-        state = ClaimState.DONE if is_done else ClaimState.UNKNOWN
-        ended = settle_record(
-            record, state, settle.status, settle.content_type, settle.body
-        )
-        self._claims.settle(ClaimOperation(request.idempotency_key, ended))
-
     def _do_share_quarantine(self, share: ShareQuarantine) -> None:
         logger.error("request quarantined: %s", share.body_digest)
         self.telemetry.count("quarantines")
@@ -770,23 +681,6 @@
     def _do_count_retry(self, retry: CountRetry) -> None:
         self.telemetry.count("retries", reason=retry.reason)
 
-    def _release_caller(self, call_id: int) -> CallerConnection | None:
-        connection = self._callers.pop(call_id, None)
-        self._requests.pop(call_id, None)
-        self._claim_records.pop(call_id, None)
-        if connection is not None:
-            self._calls_by_caller.pop(connection, None)
-        return connection
-
-    def _answer_headers(self, request: CallRequest, version: str) -> Headers:
-        headers: Headers = [
-            ("X-Bamboolever-Outcome", RunOutcome.RAN.value),
-            ("X-Request-Id", request.trace_id),
-        ]
-        if version:
-            headers.append(("X-Model-Version", version))
-        return headers
-
     # Status.
 
     def _write_status(self) -> None:
@@ -819,21 +713,6 @@
         except PlatformError:
             self.telemetry.count("platform_failures", reason="status")
 
-    _handlers: dict[type, Callable[["Entry", Any], None]] = {
-        Refusal: _do_refuse,
-        Respond: _do_respond,
-        StartStream: _do_start_stream,
-        SendPiece: _do_send_piece,
-        FinishStream: _do_finish_stream,
-        AbortStream: _do_abort_stream,
-        Dispatch: _do_dispatch,
-        CancelAttempt: _do_cancel,
-        ClaimCall: _do_claim,
-        SettleClaim: _do_settle,
-        ShareQuarantine: _do_share_quarantine,
-        CountRetry: _do_count_retry,
-    }
-
 
 class _Callers(CallerHandler):
     """Passes callers' requests to the entry."""
