Split admission, repeats and swap slots out; test swaps through slots

Cause: _coordinator.py and _agent.py were large. While moving the swap slots the agent's acquire was broken for a moment and every test stayed green: no test swapped a version that was served.

--- a/src/bamboolever/_agent.py
+++ b/src/bamboolever/_agent.py
@@ -45,7 +45,6 @@
     InstanceRecord,
     Platform,
     PlatformError,
-    update_object,
 )
 from bamboolever._protocol.ttypes import (
     CallStart,
@@ -57,7 +56,7 @@
     UpstreamDeath,
 )
 from bamboolever._settings import AgentSettings
-from bamboolever._swapslot import SLOT_KIND, SwapSlots, find_shard
+from bamboolever._swapslot import SlotKeeper
 from bamboolever._task import IoTask
 from bamboolever._telemetry import Telemetry, read_rss_bytes
 from bamboolever._upstream import HttpUpstream, Upstream, UpstreamError
@@ -71,6 +70,7 @@
 FIRST_INSTANCE_PERIOD_S = 2.0
 INSTANCES_PER_LIST_SECOND = 100.0
 LONELY_AFTER_S = 10.0
+DEFAULT_SERVING_SHARE = 0.5
 MIN_SLOT_RETRY_S = 0.3
 SLOT_REQUESTS_PER_S = 200.0
 MANIFEST_RETRY_S = 1.0
@@ -114,7 +114,7 @@
         self._manifests: dict[str, Manifest] = {}
         self._accepted: set[FrameConnection] = set()
         self._entries: set[FrameConnection] = set()
-        self._used_shards: set[str] = set()
+        self._slots = SlotKeeper(platform, settings.service, settings.instance_id)
         self._is_plain_up = False
         self._is_checking_plain = False
         self._is_leaving = False
@@ -436,10 +436,16 @@
         self._advance()
 
     def _change_slot(self, *, is_acquired: bool) -> None:
-        work = self._acquire_slot if is_acquired else self._release_slot
+        members = self._membership.members(role="agent", service=self._settings.service)
+        live = frozenset(m.record.instance_id for m in members if not m.is_leaving)
+        share = self._target.serving_share if self._target else DEFAULT_SERVING_SHARE
         fallback = not is_acquired
         self._task.submit(
-            self._background, work, lambda future: self._on_slot(future, fallback)
+            self._background,
+            (lambda: self._slots.acquire(live, share))
+            if is_acquired
+            else self._slots.release,
+            lambda future: self._on_slot(future, fallback),
         )
 
     def _on_slot(self, future: "Future[bool]", fallback: bool) -> None:
@@ -455,44 +461,6 @@
         self._activation.on_slot(is_held, self._task.now(), retry_s=retry_s)
         self._advance()
 
-    def _acquire_slot(self) -> bool:
-        members = self._membership.members(role="agent", service=self._settings.service)
-        live = frozenset(m.record.instance_id for m in members if not m.is_leaving)
-        own = self._settings.instance_id
-        share = self._target.serving_share if self._target else 0.5
-        shard = find_shard(
-            self._settings.service,
-            own,
-            instance_count=len(live | {own}),
-            serving_share=share,
-        )
-        self._used_shards.add(shard.name)
-        is_held = False
-
-        def change(value: bytes | None) -> bytes | None:
-            nonlocal is_held
-            slots = SwapSlots.decode(value)
-            changed = slots.acquire(own, capacity=shard.capacity, live=live | {own})
-            is_held = changed is not None
-            return changed.encode() if changed is not None else None
-
-        update_object(self._platform, SLOT_KIND, shard.name, change)
-        return is_held
-
-    def _release_slot(self) -> bool:
-        own = self._settings.instance_id
-
-        def change(value: bytes | None) -> bytes | None:
-            slots = SwapSlots.decode(value)
-            if own not in slots.holders:
-                return None
-            return slots.release(own).encode()
-
-        for shard in sorted(self._used_shards):
-            update_object(self._platform, SLOT_KIND, shard, change)
-            self._used_shards.discard(shard)
-        return False
-
     def _send_order(self) -> None:
         target = self._activation.target
         manifest = self._manifest
--- a/src/bamboolever/_coordinator.py
+++ b/src/bamboolever/_coordinator.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import final
 
+from bamboolever._admission import RETRY_AFTER_S, Admission, refuse_call
 from bamboolever._calls import (
     AbortStream,
     CallAction,
@@ -31,8 +32,8 @@
 from bamboolever._documents import Contract, ServiceDocument
 from bamboolever._fairqueue import FairQueue
 from bamboolever._poison import PoisonGuard
-from bamboolever._ratelimit import TokenBucket
-from bamboolever._retry import RetryBudget, backoff_s
+from bamboolever._repeats import answer_repeat
+from bamboolever._retry import backoff_s
 from bamboolever._routing import (
     ROUTING_POLICIES,
     RoutingPolicy,
@@ -43,13 +44,9 @@
 from bamboolever._subset import rank_members, score_member
 
 MAX_ATTEMPTS = 6
-MAX_QUEUED_PER_SERVICE = 2000
 SUSPECT_SHARE_DIVISOR = 4
 SUSPECT_RETRY_S = 0.05
 VERSION_GONE_S = 2.0
-SERVICE_RETRY_SHARE = 0.1
-RETRY_AFTER_S = 1.0
-IN_PROGRESS_RETRY_S = 2.0
 #: Statuses by which an upstream says that it cannot answer now.
 RETRIED_STATUSES = frozenset({500, 502, 503})
 #: Reasons for which an agent refused work that another one may take.
@@ -115,14 +112,11 @@
         self._queues: dict[str, FairQueue[int]] = {}
         self._delayed: set[int] = set()
         self._upstreams: dict[str, UpstreamView] = {}
-        self._rates: dict[str, TokenBucket] = {}
         self._running: dict[str, int] = {}
-        self._workspace_budgets: dict[str, RetryBudget] = {}
-        self._service_budgets: dict[str, RetryBudget] = {}
         self._policies: dict[str, tuple[str, RoutingPolicy]] = {}
         self._poison = PoisonGuard()
         self._next_attempt = 1
-        self._share = 1.0
+        self._admission = Admission()
 
     @property
     def open_calls(self) -> int:
@@ -141,7 +135,7 @@
 
     def set_share(self, share: float) -> None:
         """Set the share of each contract's limits that this entry may grant."""
-        self._share = share
+        self._admission.share = share
 
     # Arrival.
 
@@ -154,17 +148,17 @@
     ) -> list[CallAction]:
         """Admit, claim or refuse a new call."""
         if now >= request.deadline_at:
-            return [_refuse(request, Reason.DEADLINE_QUEUED, "the deadline passed")]
+            return [refuse_call(request, Reason.DEADLINE_QUEUED, "the deadline passed")]
         if self._poison.is_quarantined(request.body_digest, now):
             message = "this request crashed several upstreams and is held back"
-            return [_refuse(request, Reason.QUARANTINED, message)]
+            return [refuse_call(request, Reason.QUARANTINED, message)]
         queue = self._queues.setdefault(request.service, FairQueue())
-        refusal = self._check_limits(request, contract, queue, now)
+        refusal = self._admission.check_limits(request, contract, queue, now)
         if refusal is not None:
             return [refusal]
         call = _Call(request, contract, service)
         self._calls[request.call_id] = call
-        self._count_first_attempt(call)
+        self._admission.count_first_attempt(request, contract)
         if request.is_idempotent or not request.idempotency_key:
             return self._enqueue(call, now)
         call.is_claiming = True
@@ -183,7 +177,7 @@
             if call.is_gone:
                 return self._finish(call, [_settle(call, RunOutcome.NOT_RUN)], now)
             return self._enqueue(call, now)
-        answer = _answer_repeat(call.request, result)
+        answer = answer_repeat(call.request, result)
         return self._finish(call, [answer], now)
 
     def on_caller_gone(self, call_id: int, now: float) -> list[CallAction]:
@@ -356,47 +350,6 @@
             actions += self._dispatch_waiting(service, now)
         return actions
 
-    # Admission.
-
-    def _check_limits(
-        self,
-        request: CallRequest,
-        contract: Contract,
-        queue: FairQueue[int],
-        now: float,
-    ) -> Refusal | None:
-        bucket = self._rates.get(request.workspace)
-        rate = contract.requests_per_second * self._share
-        burst = max(1.0, contract.burst * self._share)
-        if bucket is None:
-            bucket = self._rates[request.workspace] = TokenBucket(rate, burst)
-        bucket.set_limits(rate, burst)
-        if queue.lane_size(request.workspace) >= max(1, contract.queue):
-            message = "the workspace's queue is full"
-            return _refuse(request, Reason.QUEUE_FULL, message, RETRY_AFTER_S)
-        if len(queue) >= MAX_QUEUED_PER_SERVICE:
-            message = "the service's queue is full"
-            return _refuse(request, Reason.SHED, message, RETRY_AFTER_S)
-        if not bucket.try_take(now):
-            message = "the workspace's rate limit is reached"
-            wait_s = bucket.wait_s(now)
-            return _refuse(request, Reason.RATE, message, wait_s)
-        return None
-
-    def _count_first_attempt(self, call: _Call) -> None:
-        workspace = call.request.workspace
-        share = call.contract.retry_share
-        budget = self._workspace_budgets.get(workspace)
-        if budget is None:
-            budget = self._workspace_budgets[workspace] = RetryBudget(share)
-        budget.set_share(share)
-        budget.on_first_attempt()
-        service_budget = self._service_budgets.get(call.request.service)
-        if service_budget is None:
-            service_budget = RetryBudget(SERVICE_RETRY_SHARE)
-            self._service_budgets[call.request.service] = service_budget
-        service_budget.on_first_attempt()
-
     # Queue and dispatch.
 
     def _enqueue(self, call: _Call, now: float) -> list[CallAction]:
@@ -435,7 +388,7 @@
         if now >= call.request.deadline_at:
             # Never started; the next tick gives its final answer.
             return None
-        limit = max(1.0, call.contract.concurrency * self._share)
+        limit = max(1.0, call.contract.concurrency * self._admission.share)
         if self._running.get(workspace, 0) >= limit:
             return None
         view = self._choose_upstream(call, now)
@@ -604,9 +557,7 @@
         if call.attempts >= MAX_ATTEMPTS:
             message = f"no answer after {call.attempts} attempts; the last: {reason}"
             return self._give_up(call, Reason.RETRIES_EXHAUSTED, message, now)
-        budget = self._workspace_budgets[call.request.workspace]
-        service_budget = self._service_budgets[call.request.service]
-        if not budget.try_take() or not service_budget.try_take():
+        if not self._admission.try_take_retry(call.request):
             message = f"the retry budget is used up; the last attempt: {reason}"
             return self._give_up(call, Reason.RETRIES_EXHAUSTED, message, now)
         return self._requeue(call, reason, now)
@@ -708,45 +659,5 @@
         return actions + self._give_up(call, Reason.TIMED_OUT, message, now)
 
 
-def _refuse(
-    request: CallRequest,
-    reason: Reason,
-    message: str,
-    retry_after_s: float | None = None,
-) -> Refusal:
-    return Refusal(request.call_id, reason, RunOutcome.NOT_RUN, message, retry_after_s)
-
-
 def _settle(call: _Call, outcome: RunOutcome) -> SettleClaim:
     return SettleClaim(call.request, outcome)
-
-
-def _answer_repeat(request: CallRequest, result: ClaimResult) -> CallAction:
-    """Return the answer to a call whose key is taken or cannot be claimed."""
-    record = result.record
-    if result.verdict is ClaimVerdict.RECORDED and record is not None:
-        if record.is_body_kept:
-            return Respond(
-                request.call_id, record.status, record.content_type, record.body
-            )
-        message = "this call ran to its end; its answer was too large to be kept"
-        return Refusal(request.call_id, Reason.OUTCOME_UNKNOWN, RunOutcome.RAN, message)
-    if result.verdict is ClaimVerdict.KEY_REUSED:
-        message = "this idempotency key was used with another request; use a new key"
-        return _refuse(request, Reason.KEY_REUSED, message)
-    if result.verdict is ClaimVerdict.IN_PROGRESS:
-        message = "a call with this key is in progress, or its end was not recorded"
-        return Refusal(
-            request.call_id,
-            Reason.IN_PROGRESS,
-            RunOutcome.UNKNOWN,
-            message,
-            IN_PROGRESS_RETRY_S,
-        )
-    if result.verdict is ClaimVerdict.UNKNOWN:
-        message = "a call with this key may have run; it is not run again"
-        return Refusal(
-            request.call_id, Reason.OUTCOME_UNKNOWN, RunOutcome.UNKNOWN, message
-        )
-    message = "the key cannot be claimed now, so the call was not run"
-    return _refuse(request, Reason.CLAIM_UNAVAILABLE, message, RETRY_AFTER_S)
--- /dev/null
+++ b/src/bamboolever/_repeats.py
@@ -0,0 +1,45 @@
+"""The answers to calls whose idempotency key is taken or cannot be claimed."""
+
+from bamboolever._admission import RETRY_AFTER_S, refuse_call
+from bamboolever._calls import (
+    CallAction,
+    CallRequest,
+    Reason,
+    Refusal,
+    Respond,
+    RunOutcome,
+)
+from bamboolever._claims import ClaimResult, ClaimVerdict
+
+IN_PROGRESS_RETRY_S = 2.0
+
+
+def answer_repeat(request: CallRequest, result: ClaimResult) -> CallAction:
+    """Return the answer to a call whose key is taken or cannot be claimed."""
+    record = result.record
+    if result.verdict is ClaimVerdict.RECORDED and record is not None:
+        if record.is_body_kept:
+            return Respond(
+                request.call_id, record.status, record.content_type, record.body
+            )
+        message = "this call ran to its end; its answer was too large to be kept"
+        return Refusal(request.call_id, Reason.OUTCOME_UNKNOWN, RunOutcome.RAN, message)
+    if result.verdict is ClaimVerdict.KEY_REUSED:
+        message = "this idempotency key was used with another request; use a new key"
+        return refuse_call(request, Reason.KEY_REUSED, message)
+    if result.verdict is ClaimVerdict.IN_PROGRESS:
+        message = "a call with this key is in progress, or its end was not recorded"
+        return Refusal(
+            request.call_id,
+            Reason.IN_PROGRESS,
+            RunOutcome.UNKNOWN,
+            message,
+            IN_PROGRESS_RETRY_S,
+        )
+    if result.verdict is ClaimVerdict.UNKNOWN:
+        message = "a call with this key may have run; it is not run again"
+        return Refusal(
+            request.call_id, Reason.OUTCOME_UNKNOWN, RunOutcome.UNKNOWN, message
+        )
+    message = "the key cannot be claimed now, so the call was not run"
+    return refuse_call(request, Reason.CLAIM_UNAVAILABLE, message, RETRY_AFTER_S)
--- a/src/bamboolever/_swapslot.py
+++ b/src/bamboolever/_swapslot.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import final
 
+from bamboolever._platform import Platform, update_object
 from bamboolever._subset import score_member
 
 SLOT_KIND = "swap-slots"
@@ -65,3 +66,52 @@
     def release(self, holder: str) -> "SwapSlots":
         """Return the slots without ``holder``."""
         return SwapSlots(tuple(h for h in self.holders if h != holder))
+
+
+@final
+class SlotKeeper:
+    """Takes and gives back one instance's swap slot in the platform."""
+
+    def __init__(self, platform: Platform, service: str, instance_id: str):
+        self._platform = platform
+        self._service = service
+        self._instance_id = instance_id
+        # The shard moves with the size of the fleet: remember where to release.
+        self._used_shards: set[str] = set()
+
+    def acquire(self, live: frozenset[str], serving_share: float) -> bool:
+        """Try to take a slot; return whether it is held. Blocks."""
+        own = self._instance_id
+        shard = find_shard(
+            self._service,
+            own,
+            instance_count=len(live | {own}),
+            serving_share=serving_share,
+        )
+        self._used_shards.add(shard.name)
+        is_held = False
+
+        def change(value: bytes | None) -> bytes | None:
+            nonlocal is_held
+            slots = SwapSlots.decode(value)
+            changed = slots.acquire(own, capacity=shard.capacity, live=live | {own})
+            is_held = changed is not None
+            return changed.encode() if changed is not None else None
+
+        update_object(self._platform, SLOT_KIND, shard.name, change)
+        return is_held
+
+    def release(self) -> bool:
+        """Give back whatever may be held; return that none is. Blocks."""
+        own = self._instance_id
+
+        def change(value: bytes | None) -> bytes | None:
+            slots = SwapSlots.decode(value)
+            if own not in slots.holders:
+                return None
+            return slots.release(own).encode()
+
+        for shard in sorted(self._used_shards):
+            update_object(self._platform, SLOT_KIND, shard, change)
+            self._used_shards.discard(shard)
+        return False
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -413,6 +413,15 @@
         assert agent["rss_bytes"] < MAX_DAEMON_RSS_BYTES
 
 
+def test_a_second_version_is_swapped_in_through_a_slot(deployment):
+    deployment.roll_out("v1b")
+    digest = deployment.model()["weights_digest"]
+    answer = deployment.complete("second version")
+    assert read_text(answer) == expected_text(digest, "second version", 4)
+    slots = wait_for(lambda: deployment.platform.get("swap-slots", "engraver.0"))
+    assert b"agent-1" in slots.value or slots.value == b"[]"
+
+
 def test_a_killed_agent_is_replaced_and_serves_the_target_again(deployment):
     deployment.agent.send_signal(signal.SIGKILL)
     deployment.agent.wait(WAIT_S)
