Remove what nothing reads; count instance lists that are held back

Found by reading the tree with a newcomer's eyes: a setting, two attributes, a callback and a property that had no effect, and a plain service's liveness that was always true.

--- a/src/bamboolever/_agent.py
+++ b/src/bamboolever/_agent.py
@@ -16,7 +16,6 @@
 from bamboolever._callrelay import (
     REFUSED_LEAVING,
     REFUSED_SWAPPING,
-    REFUSED_UNREACHABLE,
     REFUSED_VERSION,
     CallRelay,
 )
@@ -115,8 +114,6 @@
         self._accepted: set[FrameConnection] = set()
         self._entries: set[FrameConnection] = set()
         self._slots = SlotKeeper(platform, settings.service, settings.instance_id)
-        self._is_plain_up = False
-        self._is_checking_plain = False
         self._is_leaving = False
         self._was_ready = False
         self._drained: Future[bool] | None = None
@@ -259,7 +256,8 @@
 
     def _on_instances(self, future: "Future[list[InstanceRecord]]") -> None:
         try:
-            self._membership.apply_list(future.result(), self._task.now())
+            if not self._membership.apply_list(future.result(), self._task.now()):
+                self.telemetry.count("instance_lists_held_back")
         except PlatformError:
             self.telemetry.count("platform_failures", reason="instance-list")
         members = self._membership.members(role="agent", service=self._settings.service)
@@ -405,7 +403,6 @@
 
     def _advance(self) -> None:
         if not self._is_model:
-            self._check_plain()
             return
         self._take_next_action()
         if self.is_ready() != self._was_ready:
@@ -495,10 +492,6 @@
         self._activation.on_order_done(is_loaded, self._task.now())
         self._advance()
 
-    def _check_plain(self) -> None:
-        """A plain service takes calls; a failed call shows it is down."""
-        self._is_plain_up = True
-
     def _on_upstream_lost(self) -> None:
         self._activation.on_upstream_lost()
         self._advance()
@@ -522,7 +515,7 @@
         if self._is_leaving:
             return REFUSED_LEAVING
         if not self._is_model:
-            return None if self._is_plain_up else REFUSED_UNREACHABLE
+            return None
         if not self._activation.is_accepting:
             return REFUSED_SWAPPING
         if required_version and required_version != self._served_version():
@@ -539,7 +532,7 @@
         if self._is_leaving:
             return "leaving"
         if not self._is_model:
-            return "serving" if self._is_plain_up else "checking"
+            return "serving"
         return self._activation.state.value
 
     # Connections.
--- a/src/bamboolever/_callerhttp.py
+++ b/src/bamboolever/_callerhttp.py
@@ -343,11 +343,6 @@
         self._sock = listen(address)
         self.port: int = self._sock.getsockname()[1]
 
-    @property
-    def connection_count(self) -> int:
-        """Number of open connections."""
-        return len(self._connections)
-
     def start(self) -> None:
         """Accept callers; call on the task's thread."""
         self.task.register(self._sock, READ, self._on_ready)
--- a/src/bamboolever/_callrelay.py
+++ b/src/bamboolever/_callrelay.py
@@ -202,7 +202,6 @@
         self._task = task
         self._running = running
         self._sequence = 0
-        self.is_sent = False
 
     @property
     def is_cancelled(self) -> bool:
@@ -211,9 +210,6 @@
     def on_connection(self, abort: Callable[[], None]) -> None:
         self._running.abort = abort
 
-    def on_sent(self) -> None:
-        self.is_sent = True
-
     def on_head(self, head: ResponseHead) -> None:
         running = self._running
         message = CallHead(
--- a/src/bamboolever/_connection.py
+++ b/src/bamboolever/_connection.py
@@ -89,7 +89,6 @@
         self._last_received = task.now()
         self.peer_id = ""
         self.peer_role = ""
-        self.peer_region = ""
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         task.register(sock, READ | (WRITE if is_client else 0), self._on_ready)
@@ -263,7 +262,6 @@
             raise WireError("the client does not know the shared key")
         self.peer_id = hello.instance_id or ""
         self.peer_role = hello.role or ""
-        self.peer_region = hello.region or ""
         proof = prove_key(matching[0], "server", nonces)
         self._send(welcome=Welcome(instance_id=self._identity.instance_id, proof=proof))
         self._become_open()
--- a/src/bamboolever/_entry.py
+++ b/src/bamboolever/_entry.py
@@ -346,7 +346,8 @@
 
     def _on_instances(self, future: "Future[list[InstanceRecord]]") -> None:
         try:
-            self._membership.apply_list(future.result(), self._task.now())
+            if not self._membership.apply_list(future.result(), self._task.now()):
+                self.telemetry.count("instance_lists_held_back")
         except PlatformError:
             self.telemetry.count("platform_failures", reason="instance-list")
         entries = [
--- a/src/bamboolever/_membership.py
+++ b/src/bamboolever/_membership.py
@@ -34,7 +34,6 @@
         # Insertion order, so that the oldest can be forgotten.
         self._left: dict[str, None] = {}
         self._shrunk_since: float | None = None
-        self.suspicious_lists = 0
 
     def apply_list(self, records: list[InstanceRecord], now: float) -> bool:
         """Take a new instance list.
@@ -44,7 +43,6 @@
         """
         listed = {record.instance_id: record for record in records}
         if self._is_suspicious(listed, now):
-            self.suspicious_lists += 1
             # New rows of a doubtful list still help.
             self._records = {**self._records, **listed}
             return False
--- a/src/bamboolever/_planner.py
+++ b/src/bamboolever/_planner.py
@@ -217,9 +217,6 @@
 class DistributionPolicy(ABC):
     """Decides where an agent gets its chunks; pure, so easy to replace."""
 
-    #: Whether origin reads need a grant, and so stay under the cap.
-    is_capped = True
-
     def __init__(self, seed: int = 0):
         """Take the seed of the policy's random choices."""
         self._seed = seed
--- a/src/bamboolever/_policies.py
+++ b/src/bamboolever/_policies.py
@@ -268,8 +268,6 @@
 class SwarmPolicy(DistributionPolicy):
     """A plain swarm over all regions; one instance reads each chunk first."""
 
-    is_capped = False
-
     def __init__(self, seed: int = 0):
         self._chooser = _PeerChooser(seed)
 
@@ -302,8 +300,6 @@
 class StaticTreePolicy(DistributionPolicy):
     """A binary tree in the order of instance ids; the root reads the origin."""
 
-    is_capped = False
-
     def __init__(self, seed: int = 0):
         self._chooser = _PeerChooser(seed)
 
@@ -326,8 +322,6 @@
 class OriginOnlyPolicy(DistributionPolicy):
     """Everyone reads everything from the origin."""
 
-    is_capped = False
-
     def wanted_peers(self, view: BurstView) -> list[str]:
         """Return no peers."""
         return []
--- a/src/bamboolever/_settings.py
+++ b/src/bamboolever/_settings.py
@@ -52,7 +52,6 @@
     origin_url: Url | None = None
     upstream_url: Url
     capacity: Annotated[int, Field(ge=1, le=4096)] = 32
-    is_order_fenced: bool = True
     transfer_rate: ByteRate = 125_000_000.0
     drain_timeout: Duration = 60.0
 
--- a/src/bamboolever/_upstream.py
+++ b/src/bamboolever/_upstream.py
@@ -65,10 +65,6 @@
     def on_connection(self, abort: Callable[[], None]) -> None:
         """Give a way to cut the connection from another thread."""
 
-    @abstractmethod
-    def on_sent(self) -> None:
-        """The first byte is about to leave for the upstream."""
-
     @abstractmethod
     def on_head(self, head: ResponseHead) -> None:
         """The answer's head arrived."""
@@ -141,7 +137,6 @@
         with self._connect(call.timeout_s) as connection:
             sock = connection.sock
             sink.on_connection(lambda: _abort(sock))
-            sink.on_sent()
             try:
                 connection.request(
                     call.method,
