--- a/src/bamboolever/_cli.py
+++ b/src/bamboolever/_cli.py
@@ -346,6 +346,19 @@
         typer.echo(json.dumps(result))
 
 
+@bench_app.command("configuration", epilog=EXIT_CODES)
+def bench_configuration(quick: bool = False, as_json: AsJson = False) -> None:
+    """Measure how long a change takes to be in force in every entry."""
+    import logging
+
+    from bamboolever._benchpropagation import run_propagation_bench
+
+    logging.basicConfig(level=logging.ERROR)
+    rows = run_propagation_bench(is_quick=quick, say=_say)
+    if as_json:
+        typer.echo(json.dumps({"rows": rows}))
+
+
 def _say(line: str) -> None:
     typer.echo(line, err=True)
 
--- a/src/bamboolever/_configwatch.py
+++ b/src/bamboolever/_configwatch.py
@@ -18,6 +18,7 @@
 
 WATCH_TIMEOUT_S = 3.0
 FULL_READ_PERIOD_S = 4.0
+MIN_WATCH_S = 0.05
 FIRST_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 3.0
 
@@ -66,7 +67,10 @@
                     read_at = time.monotonic()
                     revision = max(revision, snapshot.revision)
                     self._on_snapshot(snapshot)
-                revision = self._watch(revision)
+                # The wait ends when the next full read is due.
+                left_s = read_at + FULL_READ_PERIOD_S - time.monotonic()
+                timeout_s = min(WATCH_TIMEOUT_S, max(MIN_WATCH_S, left_s))
+                revision = self._watch(revision, timeout_s)
                 failures = 0
             except WatchGap:
                 self._telemetry.count("platform_failures", reason="watch-gap")
@@ -79,9 +83,9 @@
                 failures += 1
                 self._wait(failures)
 
-    def _watch(self, revision: int) -> int:
+    def _watch(self, revision: int, timeout_s: float) -> int:
         changes = self._platform.watch(
-            self._kinds, after_revision=revision, timeout_s=WATCH_TIMEOUT_S
+            self._kinds, after_revision=revision, timeout_s=timeout_s
         )
         self._on_changes(revision, changes)
         return max(revision, changes.revision)
--- a/src/bamboolever/_entry.py
+++ b/src/bamboolever/_entry.py
@@ -191,6 +191,15 @@
             False,
         )
 
+    @property
+    def configuration_revision(self) -> int:
+        """Revision up to which this entry knows every change."""
+        return self._feed.revision
+
+    def find_revision(self, kind: str, name: str) -> int:
+        """Return the revision of one document known here, 0 when unknown."""
+        return self._feed.get_revision(kind, name)
+
     def start(self, kernel: Kernel) -> None:
         """See `Service.start`."""
         self._task.start()
