Log each ended call at the agent with its call id; run benches from one place

Cause: an agent logged a call id only for calls that failed, so a call could not be followed through it. Change: one line a call; a process test looks for the id in both daemons' logs and fails when the agent loses it.

--- a/src/bamboolever/_callrelay.py
+++ b/src/bamboolever/_callrelay.py
@@ -54,6 +54,7 @@
 
     call_id: int
     connection: FrameConnection
+    trace_id: str = ""
     dispatch_key: str = ""
     body_digest: str = ""
     is_suspect: bool = False
@@ -107,6 +108,7 @@
         running = RunningCall(
             start.call_id,
             connection,
+            trace_id=start.trace_id or "",
             dispatch_key=start.dispatch_key or "",
             body_digest=start.body_digest or "",
             is_suspect=bool(start.suspect),
@@ -184,6 +186,7 @@
     def _finish(self, running: RunningCall, end: CallEnd) -> None:
         self._running.pop((running.connection, running.call_id), None)
         end.call_id = running.call_id
+        logger.info("call ended: %s", end.reason, extra={"trace_id": running.trace_id})
         if end.outcome == Outcome.NOT_RUN:
             self._telemetry.count("refusals", reason=end.reason)
             self._seen_keys.pop(running.dispatch_key, None)
--- a/src/bamboolever/_cli.py
+++ b/src/bamboolever/_cli.py
@@ -326,14 +326,9 @@
 @bench_app.command("distribution", epilog=EXIT_CODES)
 def bench_distribution(quick: bool = False, as_json: AsJson = False) -> None:
     """Push weights with every policy over shaped links."""
-    import logging
-
     from bamboolever._benchdistribution import run_distribution_bench
 
-    logging.basicConfig(level=logging.ERROR)
-    rows = run_distribution_bench(is_quick=quick, say=_say)
-    if as_json:
-        typer.echo(json.dumps({"rows": rows}))
+    _run_bench(run_distribution_bench, is_quick=quick, as_json=as_json)
 
 
 @bench_app.command("control", epilog=EXIT_CODES)
@@ -349,12 +344,16 @@
 @bench_app.command("configuration", epilog=EXIT_CODES)
 def bench_configuration(quick: bool = False, as_json: AsJson = False) -> None:
     """Measure how long a change takes to be in force in every entry."""
-    import logging
-
     from bamboolever._benchpropagation import run_propagation_bench
 
+    _run_bench(run_propagation_bench, is_quick=quick, as_json=as_json)
+
+
+def _run_bench(run: Any, *, is_quick: bool, as_json: bool) -> None:
+    import logging
+
     logging.basicConfig(level=logging.ERROR)
-    rows = run_propagation_bench(is_quick=quick, say=_say)
+    rows = run(is_quick=is_quick, say=_say)
     if as_json:
         typer.echo(json.dumps({"rows": rows}))
 
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -235,6 +235,16 @@
     assert "".join(tokens) == expected_text(digest, "name a bottle", 4)
 
 
+def test_a_call_id_stands_in_the_logs_of_entry_and_agent(deployment):
+    body = json.dumps({"model": "engraver", "prompt": "traced", "max_tokens": 4})
+    headers = {"X-Request-Id": "trace-of-a-test"}
+    answer = deployment.call("POST", "/v1/completions", body, **headers)
+    assert answer.headers["X-Request-Id"] == "trace-of-a-test"
+    for daemon in (deployment.entry, deployment.agent):
+        log = daemon.log.name
+        wait_for(lambda log=log: "trace-of-a-test" in open(log).read())
+
+
 def test_a_job_runs_once_and_its_repeat_gets_the_recorded_answer(deployment):
     headers = {"Idempotency-Key": "job-1"}
     path = "/services/orders/jobs"
