Fetch rare pieces first and finish a transfer that is almost there

Cause: all agents fetched the same low numbers, so neighbours had nothing to give each other (7 to 11 s a copy, floor 5.2 s); a version named 4 s after its predecessor threw the predecessor's nearly whole transfer away, and nothing could be served once the predecessor's time was up.

Change: rarest first with an own order for ties; regions import in a chain with more patience; a transfer past 55% of its time ends first.

--- a/src/bamboolever/config/model.py
+++ b/src/bamboolever/config/model.py
@@ -66,6 +66,7 @@
     layers: int
     models: tuple[str, ...]
     warm_up_s: float
+    weight_bytes: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -13,7 +13,7 @@
     UpstreamObserver,
     VersionObserver,
 )
-from bamboolever.daemons.pieceport import PiecePort
+from bamboolever.daemons.pieceport import LINK_SHARE, PiecePort
 from bamboolever.daemons.settings import InstanceSettings
 from bamboolever.daemons.stage import Stage
 from bamboolever.daemons.statusport import StatusHandler
@@ -29,7 +29,13 @@
 from bamboolever.platform import names
 from bamboolever.platform import weights as wire
 from bamboolever.platform.errors import AdapterError
-from bamboolever.weights.loading import LoadState, LoadStep, next_step, serves_target
+from bamboolever.weights.loading import (
+    LoadState,
+    LoadStep,
+    finishes_first,
+    next_step,
+    serves_target,
+)
 from bamboolever.weights.pieces import PieceSet
 from bamboolever.weights.plan import Peer, SwarmView, make_piece_policy
 
@@ -72,7 +78,13 @@
         self._stage = Stage(self._pool, self._engine)
         self._configuration: Configuration | None = None
         self._upstreams = UpstreamList()
+        # The version being brought in, and the newest named: they differ while a
+        # transfer that is almost done goes on.
         self._target: NamedVersion | None = None
+        self._target_at = 0.0
+        self._newest: NamedVersion | None = None
+        self._newest_at = 0.0
+        self._ordered: NamedVersion | None = None
         self._report: EngineReport | None = None
         self._swarm: Swarm | None = None
         self._held_version: NamedVersion | None = None
@@ -168,14 +180,41 @@
         profile = self._profile()
         if profile is not None and named.model not in profile.models:
             return
-        known = self._target
+        known = self._newest
         if known is not None and named.version <= known.version:
             return
+        now = self.task.now()
+        is_kept = self._is_kept(now)
         logger.info(
-            "version named", extra={"model": named.model, "version": named.version}
+            "version named",
+            extra={
+                "model": named.model,
+                "version": named.version,
+                "finishes_first": is_kept,
+            },
         )
-        self._target = named
+        self._newest = named
+        self._newest_at = now
+        if not is_kept:
+            self._take_newest()
+
+    def _is_kept(self, now: float) -> bool:
+        swarm, profile = self._swarm, self._profile()
+        if swarm is None or self._target is None or profile is None:
+            return False
+        if serves_target(self._state()) or self._ordered == self._target:
+            return False
+        link = self._settings.link_bytes_per_s * LINK_SHARE
+        transfer_s = profile.weight_bytes / link if link > 0 else 0.0
+        return finishes_first(now - self._target_at, transfer_s)
+
+    def _take_newest(self) -> None:
+        if self._newest is None or self._newest == self._target:
+            return
+        self._target = self._newest
+        self._target_at = self._newest_at
         self._drop_swarm()
+        self._forget_order()
         self._refresh_lists()
         self._advance()
 
@@ -255,6 +294,8 @@
         if is_restarted:
             logger.info("engine restarted")
             self._verified_at = None
+            self._is_switching = False
+            self._ordered = None
             self._forget_order()
         if report is not None:
             self._note_held(report)
@@ -293,11 +334,13 @@
 
     def _advance(self) -> None:
         state = self._state()
-        if self._is_switching and serves_target(state):
+        if self._is_switching and self._serves_ordered():
             self._is_switching = False
-            self._forget_order()
             logger.info("engine serves the version", extra=self._target_fields())
             self._send_states()
+        if serves_target(state):
+            self._forget_order()
+            self._take_newest()
         step = next_step(state)
         if step is LoadStep.LOOK_UP:
             self._fetch_manifest()
@@ -308,6 +351,15 @@
         elif step is LoadStep.ORDER:
             self._order()
 
+    def _serves_ordered(self) -> bool:
+        ordered, report = self._ordered, self._report
+        if ordered is None or report is None:
+            return False
+        return any(
+            model.name == ordered.model and model.version >= ordered.version
+            for model in report.models
+        )
+
     def _target_fields(self) -> dict[str, Any]:
         target = self._target
         if target is None:
@@ -353,6 +405,8 @@
         if self._target is None:
             # No version was named yet: the origin's newest is the intended one.
             self._target = NamedVersion(manifest.model, manifest.version)
+            self._target_at = self.task.now()
+            self._newest = self._target
         self._start_swarm(PieceSet(manifest))
 
     def _refresh_lists(self) -> None:
@@ -464,6 +518,7 @@
             return
         self._is_ordering = True
         self._is_switching = True
+        self._ordered = target
         self._send_states()
         logger.info("ordering the engine", extra=self._target_fields())
         request = wire.start_order_request(self._engine, target.model, target.version)
@@ -483,6 +538,9 @@
         # An accepted order waits for running work; reports tell when it is done.
         pause_s = ORDER_PAUSE_S if is_accepted else ORDER_RETRY_S
         self._order_timer = self.task.call_later(pause_s, self._end_order)
+        if is_accepted:
+            # What the engine loads is fixed: the staging area is free again.
+            self._take_newest()
 
     def _end_order(self) -> None:
         self._forget_order()
--- a/src/bamboolever/platform/documents.py
+++ b/src/bamboolever/platform/documents.py
@@ -80,6 +80,9 @@
     chunk: int = 2048
     usual: _Usual = _Usual()
     layers: int = 1
+    # Number of pieces and their size: together the bytes of one version.
+    chunks: int = 0
+    chunk_bytes: int = Field(0, alias="chunkBytes")
     models: list[_EngineModel] = []
 
 
@@ -282,6 +285,7 @@
         usual_answer_tokens=wire.usual.answer,
         layers=wire.layers,
         models=tuple(model.name for model in wire.models),
+        weight_bytes=wire.chunks * wire.chunk_bytes,
         warm_up_s=max((model.warm_up_s for model in wire.models), default=0.0),
     )
 
--- a/src/bamboolever/weights/loading.py
+++ b/src/bamboolever/weights/loading.py
@@ -55,3 +55,18 @@
     if state.report is None or state.report.is_busy:
         return LoadStep.WAIT
     return LoadStep.ORDER if state.is_verified else LoadStep.VERIFY
+
+
+# A transfer that has come this far is ended before a newer version's begins.
+FINISH_SHARE = 0.55
+
+
+def finishes_first(elapsed_s: float, transfer_s: float) -> bool:
+    """Tell whether a transfer under way ends before a newer version is fetched.
+
+    Load pattern: a version named while its predecessor is moving. Dropping one
+    that is almost there leaves the engines on a version whose time runs out
+    before the newer one can have come. The answer depends on times that all
+    agents share, so that they move the same version.
+    """
+    return elapsed_s >= FINISH_SHARE * transfer_s
--- a/src/bamboolever/weights/plan.py
+++ b/src/bamboolever/weights/plan.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from typing import final
 
-from bamboolever._subset import rank_members
+from bamboolever._subset import rank_members, score_member
 from bamboolever.net.addresses import Address
 from bamboolever.weights.pieces import PieceSet
 
@@ -23,7 +23,7 @@
 MAX_ORIGIN_FETCHES = 1
 # An agent that was not heard for this long does not act for others.
 PEER_SILENCE_S = 1.6
-CHAIN_PATIENCE_S = 0.6
+CHAIN_PATIENCE_S = 3.0
 # A piece that nobody brought by then is read from the origin.
 LAST_RESORT_S = 12.0
 SOURCE_PAUSE_S = 1.0
@@ -117,19 +117,30 @@
         room = MAX_FETCHES - len(view.in_flight)
         imports: list[PieceFetch] = []
         locals_: list[PieceFetch] = []
-        for number in view.pieces.missing():
-            if number in view.in_flight:
-                continue
+        for number in self._order(view):
+            if room <= len(imports):
+                break
             fetch = self._plan_piece(view, number, load, now)
             if fetch is None:
                 continue
             is_local = fetch.source is not None and self._is_local(view, fetch.source)
             (locals_ if is_local else imports).append(fetch)
             load[fetch.source] += 1
-            if len(imports) + len(locals_) >= room:
-                break
         return (imports + locals_)[: max(0, room)]
 
+    def _order(self, view: SwarmView) -> list[int]:
+        # Rare pieces first, ties in an own order: neighbours then hold different
+        # pieces and have something to give to each other.
+        copies: Counter = Counter()
+        missing = [n for n in view.pieces.missing() if n not in view.in_flight]
+        for peer in view.peers:
+            if peer.region != view.own.region:
+                continue
+            bitmap = view.have.get(peer.address, 0)
+            copies.update(n for n in missing if bitmap >> n & 1)
+        own = str(view.own.address)
+        return sorted(missing, key=lambda n: (copies[n], score_member(own, str(n))))
+
     def _plan_piece(
         self, view: SwarmView, number: int, load: Counter, now: float
     ) -> PieceFetch | None:
