--- a/protocol/exchange.thrift
+++ b/protocol/exchange.thrift
@@ -22,13 +22,21 @@
   4: list<UpstreamUse> uses
 }
 
-// What an agent says of its upstream, and which entries it knows.
+// A named version of a model and how long ago it was named.
+struct Naming {
+  1: string model
+  2: i64 version
+  3: i32 age_ms
+}
+
+// What an agent says of its upstream, and which entries and namings it knows.
 struct AgentState {
   1: string upstream_address
   2: bool is_switching
   3: i64 version
   4: double pace
   5: list<string> entries
+  6: list<Naming> namings
 }
 
 // Which pieces of a version an agent has verified.
@@ -37,6 +45,7 @@
   2: i64 version
   3: binary bitmap
   4: bool is_reply_wanted
+  5: i32 uploads
 }
 
 struct Datagram {
--- a/src/bamboolever/_exchange_protocol/ttypes.py
+++ b/src/bamboolever/_exchange_protocol/ttypes.py
@@ -301,6 +301,98 @@
         return not (self == other)
 
 
+class Naming(object):
+    """
+    Attributes:
+     - model
+     - version
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'model',
+        'version',
+        'age_ms',
+    )
+
+
+    def __init__(self, model=None, version=None, age_ms=None,):
+        self.model = model
+        self.version = version
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Naming')
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 1)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class AgentState(object):
     """
     Attributes:
@@ -309,6 +401,7 @@
      - version
      - pace
      - entries
+     - namings
 
     """
 
@@ -318,15 +411,17 @@
         'version',
         'pace',
         'entries',
+        'namings',
     )
 
 
-    def __init__(self, upstream_address=None, is_switching=None, version=None, pace=None, entries=None,):
+    def __init__(self, upstream_address=None, is_switching=None, version=None, pace=None, entries=None, namings=None,):
         self.upstream_address = upstream_address
         self.is_switching = is_switching
         self.version = version
         self.pace = pace
         self.entries = entries
+        self.namings = namings
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -367,6 +462,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.namings = []
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = Naming()
+                        _elem18.read(iprot)
+                        self.namings.append(_elem18)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -396,8 +502,15 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.entries))
-            for iter13 in self.entries:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter19 in self.entries:
+                oprot.writeString(iter19.encode('utf-8') if sys.version_info[0] == 2 else iter19)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.namings is not None:
+            oprot.writeFieldBegin('namings', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.namings))
+            for iter20 in self.namings:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -432,6 +545,7 @@
      - version
      - bitmap
      - is_reply_wanted
+     - uploads
 
     """
 
@@ -440,14 +554,16 @@
         'version',
         'bitmap',
         'is_reply_wanted',
+        'uploads',
     )
 
 
-    def __init__(self, model=None, version=None, bitmap=None, is_reply_wanted=None,):
+    def __init__(self, model=None, version=None, bitmap=None, is_reply_wanted=None, uploads=None,):
         self.model = model
         self.version = version
         self.bitmap = bitmap
         self.is_reply_wanted = is_reply_wanted
+        self.uploads = uploads
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -478,6 +594,11 @@
                     self.is_reply_wanted = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.uploads = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -504,6 +625,10 @@
             oprot.writeFieldBegin('is_reply_wanted', TType.BOOL, 4)
             oprot.writeBool(self.is_reply_wanted)
             oprot.writeFieldEnd()
+        if self.uploads is not None:
+            oprot.writeFieldBegin('uploads', TType.I32, 5)
+            oprot.writeI32(self.uploads)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -656,6 +781,13 @@
     (3, TType.I64, 'sequence', None, None, ),  # 3
     (4, TType.LIST, 'uses', (TType.STRUCT, [UpstreamUse, None], False), None, ),  # 4
 )
+all_structs.append(Naming)
+Naming.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(AgentState)
 AgentState.thrift_spec = (
     None,  # 0
@@ -664,6 +796,7 @@
     (3, TType.I64, 'version', None, None, ),  # 3
     (4, TType.DOUBLE, 'pace', None, None, ),  # 4
     (5, TType.LIST, 'entries', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.LIST, 'namings', (TType.STRUCT, [Naming, None], False), None, ),  # 6
 )
 all_structs.append(PieceMap)
 PieceMap.thrift_spec = (
@@ -672,6 +805,7 @@
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.STRING, 'bitmap', 'BINARY', None, ),  # 3
     (4, TType.BOOL, 'is_reply_wanted', None, None, ),  # 4
+    (5, TType.I32, 'uploads', None, None, ),  # 5
 )
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
--- a/src/bamboolever/calls/placement.py
+++ b/src/bamboolever/calls/placement.py
@@ -115,9 +115,10 @@
         """Return 0: the work of plain services is not predicted."""
         return 0.0
 
-    def _score(self, view: UpstreamView) -> tuple[bool, float, float]:
+    def _score(self, view: UpstreamView) -> float:
+        # A nearer upstream is taken until it is fuller by half of its slots.
         share = view.load.active / max(1, view.record.slots)
-        return (share >= 1.0, self._penalty(view) if share < 0.5 else 0.0, share)
+        return share + min(0.5, self._penalty(view) / OTHER_REGION_PENALTY_S * 0.5)
 
 
 @final
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -21,6 +21,7 @@
 from bamboolever.fleet import exchange
 from bamboolever.fleet.records import EngineReport, NamedVersion
 from bamboolever.fleet.upstreams import UpstreamList
+from bamboolever.fleet.versions import NamedVersions
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
 from bamboolever.net.datagrams import DatagramPort
@@ -78,6 +79,7 @@
         self._stage = Stage(self._pool, self._engine)
         self._configuration: Configuration | None = None
         self._upstreams = UpstreamList()
+        self._versions = NamedVersions(settings.bounds.version_timeout_s)
         # The version being brought in, and the newest named: they differ while a
         # transfer that is almost done goes on.
         self._target: NamedVersion | None = None
@@ -176,7 +178,8 @@
         self._configuration = configuration
         self._advance()
 
-    def _on_version(self, named: NamedVersion) -> None:
+    def _on_version(self, named: NamedVersion, is_new: bool) -> None:
+        self._versions.put(named.model, named.version, self.task.now(), is_new=is_new)
         profile = self._profile()
         if profile is not None and named.model not in profile.models:
             return
@@ -437,6 +440,7 @@
             view,
             self._announce,
             self._on_staged,
+            lambda: self._piece_port.waiting,
         )
         self._swarm = swarm
         self._held_version = None
@@ -595,7 +599,12 @@
                     self._announce(swarm.make_map(), [sender])
             return
         if message.is_reply_wanted and self._held_version == named and self._held:
-            reply = exchange.PieceMap(named.model, named.version, self._held)
+            reply = exchange.PieceMap(
+                named.model,
+                named.version,
+                self._held,
+                uploads=self._piece_port.waiting,
+            )
             self._announce(reply, [sender])
 
     def _send_states(self) -> None:
@@ -620,5 +629,8 @@
             version=max((m.version for m in report.models), default=0) if report else 0,
             pace=report.pace if report is not None else 1.0,
             entries=entries,
+            namings=tuple(
+                exchange.Naming(*naming) for naming in self._versions.ages(now)
+            ),
         )
         self._datagrams.send(exchange.encode(state), address)
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -198,16 +198,25 @@
         self._freshness.confirm(as_of)
 
     def _on_upstreams(self) -> None:
+        is_first = not self.fleet.has_upstreams
         self.fleet.refresh(self.task.now())
+        if is_first:
+            # Agents tell what a process that just started cannot know.
+            self._greet_agents()
         for service in self.fleet.services():
             self.on_room(service)
 
-    def _on_version(self, named: NamedVersion) -> None:
+    def _on_version(self, named: NamedVersion, is_new: bool) -> None:
+        versions = self.fleet.versions
         now = self.task.now()
-        if self.fleet.versions.put(named.model, named.version, now):
+        if versions.put(named.model, named.version, now, is_new=is_new):
             logger.info(
                 "version named",
-                extra={"model": named.model, "version": named.version},
+                extra={
+                    "model": named.model,
+                    "version": named.version,
+                    "is_new": is_new,
+                },
             )
 
     def is_ready(self) -> bool:
@@ -441,10 +450,13 @@
         if self.fleet.apply_agent_state(state, now):
             self._mark_load_changed()
 
-    def _send_hellos(self) -> None:
+    def _greet_agents(self) -> None:
         data = exchange.encode(exchange.Hello(self._settings.name))
         for address in self.fleet.agent_addresses():
             self._datagrams.send(data, address)
+
+    def _send_hellos(self) -> None:
+        self._greet_agents()
         self.task.call_later(HELLO_PERIOD_S, self._send_hellos)
 
     def _mark_load_changed(self) -> None:
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -40,6 +40,11 @@
         self.versions = NamedVersions(settings.bounds.version_timeout_s)
         self.peers = PeerLoads(Address(settings.host, settings.internal_port))
 
+    @property
+    def has_upstreams(self) -> bool:
+        """Whether any upstream is known."""
+        return bool(self._views)
+
     def dispatcher(self, service: str) -> ServiceDispatcher:
         """Return the dispatcher of a service; unknown ones have no upstreams."""
         dispatcher = self._dispatchers.get(service)
@@ -110,6 +115,8 @@
                 continue
             view.pace = max(1.0, state.pace)
             view.switching_until = now + SWITCH_NOTICE_S if state.is_switching else 0.0
+        for naming in state.namings:
+            self.versions.learn(naming.model, naming.version, naming.age_s, now)
         return self.peers.learn(state.entries, now)
 
     def _update_peers(self, view: UpstreamView, now: float) -> None:
--- a/src/bamboolever/daemons/observers.py
+++ b/src/bamboolever/daemons/observers.py
@@ -112,19 +112,25 @@
 
 @final
 class VersionObserver(_LoggingObserver):
-    """Hands named versions on."""
+    """Hands named versions on, and whether each was named just now."""
 
     kind = names.VERSION_KIND
 
-    def __init__(self, on_version: Callable[[NamedVersion], None]):
+    def __init__(self, on_version: Callable[[NamedVersion, bool], None]):
         self._on_version = on_version
+        self._is_listed = False
 
     def on_listing(self, documents_: tuple[StoredDocument, ...]) -> None:
         """Hand all named versions on."""
-        self.on_changes(documents_)
+        # What a first listing holds may have been named at any time before.
+        self._hand_on(documents_, is_new=self._is_listed)
+        self._is_listed = True
 
     def on_changes(self, documents_: tuple[StoredDocument, ...]) -> None:
         """Hand changed versions on."""
+        self._hand_on(documents_, is_new=True)
+
+    def _hand_on(self, documents_: tuple[StoredDocument, ...], *, is_new: bool) -> None:
         for document in documents_:
             if document.value is None:
                 continue
@@ -133,7 +139,7 @@
             except AdapterError as error:
                 logger.warning("version ignored", extra={"reason": str(error)})
                 continue
-            self._on_version(named)
+            self._on_version(named, is_new)
 
 
 def _decode(document: StoredDocument) -> UpstreamRecord | None:
--- a/src/bamboolever/daemons/pieceport.py
+++ b/src/bamboolever/daemons/pieceport.py
@@ -20,18 +20,23 @@
 logger = logging.getLogger(__name__)
 
 PREFIX = "/pieces/"
+URGENT_QUERY = "?urgent"
 SLICE_BYTES = 4096
 # Share of the link that pieces may use.
-LINK_SHARE = 0.85
+LINK_SHARE = 0.92
 
 ReadPiece = Callable[[str, int, int, Callable[[bytes | None], None]], None]
 
 
 def make_piece_request(
-    address: Address, model: str, version: int, number: int
+    address: Address, model: str, version: int, number: int, *, is_urgent: bool
 ) -> Request:
-    """Return the call that asks another agent for a piece."""
-    target = f"{PREFIX}{quote(model, safe='')}/{version}/{number}"
+    """Return the call that asks another agent for a piece.
+
+    Urgent ones, for a region that lacks the piece, go before others.
+    """
+    query = URGENT_QUERY if is_urgent else ""
+    target = f"{PREFIX}{quote(model, safe='')}/{version}/{number}{query}"
     return Request(b"GET", target.encode(), ((b"Host", str(address).encode()),))
 
 
@@ -39,6 +44,7 @@
 class _Upload:
     connection: ServerConnection
     data: bytes
+    is_urgent: bool
     sent: int = 0
 
 
@@ -56,7 +62,9 @@
 
     def on_request(self, connection: ServerConnection, request: Request) -> None:
         """Read the piece and answer."""
-        parsed = _parse(request.target.decode("latin-1"))
+        target = request.target.decode("latin-1")
+        is_urgent = target.endswith(URGENT_QUERY)
+        parsed = _parse(target.removesuffix(URGENT_QUERY))
         if parsed is None:
             connection.respond(404, [])
             return
@@ -65,13 +73,18 @@
             if data is None:
                 connection.respond(404, [])
                 return
-            self._uploads.append(_Upload(connection, data))
+            self._add(_Upload(connection, data, is_urgent=is_urgent))
             if not self._is_sending:
                 self._is_sending = True
                 self._send_slice()
 
         self._read_piece(*parsed, on_read)
 
+    @property
+    def waiting(self) -> int:
+        """Number of pieces that are being sent or wait for it."""
+        return len(self._uploads)
+
     def on_caller_gone(self, connection: ServerConnection) -> None:
         """Drop the upload."""
         self._uploads = collections.deque(
@@ -82,6 +95,15 @@
         """Log a malformed request."""
         logger.warning("piece request rejected", extra={"reason": reason})
 
+    def _add(self, upload: _Upload) -> None:
+        position = len(self._uploads)
+        while upload.is_urgent and position > 0:
+            before = self._uploads[position - 1]
+            if before.is_urgent or before.sent:
+                break
+            position -= 1
+        self._uploads.insert(position, upload)
+
     def _send_slice(self) -> None:
         if not self._uploads:
             self._is_sending = False
--- a/src/bamboolever/daemons/swarm.py
+++ b/src/bamboolever/daemons/swarm.py
@@ -20,7 +20,7 @@
 FETCH_TIMEOUT_S = 6.0
 FETCH_STALL_S = 1.5
 PLAN_PERIOD_S = 0.1
-ANNOUNCE_PERIOD_S = 0.08
+ANNOUNCE_PERIOD_S = 0.05
 ANNOUNCE_HEARTBEAT_S = 1.0
 
 
@@ -37,6 +37,7 @@
         view: SwarmView,
         announce: Callable[[PieceMap, list[Address]], None],
         on_complete: Callable[[], None],
+        uploads: Callable[[], int],
     ):
         self._task = task
         self._pool = pool
@@ -46,6 +47,7 @@
         self.view = view
         self._announce = announce
         self._on_complete = on_complete
+        self._uploads = uploads
         self._fetches: dict[int, Fetch] = {}
         self._is_stopped = False
         self._announced_at = 0.0
@@ -70,7 +72,9 @@
 
     def apply_map(self, sender: Address, piece_map: PieceMap) -> None:
         """Take over which pieces a peer has."""
-        self.view.note_have(sender, piece_map.bitmap, self._task.now())
+        now = self._task.now()
+        uploads = piece_map.uploads
+        self.view.note_have(sender, piece_map.bitmap, now, uploads=uploads)
         self._plan()
 
     def make_map(self, *, is_reply_wanted: bool = False) -> PieceMap:
@@ -81,6 +85,7 @@
             manifest.version,
             self.view.pieces.verified,
             is_reply_wanted,
+            self._uploads(),
         )
 
     def _tick(self) -> None:
@@ -125,7 +130,11 @@
                 address, manifest.model, manifest.version, planned.number
             )
         return make_piece_request(
-            address, manifest.model, manifest.version, planned.number
+            address,
+            manifest.model,
+            manifest.version,
+            planned.number,
+            is_urgent=planned.is_import,
         )
 
     def _on_fetched(self, planned: PieceFetch, result: FetchResult) -> None:
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -38,15 +38,25 @@
     uses: dict[int, EngineLoad]
 
 
+@dataclass(frozen=True)
+class Naming:
+    """A named version of a model and the seconds since it was named."""
+
+    model: str
+    version: int
+    age_s: float
+
+
 @dataclass(frozen=True)
 class AgentState:
-    """What an agent says of its upstream, and the entries it knows."""
+    """What an agent says of its upstream, the entries and namings it knows."""
 
     upstream: Address
     is_switching: bool
     version: int
     pace: float
     entries: tuple[Address, ...]
+    namings: tuple[Naming, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -57,6 +67,7 @@
     version: int
     bitmap: int
     is_reply_wanted: bool = False
+    uploads: int = 0
 
 
 Message = Hello | EntryLoad | AgentState | PieceMap
@@ -107,6 +118,10 @@
                 message.version,
                 message.pace,
                 [str(address) for address in message.entries],
+                [
+                    ttypes.Naming(item.model, item.version, int(item.age_s * 1000))
+                    for item in message.namings
+                ],
             )
         }
     size = max(1, (message.bitmap.bit_length() + 7) // 8)
@@ -116,6 +131,7 @@
             message.version,
             message.bitmap.to_bytes(size, "big"),
             message.is_reply_wanted,
+            message.uploads,
         )
     }
 
@@ -138,6 +154,10 @@
             state.version,
             state.pace,
             tuple(parse_address(text) for text in state.entries),
+            tuple(
+                Naming(item.model, item.version, item.age_ms / 1000)
+                for item in state.namings
+            ),
         )
     if datagram.piece_map is not None:
         pieces = datagram.piece_map
@@ -146,5 +166,6 @@
             pieces.version,
             int.from_bytes(pieces.bitmap, "big"),
             bool(pieces.is_reply_wanted),
+            pieces.uploads or 0,
         )
     raise ExchangeError("an empty datagram")
--- a/src/bamboolever/fleet/versions.py
+++ b/src/bamboolever/fleet/versions.py
@@ -9,30 +9,58 @@
 VERSION_MARGIN_S = 0.4
 
 
+# Namings older than this no longer matter to anybody.
+MAX_TOLD_AGE_S = 60.0
+
+
 class NamedVersions:
-    """Named versions by model, each with the time from which it is required."""
+    """Named versions by model, each with the time at which it was named.
+
+    A process that finds a version already named does not know since when: the
+    version counts as required at once, until another process tells its age.
+    """
 
     def __init__(self, timeout_s: float):
         self._timeout_s = timeout_s
-        self._due: dict[str, dict[int, float]] = {}
+        self._named_at: dict[str, dict[int, float | None]] = {}
+
+    def put(self, model: str, version: int, now: float, *, is_new: bool = True) -> bool:
+        """Note a named version; return whether it is newer than the known ones.
 
-    def put(self, model: str, version: int, now: float) -> bool:
-        """Note a named version; return whether it is newer than the known ones."""
-        known = self._due.setdefault(model, {})
+        ``is_new`` tells whether it was named just now.
+        """
+        known = self._named_at.setdefault(model, {})
         if known and version <= max(known):
             return False
-        known[version] = now + self._timeout_s - VERSION_MARGIN_S
+        known[version] = now if is_new else None
         return True
 
+    def learn(self, model: str, version: int, age_s: float, now: float) -> None:
+        """Note what another process knows of a naming."""
+        known = self._named_at.setdefault(model, {})
+        if known.get(version) is None:
+            known[version] = now - age_s
+
+    def ages(self, now: float) -> list[tuple[str, int, float]]:
+        """Return model, version and age of the namings whose time is known."""
+        return [
+            (model, version, now - named_at)
+            for model, known in self._named_at.items()
+            for version, named_at in known.items()
+            if named_at is not None and now - named_at < MAX_TOLD_AGE_S
+        ]
+
     def newest(self, model: str) -> int | None:
         """Return the newest named version, or None."""
-        return max(self._due.get(model, {}), default=None)
-
-    def models(self) -> list[str]:
-        """Return the models that have a named version."""
-        return list(self._due)
+        return max(self._named_at.get(model, {}), default=None)
 
     def required(self, model: str | None, now: float) -> int:
         """Return the lowest version that may serve new requests."""
-        due = self._due.get(model, {}) if model is not None else {}
-        return max((version for version, at in due.items() if now >= at), default=0)
+        if model is None:
+            return 0
+        due = (
+            version
+            for version, named_at in self._named_at.get(model, {}).items()
+            if named_at is None or now >= named_at + self._timeout_s - VERSION_MARGIN_S
+        )
+        return max(due, default=0)
--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -222,6 +222,9 @@
     def _begin_request(self, request: h11.Request) -> None:
         self._request = request
         self._arm(self._server.limits.idle_timeout_s)
+        if _head_bytes(request) > self._server.limits.max_header_bytes:
+            self._reject(431, "the headers are over the limit")
+            return
         names = {name for name, _ in request.headers}
         if b"content-length" in names and b"transfer-encoding" in names:
             self._reject(400, "both Content-Length and Transfer-Encoding")
@@ -388,3 +391,8 @@
                 sock.close()
                 continue
             self._connections.add(ServerConnection(self, sock))
+
+
+def _head_bytes(request: h11.Request) -> int:
+    sizes = (len(name) + len(value) + 4 for name, value in request.headers)
+    return len(request.target) + sum(sizes)
--- /dev/null
+++ b/src/bamboolever/platform/standins/site.py
@@ -0,0 +1,234 @@
+"""A small site of stand-ins on loopback, with documents as an operator writes."""
+
+import random
+import socket
+from typing import Any
+
+from bamboolever.net.addresses import Address
+from bamboolever.platform.names import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    UPSTREAM_KIND,
+    VERSION_KIND,
+)
+from bamboolever.platform.standins.store import StandInStore
+from bamboolever.platform.standins.upstream import (
+    LAYERS,
+    MODEL,
+    EngineState,
+    StandInOrigin,
+    StandInUpstream,
+)
+
+ENGINE_SERVICE = "model-service"
+PLAIN_SERVICE = "order-service"
+ORIGIN_SERVICE = "weight-origin"
+API_KEY = "key-of-studio-a"
+WORKSPACE = "studio-a"
+HOST = "calls.example"
+PIECES = 8
+PIECE_BYTES = 2048
+ZONES = {"zone-a": "region-1", "zone-b": "region-2"}
+
+
+# Ports below the range from which the kernel takes those of port 0.
+_PORTS = iter(random.SystemRandom().sample(range(20000, 32000, 2), 5000))
+
+
+def free_port() -> int:
+    """Return a port that is free now, and so is the next, on loopback addresses."""
+    return next(port for port in _PORTS if _is_free(port) and _is_free(port + 1))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind(("", port))
+        except OSError:
+            return False
+    return True
+
+
+class Site:
+    """A store, an origin and upstreams; ends what it started."""
+
+    def __init__(self) -> None:
+        self.store = StandInStore(Address("127.0.0.1", 0))
+        self.origin = StandInOrigin(Address("127.0.0.1", 0), PIECES, PIECE_BYTES)
+        self.upstreams: dict[str, StandInUpstream] = {}
+        self.internal_port = free_port()
+        self.configuration = self._make_configuration()
+        self.store.start()
+        self.origin.start()
+        self.apply_configuration()
+
+    def close(self) -> None:
+        """Stop every stand-in."""
+        for upstream in self.upstreams.values():
+            upstream.stop()
+        self.origin.stop()
+        self.store.stop()
+
+    def add_engine(
+        self,
+        instance_id: str,
+        host: str,
+        *,
+        version: int | None = 1,
+        zone: str = "zone-a",
+    ) -> StandInUpstream:
+        """Start and list an engine; without a version it holds nothing."""
+        state = EngineState(version=version)
+        if version is not None:
+            state.staged = self.origin.whole(version)
+        upstream = StandInUpstream(Address(host, 0), instance_id, engine=state)
+        self._start(upstream, ENGINE_SERVICE, zone)
+        return upstream
+
+    def add_plain(self, instance_id: str, zone: str = "zone-a") -> StandInUpstream:
+        """Start and list an upstream of the plain service."""
+        upstream = StandInUpstream(Address("127.0.0.1", 0), instance_id)
+        self._start(upstream, PLAIN_SERVICE, zone)
+        return upstream
+
+    def list_upstream(
+        self,
+        upstream: StandInUpstream,
+        service: str,
+        *,
+        zone: str = "zone-a",
+        **changes: Any,
+    ) -> None:
+        """Write an upstream's entry as it is now."""
+        entry: dict[str, Any] = {
+            "service": service,
+            "address": str(upstream.address),
+            "zone": zone,
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": 1,
+        }
+        engine = upstream.engine
+        if engine is not None:
+            entry["models"] = []
+            if engine.version is not None:
+                entry["models"] = [{"name": MODEL, "version": engine.version}]
+            entry["layers"] = {"from": 0, "to": LAYERS, "version": engine.version or 0}
+            entry["born"] = engine.born_ms
+        entry.update(changes)
+        self.store.put(UPSTREAM_KIND, upstream.instance_id, entry)
+
+    def name_version(self, version: int) -> None:
+        """Name a version of the model."""
+        self.origin.newest = version
+        document = {"model": MODEL, "version": version}
+        self.store.put(VERSION_KIND, MODEL, document)
+
+    def apply_configuration(self, **changes: Any) -> None:
+        """Write the configuration with a higher version."""
+        self.configuration.update(changes)
+        self.configuration["version"] += 1
+        document = dict(self.configuration)
+        self.store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, document)
+
+    def settings(
+        self, *, name: str, host: str, upstream: StandInUpstream | None = None
+    ) -> dict[str, Any]:
+        """Return the platform's settings of one process."""
+        document: dict[str, Any] = {
+            "nodeName": name,
+            "ipAddress": host,
+            "zone": "zone-a",
+            "region": "region-1",
+            "zones": ZONES,
+            "listenAddresses": {
+                "frontend": f"{host}:{free_port()}",
+                "ready": f"{host}:{free_port()}",
+            },
+            "internalPortRange": [self.internal_port, self.internal_port + 1],
+            "firstStart": True,
+            "limits": {"memoryMb": 300, "fileDescriptors": 1124, "linkMbps": 1000.0},
+            "bounds": {
+                "drainTimeoutMs": 2000,
+                "gracePeriodS": 8,
+                "failClosed": True,
+                "revocationMs": 5000,
+                "retryBudgetRatio": 0.2,
+                "budgetWindowS": 10,
+                "retryBudgetSlack": 100,
+                "version_ms": 8000,
+            },
+            "platformSettings": {"address": str(self.store.address)},
+        }
+        if upstream is not None:
+            document["app"] = str(upstream.address)
+            document["service"] = ENGINE_SERVICE
+        return document
+
+    def _start(self, upstream: StandInUpstream, service: str, zone: str) -> None:
+        upstream.start()
+        self.upstreams[upstream.instance_id] = upstream
+        self.list_upstream(upstream, service, zone=zone)
+
+    def _make_configuration(self) -> dict[str, Any]:
+        return {
+            "version": 0,
+            "routes": [
+                _route("/stream/", "streaming", ENGINE_SERVICE),
+                _route("/orders/", "non_idempotent", PLAIN_SERVICE),
+                _route("/lookup/", "idempotent", PLAIN_SERVICE),
+            ],
+            "services": [
+                {"name": PLAIN_SERVICE, "maxConnections": 50},
+                {
+                    "name": ORIGIN_SERVICE,
+                    "origin": str(self.origin.address),
+                    "zone": "zone-a",
+                    "linkMbps": 100.0,
+                    "maxConnections": 48,
+                },
+                {
+                    "name": ENGINE_SERVICE,
+                    "maxConnections": 50,
+                    "engine": {
+                        "slots": 4,
+                        "stride": 6,
+                        "step_ms": 1.0,
+                        "read_per_s": 100000.0,
+                        "chunk": 2048,
+                        "layers": LAYERS,
+                        "chunks": PIECES,
+                        "chunkBytes": PIECE_BYTES,
+                        "models": [{"name": MODEL, "warmUpS": 0.1}],
+                    },
+                },
+            ],
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 100000,
+                "headerTimeoutMs": 3000,
+                "idleTimeoutMs": 15000,
+            },
+            "tenants": [{"name": WORKSPACE, "apiKeys": [API_KEY], "priority": 1}],
+        }
+
+
+def _route(prefix: str, kind: str, service: str) -> dict[str, Any]:
+    is_stream = kind == "streaming"
+    route: dict[str, Any] = {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeoutMs": 5000,
+        "targetLatencyMs": 2000,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 1 if kind == "non_idempotent" else 2,
+        "allowAnonymous": False,
+    }
+    if is_stream:
+        route |= {"stickySessions": True, "resumeStreams": True, "targetGapMs": 300}
+    return route
--- /dev/null
+++ b/src/bamboolever/platform/standins/store.py
@@ -0,0 +1,192 @@
+"""A stand-in of the platform's object store, in memory."""
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, final
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from bamboolever._task import IoTask
+from bamboolever.net.addresses import Address
+from bamboolever.net.messages import Request
+from bamboolever.net.server import (
+    HttpLimits,
+    HttpServer,
+    RequestHandler,
+    ServerConnection,
+)
+from bamboolever.platform.names import OBJECTS_PATH
+
+_JSON = (b"Content-Type", b"application/json")
+PAGE_SIZE = 500
+
+
+class StoreTrouble(Enum):
+    """How the store fails."""
+
+    NONE = "none"
+    BUSY = "busy"
+    SILENT = "silent"
+    CLOSES = "closes"
+
+
+@dataclass
+class _Change:
+    revision: int
+    kind: str
+    name: str
+    value: Any
+    is_deleted: bool
+
+
+@dataclass
+class _Watch:
+    connection: ServerConnection
+    kind: str
+    revision: int
+    is_open: bool = True
+
+
+@final
+class StandInStore(RequestHandler):
+    """Lists and watches over HTTP; writes by method calls from any thread."""
+
+    def __init__(self, address: Address):
+        self.task = IoTask("stand-in store")
+        self._server = HttpServer(
+            self.task, address, self, HttpLimits(), max_connections=256
+        )
+        self.address = self._server.address
+        self._objects: dict[str, dict[str, tuple[int, Any]]] = {}
+        self._changes: list[_Change] = []
+        self._history_from = 0
+        self._revision = 1
+        self._watches: list[_Watch] = []
+        self.trouble = StoreTrouble.NONE
+        self.calls = 0
+
+    def start(self) -> None:
+        """Serve on a thread of its own."""
+        self._server.start()
+        self.task.start()
+
+    def stop(self) -> None:
+        """Close every connection and end the thread."""
+        self.task.send(self._server.close)
+        self.task.stop()
+
+    def put(self, kind: str, name: str, value: Any) -> None:
+        """Write one object."""
+        self.task.send(lambda: self._write(kind, name, value, is_deleted=False))
+
+    def delete(self, kind: str, name: str) -> None:
+        """Delete one object."""
+        self.task.send(lambda: self._write(kind, name, None, is_deleted=True))
+
+    def forget_history(self) -> None:
+        """Answer watches of older revisions with 410."""
+        self.task.send(self._forget_history)
+
+    def on_request(self, connection: ServerConnection, request: Request) -> None:
+        """Answer a list or begin a watch."""
+        self.calls += 1
+        if self.trouble is StoreTrouble.SILENT:
+            return
+        if self.trouble is StoreTrouble.CLOSES:
+            connection.abort()
+            return
+        if self.trouble is StoreTrouble.BUSY:
+            connection.respond(503, [])
+            return
+        parts = urlsplit(request.target.decode("latin-1"))
+        kind = unquote(parts.path.removeprefix(OBJECTS_PATH))
+        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
+        if "watch" in query:
+            wait_s = float(query.get("waitMs", "0")) / 1000
+            self._watch(connection, kind, int(query["watch"]), wait_s)
+            return
+        self._list(connection, kind, query.get("after", ""))
+
+    def on_caller_gone(self, connection: ServerConnection) -> None:
+        """Drop the caller's watch."""
+        for watch in self._watches:
+            if watch.connection is connection:
+                watch.is_open = False
+
+    def on_rejected(self, status: int, reason: str) -> None:
+        """Ignore malformed requests."""
+
+    def _write(self, kind: str, name: str, value: Any, *, is_deleted: bool) -> None:
+        self._revision += 1
+        objects = self._objects.setdefault(kind, {})
+        if is_deleted:
+            _, value = objects.pop(name, (0, None))
+        else:
+            objects[name] = (self._revision, value)
+        change = _Change(self._revision, kind, name, value, is_deleted)
+        self._changes.append(change)
+        for watch in list(self._watches):
+            self._answer_watch(watch)
+
+    def _forget_history(self) -> None:
+        self._history_from = self._revision
+        self._changes.clear()
+        for watch in list(self._watches):
+            self._close_watch(watch, 410, b"")
+
+    def _list(self, connection: ServerConnection, kind: str, after: str) -> None:
+        objects = self._objects.get(kind, {})
+        names = sorted(name for name in objects if name > after)
+        items = [_object(name, *objects[name]) for name in names[:PAGE_SIZE]]
+        answer = {
+            "items": items,
+            "hasMore": len(names) > PAGE_SIZE,
+            "at": self._revision,
+        }
+        connection.respond(200, [_JSON], json.dumps(answer).encode())
+
+    def _watch(
+        self, connection: ServerConnection, kind: str, revision: int, wait_s: float
+    ) -> None:
+        watch = _Watch(connection, kind, revision)
+        if revision < self._history_from:
+            self._close_watch(watch, 410, b"")
+            return
+        self._watches.append(watch)
+        self._answer_watch(watch)
+        if watch.is_open:
+            self.task.call_later(wait_s, lambda: self._end_watch(watch))
+
+    def _answer_watch(self, watch: _Watch) -> None:
+        events = [
+            {
+                "object": _object(change.name, change.revision, change.value),
+                "deleted": change.is_deleted,
+            }
+            for change in self._changes
+            if change.kind == watch.kind and change.revision > watch.revision
+        ]
+        if events and watch.is_open:
+            self._close_watch(watch, 200, self._changes_body(events))
+
+    def _end_watch(self, watch: _Watch) -> None:
+        if watch.is_open:
+            self._close_watch(watch, 200, self._changes_body([]))
+
+    def _changes_body(self, events: list[dict[str, Any]]) -> bytes:
+        return json.dumps({"events": events, "at": self._revision}).encode()
+
+    def _close_watch(self, watch: _Watch, status: int, body: bytes) -> None:
+        watch.is_open = False
+        if watch in self._watches:
+            self._watches.remove(watch)
+        if self.trouble is StoreTrouble.NONE:
+            watch.connection.respond(status, [_JSON], body)
+
+
+def _object(name: str, revision: int, value: Any) -> dict[str, Any]:
+    return {
+        "metadata": {"name": name, "revision": revision},
+        "specification": value,
+        "status": None,
+    }
--- a/src/bamboolever/weights/plan.py
+++ b/src/bamboolever/weights/plan.py
@@ -11,7 +11,7 @@
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import final
 
 from bamboolever._subset import rank_members, score_member
@@ -39,10 +39,14 @@
 
 @dataclass(frozen=True)
 class PieceFetch:
-    """Fetch one piece; ``source`` is None for the origin."""
+    """Fetch one piece; ``source`` is None for the origin.
+
+    ``is_import`` marks a piece that is new to the whole region.
+    """
 
     number: int
     source: Address | None
+    is_import: bool = False
 
 
 @dataclass
@@ -59,10 +63,14 @@
     paused_until: dict[Address | None, float] = field(default_factory=dict)
     offered_since: dict[int, float] = field(default_factory=dict)
     heard_at: dict[Address, float] = field(default_factory=dict)
+    uploads: dict[Address, int] = field(default_factory=dict)
 
-    def note_have(self, address: Address, bitmap: int, now: float) -> None:
-        """Note which pieces a peer has verified."""
+    def note_have(
+        self, address: Address, bitmap: int, now: float, *, uploads: int = 0
+    ) -> None:
+        """Note which pieces a peer has verified and how many it is sending."""
         self.heard_at[address] = now
+        self.uploads[address] = uploads
         new = bitmap & ~self.have.get(address, 0)
         self.have[address] = bitmap
         number = 0
@@ -148,7 +156,7 @@
             view, number, now, lambda peer: peer.region == view.own.region
         )
         if local:
-            return self._from(local, number, load)
+            return self._from(view, local, number, load)
         if now - view.started_at > LAST_RESORT_S:
             return self._from_origin(view, number, load, now)
         members = view.active_members(now)
@@ -173,7 +181,10 @@
         holders = self._holders(view, number, now, lambda peer: peer.region == before)
         if not holders and self._is_offered_long(view, number, now):
             holders = self._holders(view, number, now, lambda peer: True)
-        return self._from(holders, number, load) if holders else None
+        if not holders:
+            return None
+        fetch = self._from(view, holders, number, load)
+        return None if fetch is None else replace(fetch, is_import=True)
 
     def _chain(self, view: SwarmView, number: int, members: list[Peer]) -> list[str]:
         regions = {peer.region for peer in members}
@@ -199,11 +210,18 @@
         ]
 
     def _from(
-        self, holders: list[Address], number: int, load: Counter
+        self, view: SwarmView, holders: list[Address], number: int, load: Counter
     ) -> PieceFetch | None:
         ranked = rank_members(f"source\0{number}", (str(item) for item in holders))
         order = {text: position for position, text in enumerate(ranked)}
-        best = min(holders, key=lambda item: (load[item], order[str(item)]))
+        best = min(
+            holders,
+            key=lambda item: (
+                load[item],
+                view.uploads.get(item, 0),
+                order[str(item)],
+            ),
+        )
         if load[best] >= MAX_FETCHES_PER_PEER:
             return None
         return PieceFetch(number, best)
--- /dev/null
+++ b/testing/calls/test_dispatcher.py
@@ -0,0 +1,148 @@
+"""Holding, placing and rejecting under replayed loads."""
+
+from sitebuilders import make_pending, make_profile, make_view
+
+from bamboolever.calls.dispatcher import (
+    MAX_HOLD_S,
+    Assignment,
+    Rejection,
+    RejectReason,
+    ServiceDispatcher,
+)
+from bamboolever.calls.placement import PlainServicePolicy, PredictedPolicy
+from bamboolever.fleet.versions import NamedVersions
+
+
+def _no_penalty(_view):
+    return 0.0
+
+
+def _dispatcher(views, versions=None, **profile):
+    policy = PredictedPolicy(make_profile(**profile), _no_penalty)
+    dispatcher = ServiceDispatcher(policy, versions or NamedVersions(8.0))
+    dispatcher.set_upstreams(views)
+    return dispatcher
+
+
+def _fill(view, count):
+    for number in range(count):
+        view.begin(-1 - number, 500)
+        view.on_first_event(-1 - number)
+
+
+def test_request_goes_to_the_upstream_with_the_soonest_first_event():
+    busy, idle = make_view("busy"), make_view("idle")
+    _fill(busy, 3)
+    (decision,) = _dispatcher([busy, idle]).submit(make_pending(), 0.0)
+    assert isinstance(decision, Assignment)
+    assert decision.choice.upstream is idle
+
+
+def test_requests_of_peers_count():
+    crowded = make_view("crowded", peers={"writing": 4})
+    free = make_view("free")
+    (decision,) = _dispatcher([crowded, free]).submit(make_pending(), 0.0)
+    assert decision.choice.upstream is free
+
+
+def test_full_engines_are_sent_nothing_and_the_request_waits():
+    view = make_view()
+    _fill(view, 4)
+    dispatcher = _dispatcher([view])
+    assert dispatcher.submit(make_pending(), 0.0) == []
+    assert dispatcher.waiting == 1
+    view.end(-1)
+    (decision,) = dispatcher.decide(0.05)
+    assert isinstance(decision, Assignment)
+
+
+def test_waiting_request_is_rejected_when_it_can_no_longer_be_on_time():
+    view = make_view()
+    _fill(view, 4)
+    dispatcher = _dispatcher([view])
+    call = make_pending(target_at=0.15)
+    assert dispatcher.submit(call, 0.0) == []
+    assert dispatcher.next_due() < 0.15
+    (decision,) = dispatcher.decide(dispatcher.next_due())
+    assert isinstance(decision, Rejection)
+    assert decision.reason is RejectReason.NO_ROOM
+    assert 0 < decision.retry_after_s < 6.0 / 3
+
+
+def test_nothing_waits_longer_than_the_hold_limit():
+    view = make_view()
+    _fill(view, 4)
+    dispatcher = _dispatcher([view])
+    dispatcher.submit(make_pending(arrived_at=1.0, target_at=5.0), 1.0)
+    assert dispatcher.next_due() <= 1.0 + MAX_HOLD_S
+    assert len(dispatcher.decide(1.0 + MAX_HOLD_S)) == 1
+
+
+def test_no_upstream_is_rejected_at_once():
+    (decision,) = _dispatcher([]).submit(make_pending(), 0.0)
+    assert decision.reason is RejectReason.NO_UPSTREAM
+
+
+def test_engine_without_the_whole_model_is_not_used():
+    view = make_view()
+    view.layers = 5
+    (decision,) = _dispatcher([view]).submit(make_pending(), 0.0)
+    assert isinstance(decision, Rejection)
+
+
+def test_older_version_is_used_until_its_time_is_up():
+    versions = NamedVersions(8.0)
+    versions.put("model-1", 2, 0.0)
+    dispatcher = _dispatcher([make_view()], versions)
+    (early,) = dispatcher.submit(make_pending(target_at=7.4), 7.0)
+    (late,) = dispatcher.submit(make_pending(target_at=8.4), 8.0)
+    assert isinstance(early, Assignment)
+    assert isinstance(late, Rejection)
+
+
+def test_tried_upstream_is_not_tried_again():
+    call = make_pending(tried={"up-1"})
+    (decision,) = _dispatcher([make_view()]).submit(call, 0.0)
+    assert isinstance(decision, Rejection)
+
+
+def test_cancelled_request_is_never_placed():
+    view = make_view()
+    _fill(view, 4)
+    dispatcher = _dispatcher([view])
+    call = make_pending()
+    dispatcher.submit(call, 0.0)
+    dispatcher.cancel(call.call_id)
+    view.end(-1)
+    assert dispatcher.decide(0.01) == []
+
+
+def test_burst_fills_the_slots_and_not_more():
+    views = [make_view(f"up-{number}") for number in range(3)]
+    dispatcher = _dispatcher(views, slots=4)
+    decisions = []
+    for _ in range(20):
+        decisions += dispatcher.submit(make_pending(prompt_tokens=50), 0.0)
+    assert len(decisions) == 12
+    assert [len(view.calls) for view in views] == [4, 4, 4]
+
+
+def test_prompts_beyond_what_can_be_read_in_time_are_not_sent():
+    view = make_view(slots=64)
+    dispatcher = _dispatcher([view], slots=64)
+    sent = 0
+    for _ in range(40):
+        placed = dispatcher.submit(make_pending(prompt_tokens=1000), 0.0)
+        sent += sum(isinstance(item, Assignment) for item in placed)
+    # 0.4 s is time to read about 12,000 tokens with nothing else going on.
+    assert 4 <= sent <= 12
+
+
+def test_plain_service_prefers_the_near_upstream_until_it_is_half_full():
+    near, far = make_view("near", models=()), make_view("far", models=())
+    policy = PlainServicePolicy(lambda view: 0.0 if view is near else 1.0)
+    dispatcher = ServiceDispatcher(policy, NamedVersions(8.0))
+    dispatcher.set_upstreams([near, far])
+    for _ in range(4):
+        dispatcher.submit(make_pending(model=None), 0.0)
+    assert len(near.calls) > len(far.calls) > 0
--- /dev/null
+++ b/testing/calls/test_retry.py
@@ -0,0 +1,25 @@
+"""When a request may be sent once more."""
+
+import dataclasses
+
+import pytest
+
+from bamboolever.calls.retry import AttemptOutcome, RetryInput, explain_no_retry
+
+ALLOWED = RetryInput(AttemptOutcome.NOT_RUN, False, 1, 2, 1.0, True)
+
+
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({}, None),
+        ({"outcome": AttemptOutcome.UNKNOWN}, "may-have-run"),
+        ({"outcome": AttemptOutcome.FAILED}, "may-have-run"),
+        ({"outcome": AttemptOutcome.UNKNOWN, "may_repeat": True}, None),
+        ({"attempts": 2}, "attempts-used"),
+        ({"remaining_s": 0.01}, "no-time-left"),
+        ({"has_budget": False}, "budget-used"),
+    ],
+)
+def test_retry_needs_safety_attempts_time_and_budget(changes, expected):
+    assert explain_no_retry(dataclasses.replace(ALLOWED, **changes)) == expected
--- /dev/null
+++ b/testing/calls/test_upstream.py
@@ -0,0 +1,39 @@
+"""Ejection of upstreams by the outcomes of requests."""
+
+from sitebuilders import make_view
+
+from bamboolever.calls.upstream import FAILURES_TO_EJECT, MIN_EJECTION_S
+
+
+def _fail(view, now):
+    return [view.on_failure(now) for _ in range(FAILURES_TO_EJECT)]
+
+
+def test_upstream_that_fails_in_a_row_is_ejected_and_comes_back():
+    view = make_view()
+    assert _fail(view, 0.0)[-1]
+    assert not view.is_available(MIN_EJECTION_S / 2)
+    assert view.is_available(MIN_EJECTION_S)
+
+
+def test_success_between_failures_keeps_the_upstream():
+    view = make_view()
+    for _ in range(10):
+        assert not view.on_failure(0.0)
+        view.on_success()
+    assert view.is_available(0.0)
+
+
+def test_each_ejection_in_a_row_is_longer():
+    view = make_view()
+    _fail(view, 0.0)
+    _fail(view, 10.0)
+    assert not view.is_available(10.0 + MIN_EJECTION_S)
+
+
+def test_answered_version_is_newer_than_the_list_entry():
+    view = make_view()
+    assert view.version_of("model-1") == 1
+    view.answered_version = 2
+    assert view.version_of("model-1") == 2
+    assert view.version_of("other") is None
--- /dev/null
+++ b/testing/daemons/conftest.py
@@ -0,0 +1,37 @@
+import pytest
+from sitebuilders import RunningAgent, RunningEntry
+
+from bamboolever.platform.standins.site import Site
+
+
+@pytest.fixture
+def site():
+    site = Site()
+    yield site
+    site.close()
+
+
+@pytest.fixture
+def start_entry(site):
+    running = []
+
+    def start(**options):
+        running.append(RunningEntry(site, **options))
+        return running[-1]
+
+    yield start
+    for entry in running:
+        entry.stop()
+
+
+@pytest.fixture
+def start_agent(site):
+    running = []
+
+    def start(upstream, name="agent"):
+        running.append(RunningAgent(site, upstream, name))
+        return running[-1]
+
+    yield start
+    for agent in running:
+        agent.stop()
--- /dev/null
+++ b/testing/daemons/test_agent.py
@@ -0,0 +1,121 @@
+"""Agents against stand-ins: pieces fetched, verified, staged and loaded."""
+
+import pytest
+from sitebuilders import wait_for
+
+from bamboolever.platform.standins.site import PIECES
+
+
+def _engines(site, count, version):
+    return [
+        site.add_engine(f"engine-{number}", f"127.0.0.{10 + number}", version=version)
+        for number in range(count)
+    ]
+
+
+def _serves(upstream, version):
+    return upstream.engine.version == version
+
+
+def test_named_version_reaches_every_engine(site, start_agent):
+    engines = _engines(site, 3, 1)
+    for engine in engines:
+        start_agent(engine, engine.instance_id)
+    site.name_version(2)
+    wait_for(lambda: all(_serves(engine, 2) for engine in engines))
+    assert all(engine.engine.staged == site.origin.whole(2) for engine in engines)
+
+
+def test_origin_is_read_about_once(site, start_agent):
+    engines = _engines(site, 3, 1)
+    for engine in engines:
+        start_agent(engine, engine.instance_id)
+    site.name_version(2)
+    wait_for(lambda: all(_serves(engine, 2) for engine in engines))
+    assert len(site.origin.served) <= PIECES * 1.1
+
+
+def test_empty_engine_is_filled_from_its_neighbours(site, start_agent):
+    full, empty = _engines(site, 1, 1) + [
+        site.add_engine("engine-9", "127.0.0.19", version=None)
+    ]
+    start_agent(full, "full")
+    start_agent(empty, "empty")
+    wait_for(lambda: _serves(empty, 1))
+    assert empty.engine.staged == site.origin.whole(1)
+
+
+def test_spoilt_piece_of_the_origin_is_fetched_again(site, start_agent):
+    (engine,) = _engines(site, 1, 1)
+    site.origin.spoil_next = 3
+    start_agent(engine)
+    site.name_version(2)
+    wait_for(lambda: _serves(engine, 2))
+    assert engine.engine.staged == site.origin.whole(2)
+
+
+def test_staged_piece_that_rots_before_the_order_is_mended(
+    site, start_agent, monkeypatch
+):
+    (engine,) = _engines(site, 1, 1)
+    running = start_agent(engine)
+    agent = running.agent
+    verify = agent._verify
+    rotten = []
+
+    def rot_then_verify():
+        if not rotten:
+            rotten.append(3)
+            engine.engine.staged[3] = b"rot"
+        verify()
+
+    monkeypatch.setattr(agent, "_verify", rot_then_verify)
+    site.name_version(2)
+    wait_for(lambda: _serves(engine, 2))
+    assert rotten
+    assert engine.engine.staged == site.origin.whole(2)
+
+
+def test_restarted_engine_is_loaded_again(site, start_agent):
+    (engine,) = _engines(site, 1, 1)
+    start_agent(engine)
+    site.name_version(2)
+    wait_for(lambda: _serves(engine, 2))
+    engine.engine.born_ms = 2
+    engine.engine.version = None
+    wait_for(lambda: _serves(engine, 2))
+    assert engine.engine.orders == 2
+
+
+def test_engine_that_lost_power_is_filled_again(site, start_agent):
+    (engine,) = _engines(site, 1, 1)
+    start_agent(engine)
+    site.name_version(2)
+    wait_for(lambda: _serves(engine, 2))
+    engine.engine.born_ms = 2
+    engine.engine.version = None
+    engine.engine.staged.clear()
+    wait_for(lambda: _serves(engine, 2))
+    assert engine.engine.staged == site.origin.whole(2)
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_version_named_under_way_wins(site, start_agent, count):
+    engines = _engines(site, count, 1)
+    for engine in engines:
+        start_agent(engine, engine.instance_id)
+    site.name_version(2)
+    site.name_version(3)
+    wait_for(lambda: all(_serves(engine, 3) for engine in engines))
+    assert all(engine.engine.staged == site.origin.whole(3) for engine in engines)
+
+
+def test_agent_restarted_alone_keeps_the_staged_pieces(site, start_agent):
+    engine = site.add_engine("engine-1", "127.0.0.11", version=1)
+    engine.engine.staged = {
+        number: data for number, data in site.origin.whole(2).items() if number < 6
+    }
+    site.name_version(2)
+    start_agent(engine)
+    wait_for(lambda: _serves(engine, 2))
+    assert {number for _, number in site.origin.served} == {6, 7}
--- /dev/null
+++ b/testing/daemons/test_entry.py
@@ -0,0 +1,325 @@
+"""The entry against stand-ins: answers, failures of upstreams, bad input."""
+
+import json
+import socket
+
+import pytest
+from sitebuilders import make_headers, make_stream_headers, read_answer, wait_for
+
+from bamboolever.platform.standins.site import (
+    ENGINE_SERVICE,
+    HOST,
+    PLAIN_SERVICE,
+    WORKSPACE,
+)
+from bamboolever.platform.standins.store import StoreTrouble
+from bamboolever.platform.standins.upstream import EVENTS, Behaviour
+
+ALL_EVENTS = b"".join(
+    f"id: {number}\ndata: token {number}\n\n".encode()
+    for number in range(1, EVENTS + 1)
+)
+
+
+@pytest.fixture
+def plain(site):
+    return [site.add_plain("plain-1"), site.add_plain("plain-2")]
+
+
+@pytest.fixture
+def engines(site):
+    return [
+        site.add_engine("engine-1", "127.0.0.2"),
+        site.add_engine("engine-2", "127.0.0.3"),
+    ]
+
+
+def _sent_headers(upstream):
+    return dict(upstream.seen[-1].request.headers)
+
+
+def _runs(upstreams):
+    return sum(len(upstream.ran()) for upstream in upstreams)
+
+
+def test_answer_of_the_upstream_is_passed_on_unchanged(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    answer = entry.call("/orders/1", Bamboolever_Attempt_Id="one")
+    assert answer.status == 200
+    assert answer.body == b"answer to one"
+    assert answer.headers["Bamboolever-Response-Signature"] == "signed"
+    assert answer.headers["Bamboolever-Attempt-Id"] == "one"
+
+
+def test_key_is_replaced_by_the_workspace(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    entry.call("/orders/1", Bamboolever_Tenant="forged")
+    (upstream,) = [item for item in plain if item.seen]
+    headers = _sent_headers(upstream)
+    assert headers[b"Bamboolever-Tenant"] == WORKSPACE.encode()
+    assert b"Authorization" not in headers
+    assert headers[b"Bamboolever-Expected-Instance"] == upstream.instance_id.encode()
+    assert int(headers[b"Bamboolever-Deadline-Remaining"]) <= 5000
+
+
+def test_unknown_key_is_refused(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    assert entry.call("/orders/1", Authorization="Token nobody").status == 401
+    assert entry.call("/orders/1", Authorization=None).status == 401
+    assert not _runs(plain)
+
+
+def test_unknown_path_and_host_are_refused(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    assert entry.call("/unknown/1").status == 404
+    assert entry.call("/orders/1", Host="other.example").status == 404
+    assert not _runs(plain)
+
+
+def test_kept_connection_serves_many_requests(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    connection = entry.connect()
+    answers = [entry.call("/lookup/1", connection=connection) for _ in range(5)]
+    assert [answer.status for answer in answers] == [200] * 5
+
+
+def test_idempotent_request_is_sent_again_after_a_cut(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    for upstream in plain:
+        upstream.behaviours.append(Behaviour.CUT)
+    plain[1].behaviours.clear()
+    answers = [entry.call("/lookup/1") for _ in range(4)]
+    assert [answer.status for answer in answers] == [200] * 4
+
+
+def test_non_idempotent_request_never_runs_twice(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    for upstream in plain:
+        upstream.behaviours.append(Behaviour.CUT)
+    answer = entry.call("/orders/1")
+    assert answer.status == 502
+    assert _runs(plain) == 1
+
+
+def test_rejected_by_the_upstream_is_rejected_with_a_return_time(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    for upstream in plain:
+        upstream.behaviours.append(Behaviour.NOT_EXECUTED)
+    answer = entry.call("/orders/1")
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
+    assert not _runs(plain)
+
+
+def test_unsigned_success_is_not_passed_on(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    for upstream in plain:
+        upstream.behaviours.append(Behaviour.UNSIGNED)
+    assert entry.call("/orders/1").status == 502
+
+
+def test_answer_of_another_attempt_is_not_passed_on(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    for upstream in plain:
+        upstream.behaviours.append(Behaviour.OTHER_ATTEMPT)
+    answer = entry.call("/orders/1", Bamboolever_Deadline_Remaining="300")
+    assert answer.status == 504
+
+
+def test_error_of_a_non_idempotent_request_keeps_its_signature(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    for upstream in plain:
+        upstream.behaviours.append(Behaviour.ERROR)
+    answer = entry.call("/orders/1")
+    assert answer.status == 500
+    assert answer.headers["Bamboolever-Response-Signature"] == "signed"
+
+
+def test_no_answer_by_the_route_timeout_is_answered_504(site, plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    routes = [dict(route, timeoutMs=200) for route in site.configuration["routes"]]
+    site.apply_configuration(routes=routes)
+    wait_for(lambda: entry.entry._configuration.version == 2)
+    for upstream in plain:
+        upstream.behaviours.append(Behaviour.MUTE)
+    assert entry.call("/orders/1").status == 504
+
+
+def test_stream_is_relayed_event_by_event(engines, start_entry):
+    entry = start_entry().wait_ready(2)
+    answer = entry.call("/stream/1", **make_stream_headers())
+    assert answer.status == 200
+    assert answer.body == ALL_EVENTS
+    assert answer.is_whole
+
+
+@pytest.mark.parametrize(
+    "behaviour", [Behaviour.CUT_MID_STREAM, Behaviour.MUTE_MID_STREAM]
+)
+def test_broken_stream_is_resumed_on_another_upstream(engines, start_entry, behaviour):
+    entry = start_entry().wait_ready(2)
+    for upstream in engines:
+        upstream.behaviours.append(behaviour)
+    engines[1].behaviours.clear()
+    answers = [entry.call("/stream/1", **make_stream_headers()) for _ in range(3)]
+    assert [answer.body for answer in answers] == [ALL_EVENTS] * 3
+
+
+def test_stream_that_cannot_be_resumed_is_visibly_cut(engines, start_entry):
+    entry = start_entry().wait_ready(2)
+    for upstream in engines:
+        upstream.behaviours.append(Behaviour.CUT_MID_STREAM)
+    answer = entry.call("/stream/1", **make_stream_headers())
+    assert not answer.is_whole
+    assert answer.body.endswith(b"token 2\n\n")
+
+
+def test_caller_that_leaves_cancels_the_upstream(engines, start_entry):
+    entry = start_entry().wait_ready(2)
+    for upstream in engines:
+        upstream.behaviours.append(Behaviour.MUTE)
+    connection = entry.connect()
+    headers = make_headers(**make_stream_headers())
+    connection.request("POST", "/stream/1", b"body", headers)
+    wait_for(lambda: _runs(engines) == 1)
+    connection.close()
+    wait_for(lambda: any(item.is_cancelled for up in engines for item in up.seen))
+
+
+def test_draining_upstream_gets_no_new_requests(site, plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    site.list_upstream(plain[0], PLAIN_SERVICE, state="draining")
+    wait_for(lambda: views_of(entry)["plain-1"].record.is_draining)
+    for _ in range(4):
+        assert entry.call("/lookup/1").status == 200
+    assert not plain[0].seen
+
+
+def views_of(entry):
+    return entry.entry.fleet._views
+
+
+def test_unreadable_upstream_entry_is_ignored(site, plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    site.store.put("servers", "broken-1", {"service": 7})
+    site.store.put("servers", "broken-2", "text")
+    site.list_upstream(plain[0], PLAIN_SERVICE, state="dancing")
+    wait_for(lambda: "plain-1" not in views_of(entry))
+    assert entry.call("/lookup/1").status == 200
+    assert set(views_of(entry)) == {"plain-2"}
+
+
+def test_reused_address_is_never_sent_a_request_to_run(site, plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    plain[0].instance_id = "another"
+    plain[1].instance_id = "another"
+    answer = entry.call("/orders/1")
+    assert answer.status == 503
+    assert not _runs(plain)
+
+
+def test_older_configuration_never_comes_back(site, plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    old = dict(site.configuration)
+    site.apply_configuration(routes=[])
+    wait_for(lambda: entry.entry._configuration.version == 2)
+    site.store.put("config", "main", old)
+    site.apply_configuration(tenants=[])
+    wait_for(lambda: entry.entry._configuration.version == 3)
+    assert entry.call("/orders/1").status == 404
+
+
+def test_keyed_requests_stop_when_the_store_is_silent_too_long(
+    site, plain, start_entry
+):
+    entry = start_entry(revocationMs=1500).wait_ready(2)
+    site.store.trouble = StoreTrouble.SILENT
+    wait_for(lambda: not entry.entry.is_ready())
+    answer = entry.call("/orders/1")
+    assert answer.status == 503
+    assert "Retry-After" in answer.headers
+    assert not _runs(plain)
+
+
+def test_forgotten_history_is_listed_anew(site, plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    site.store.forget_history()
+    site.add_plain("plain-3")
+    wait_for(lambda: "plain-3" in views_of(entry))
+
+
+def test_stop_finishes_what_is_under_way(engines, start_entry):
+    entry = start_entry().wait_ready(2)
+    connection = entry.connect()
+    headers = make_headers(**make_stream_headers())
+    connection.request("POST", "/stream/1", b"body", headers)
+    wait_for(lambda: _runs(engines) == 1)
+    entry.entry.task.send(entry.entry.request_stop)
+    wait_for(lambda: not entry.entry.is_ready())
+    assert read_answer(connection).body == ALL_EVENTS
+
+
+def test_engine_with_an_old_version_gets_nothing_once_its_time_is_up(
+    site, engines, start_entry
+):
+    entry = start_entry(version_ms=500).wait_ready(2)
+    site.name_version(2)
+    fleet = entry.entry.fleet
+    now = entry.entry.task.now
+    wait_for(lambda: fleet.versions.required("model-1", now()) == 2)
+    assert entry.call("/stream/1", **make_stream_headers()).status == 503
+    engines[0].engine.version = 2
+    site.list_upstream(engines[0], ENGINE_SERVICE)
+    wait_for(lambda: views_of(entry)["engine-1"].version_of("model-1") == 2)
+    assert entry.call("/stream/1", **make_stream_headers()).status == 200
+
+
+def test_conflicting_lengths_are_rejected(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    with socket.create_connection(entry.settings.caller_address, 30) as sock:
+        sock.sendall(
+            f"POST /orders/1 HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 5\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /orders/2".encode()
+        )
+        assert b" 400 " in sock.recv(4096)
+    assert not _runs(plain)
+
+
+def test_header_over_the_limit_is_rejected(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    assert entry.call("/orders/1", X_Long="x" * 20000).status == 431
+
+
+def test_body_over_the_limit_is_rejected(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    connection = entry.connect()
+    headers = make_headers(Content_Length="200000")
+    connection.putrequest("POST", "/orders/1", skip_host=True)
+    for name, value in headers.items():
+        connection.putheader(name, value)
+    connection.endheaders()
+    assert connection.getresponse().status == 413
+
+
+def test_request_without_an_attempt_id_is_refused(plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    assert entry.call("/orders/1", Bamboolever_Attempt_Id=None).status == 400
+
+
+def test_two_entries_learn_of_each_other_through_an_agent(
+    site, engines, start_entry, start_agent
+):
+    start_agent(engines[0])
+    first = start_entry(name="entry-1", host="127.0.0.8").wait_ready(2)
+    second = start_entry(name="entry-2", host="127.0.0.9").wait_ready(2)
+    now = first.entry.task.now
+    wait_for(lambda: first.entry.fleet.peers.addresses(now()))
+    wait_for(lambda: second.entry.fleet.peers.addresses(now()))
+
+
+def test_configuration_that_does_not_decode_is_ignored(site, plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    site.store.put("config", "main", json.loads('{"version": "nine"}'))
+    site.add_plain("plain-3")
+    wait_for(lambda: "plain-3" in views_of(entry))
+    assert entry.call("/lookup/1").status == 200
--- /dev/null
+++ b/testing/fleet/test_exchange.py
@@ -0,0 +1,45 @@
+"""Datagrams between entries and agents."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bamboolever.calls.engine import EngineLoad
+from bamboolever.fleet import exchange
+from bamboolever.net.addresses import Address
+
+MESSAGES = [
+    exchange.Hello("entry-1"),
+    exchange.EntryLoad("entry-1", 1, 2, {-5: EngineLoad(1, 2, 300)}),
+    exchange.AgentState(
+        Address("10.0.0.1", 80), True, 3, 1.5, (Address("10.0.0.2", 81),)
+    ),
+    exchange.PieceMap("model", 2, (1 << 95) | 5, True),
+    exchange.PieceMap("model", 2, 0),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+def test_message_comes_back_as_it_was(message):
+    assert exchange.decode(exchange.encode(message)) == message
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_decode_or_raise_the_layers_error(data):
+    try:
+        exchange.decode(data)
+    except exchange.ExchangeError:
+        pass
+
+
+def test_truncated_message_is_an_error_or_another_message():
+    data = exchange.encode(MESSAGES[1])
+    for size in range(len(data) - 1):
+        try:
+            assert exchange.decode(data[:size]) != MESSAGES[1]
+        except exchange.ExchangeError:
+            pass
+
+
+def test_restarted_upstream_has_another_key():
+    assert exchange.upstream_key("up", 1) != exchange.upstream_key("up", 2)
--- /dev/null
+++ b/testing/fleet/test_peers.py
@@ -0,0 +1,49 @@
+"""Loads that other entries tell."""
+
+from bamboolever.calls.engine import EngineLoad
+from bamboolever.fleet.exchange import EntryLoad
+from bamboolever.fleet.peers import PEER_FORGET_S, PEER_SILENCE_S, PeerLoads
+from bamboolever.net.addresses import Address
+
+OWN = Address("10.0.0.1", 7000)
+PEER = Address("10.0.0.2", 7000)
+OTHER = Address("10.0.0.3", 7000)
+
+
+def _load(sequence, writing, started_ms=1):
+    return EntryLoad("peer", started_ms, sequence, {9: EngineLoad(writing, 0, 0)})
+
+
+def test_loads_of_peers_are_summed():
+    peers = PeerLoads(OWN)
+    peers.apply(PEER, _load(1, 2), 0.0)
+    peers.apply(OTHER, _load(1, 3), 0.0)
+    assert peers.load_at(9, 0.0).writing == 5
+
+
+def test_late_datagram_does_not_undo_a_newer_one():
+    peers = PeerLoads(OWN)
+    peers.apply(PEER, _load(2, 5), 0.0)
+    peers.apply(PEER, _load(1, 1), 0.1)
+    assert peers.load_at(9, 0.1).writing == 5
+
+
+def test_restarted_peer_counts_from_the_start():
+    peers = PeerLoads(OWN)
+    peers.apply(PEER, _load(50, 5), 0.0)
+    peers.apply(PEER, _load(1, 1, started_ms=2), 0.1)
+    assert peers.load_at(9, 0.1).writing == 1
+
+
+def test_silent_peer_has_no_requests_and_is_forgotten():
+    peers = PeerLoads(OWN)
+    peers.apply(PEER, _load(1, 5), 0.0)
+    assert peers.load_at(9, PEER_SILENCE_S + 0.1).writing == 0
+    assert peers.addresses(PEER_FORGET_S + 0.1) == []
+
+
+def test_own_address_is_no_peer():
+    peers = PeerLoads(OWN)
+    assert not peers.learn((OWN,), 0.0)
+    assert peers.learn((PEER,), 0.0)
+    assert peers.addresses(0.0) == [PEER]
--- /dev/null
+++ b/testing/weights/test_plan.py
@@ -0,0 +1,172 @@
+"""The plan of pieces, replayed over links with a rate, without sockets."""
+
+import heapq
+import itertools
+
+import pytest
+
+from bamboolever.daemons.pieceport import LINK_SHARE
+from bamboolever.net.addresses import Address
+from bamboolever.platform.weights import PieceDigests
+from bamboolever.weights.pieces import PieceSet
+from bamboolever.weights.plan import (
+    LAST_RESORT_S,
+    Peer,
+    SwarmView,
+    make_piece_policy,
+)
+
+PIECES = 96
+LINK_PIECE_S = 24576 / (3.65e6 / 8)
+PIECE_S = 24576 / (3.65e6 / 8 * LINK_SHARE)
+ORIGIN_LINK_PIECE_S = 24576 / (3.65e6 / 8)
+PIECE_S = 24576 / (7.3e6 / 8)
+STEP_S = 0.04
+REGIONS = ("region-o", "region-p", "region-q")
+
+
+class Replay:
+    """Agents that plan, one piece at a time on each uplink and downlink."""
+
+    def __init__(self, policy, per_region, *, complete=(), silent=()):
+        peers = [
+            Peer(Address(f"10.{number}.0.{index}", 7000), region)
+            for number, region in enumerate(REGIONS)
+            for index in range(per_region[number])
+        ]
+        self.policy = make_piece_policy(policy)
+        self.silent = {peers[index].address for index in silent}
+        self.views = {peer.address: self._view(peer, peers) for peer in peers}
+        for index in complete:
+            view = self.views[peers[index].address]
+            view.pieces.verified = (1 << PIECES) - 1
+        self.regions = {peer.address: peer.region for peer in peers}
+        self.uplink_free = dict.fromkeys([*self.views, None], 0.0)
+        self.downlink_free = dict.fromkeys(self.views, 0.0)
+        self.uplink_queues = {source: [] for source in self.uplink_free}
+        self.events = []
+        self.order = itertools.count()
+        self.sources = []
+
+    def _view(self, own, peers):
+        manifest = PieceDigests("m", 2, (b"",) * PIECES)
+        others = [peer for peer in peers if peer is not own]
+        return SwarmView(own, others, "region-o", PieceSet(manifest), 0.0)
+
+    def run(self, limit_s=60.0):
+        now = 0.0
+        while now < limit_s and not self.is_done():
+            self._finish_due(now)
+            self._announce(now)
+            self._plan(now)
+            self._send(now)
+            now += STEP_S
+        return now
+
+    def is_done(self):
+        return all(
+            view.pieces.is_complete
+            for address, view in self.views.items()
+            if address not in self.silent
+        )
+
+    def _finish_due(self, now):
+        while self.events and self.events[0][0] <= now:
+            _, _, address, number = heapq.heappop(self.events)
+            view = self.views[address]
+            view.in_flight.pop(number)
+            view.pieces.add(number)
+
+    def _announce(self, now):
+        for sender, source in self.views.items():
+            if sender in self.silent:
+                continue
+            for address, view in self.views.items():
+                if address != sender:
+                    uploads = len(self.uplink_queues[sender])
+                    view.note_have(sender, source.pieces.verified, now, uploads=uploads)
+
+    def _plan(self, now):
+        for address, view in self.views.items():
+            if address in self.silent or view.pieces.is_complete:
+                continue
+            for fetch in self.policy.plan(view, now):
+                self._begin(view, address, fetch)
+
+    def _begin(self, view, address, fetch):
+        view.in_flight[fetch.number] = fetch.source
+        entry = (not fetch.is_import, next(self.order), address, fetch.number)
+        heapq.heappush(self.uplink_queues[fetch.source], entry)
+        self.sources.append((address, fetch.source))
+
+    def _send(self, now):
+        for source, queue in self.uplink_queues.items():
+            took_s = ORIGIN_PIECE_S if source is None else PIECE_S
+            while queue and self.uplink_free[source] <= now + STEP_S:
+                _, order, address, number = heapq.heappop(queue)
+                start = max(now, self.uplink_free[source])
+                self.uplink_free[source] = start + took_s
+                end = max(start + took_s, self.downlink_free[address] + PIECE_S)
+                self.downlink_free[address] = end
+                heapq.heappush(self.events, (end, order, address, number))
+
+    def origin_copies(self):
+        return sum(source is None for _, source in self.sources) / PIECES
+
+    def copies_into(self, region):
+        crossing = [
+            1
+            for address, source in self.sources
+            if self.regions[address] == region
+            and (source is None or self.regions[source] != region)
+        ]
+        return len(crossing) / PIECES
+
+
+def test_version_leaves_the_origin_once_and_enters_each_region_once():
+    replay = Replay("region-chain", (3, 4, 3))
+    replay.run()
+    assert replay.is_done()
+    assert replay.origin_copies() <= 1.1
+    for region in REGIONS[1:]:
+        assert replay.copies_into(region) <= 1.1
+
+
+def test_version_reaches_all_within_a_quarter_of_the_links_floor():
+    replay = Replay("region-chain", (3, 4, 3))
+    floor_s = PIECES * LINK_PIECE_S
+    assert replay.run() <= 1.25 * floor_s
+
+
+def test_plan_beats_reading_all_from_the_origin():
+    chain = Replay("region-chain", (3, 4, 3)).run()
+    origin_only = Replay("origin-only", (3, 4, 3))
+    assert chain < origin_only.run()
+    assert origin_only.origin_copies() == 10
+
+
+def test_empty_engine_takes_pieces_from_its_own_region():
+    replay = Replay("region-chain", (3, 3, 3), complete=(0, 1, 3, 4, 6, 7))
+    replay.run()
+    assert replay.is_done()
+    assert replay.origin_copies() == 0
+    assert all(replay.copies_into(region) == 0 for region in REGIONS)
+
+
+@pytest.mark.parametrize("silent", [(0,), (3,), (0, 1, 2), (3, 4, 5, 6)])
+def test_silent_agents_cost_a_timeout_and_not_the_version(silent):
+    replay = Replay("region-chain", (3, 4, 3), silent=silent)
+    assert replay.run() < LAST_RESORT_S + 4.0
+    assert replay.is_done()
+
+
+def test_single_agent_reads_the_origin():
+    replay = Replay("region-chain", (0, 1, 0))
+    replay.run()
+    assert replay.is_done()
+    assert replay.origin_copies() == 1.0
+
+
+def test_unknown_policy_names_the_known_ones():
+    with pytest.raises(LookupError, match="origin-only, region-chain"):
+        make_piece_policy("none")
