--- a/testing/weights/test_plan.py
+++ b/testing/weights/test_plan.py
@@ -19,8 +19,7 @@
 PIECES = 96
 LINK_PIECE_S = 24576 / (3.65e6 / 8)
 PIECE_S = 24576 / (3.65e6 / 8 * LINK_SHARE)
-ORIGIN_LINK_PIECE_S = 24576 / (3.65e6 / 8)
-PIECE_S = 24576 / (7.3e6 / 8)
+ORIGIN_PIECE_S = 24576 / (7.3e6 / 8)
 STEP_S = 0.04
 REGIONS = ("region-o", "region-p", "region-q")
 
