Block requests that crash upstreams; do not eject most upstreams; find silent ones

Cause: nothing stopped a request that ends each upstream which begins it, and a fault that strikes all upstreams ejected all of them at once.

Change: a broken answer is blamed only when its upstream is then found down; after three crashes the request is rejected at every entry (blames travel between entries). Ejection keeps away from at most half. An idempotent request that gets no answer by its target is sent once more.

--- a/protocol/exchange.thrift
+++ b/protocol/exchange.thrift
@@ -48,9 +48,13 @@
   5: i32 uploads
 }
 
+// Requests that an entry blames for the crash of an upstream, by digest.
+struct Blame { 1: list<i64> digests }
+
 struct Datagram {
   1: optional Hello hello
   2: optional EntryLoad entry_load
   3: optional AgentState agent_state
   4: optional PieceMap piece_map
+  5: optional Blame blame
 }
--- a/src/bamboolever/_exchange_protocol/ttypes.py
+++ b/src/bamboolever/_exchange_protocol/ttypes.py
@@ -654,6 +654,82 @@
         return not (self == other)
 
 
+class Blame(object):
+    """
+    Attributes:
+     - digests
+
+    """
+
+    __slots__ = (
+        'digests',
+    )
+
+
+    def __init__(self, digests=None,):
+        self.digests = digests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.digests = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readI64()
+                        self.digests.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Blame')
+        if self.digests is not None:
+            oprot.writeFieldBegin('digests', TType.LIST, 1)
+            oprot.writeListBegin(TType.I64, len(self.digests))
+            for iter27 in self.digests:
+                oprot.writeI64(iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -661,6 +737,7 @@
      - entry_load
      - agent_state
      - piece_map
+     - blame
 
     """
 
@@ -669,14 +746,16 @@
         'entry_load',
         'agent_state',
         'piece_map',
+        'blame',
     )
 
 
-    def __init__(self, hello=None, entry_load=None, agent_state=None, piece_map=None,):
+    def __init__(self, hello=None, entry_load=None, agent_state=None, piece_map=None, blame=None,):
         self.hello = hello
         self.entry_load = entry_load
         self.agent_state = agent_state
         self.piece_map = piece_map
+        self.blame = blame
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -711,6 +790,12 @@
                     self.piece_map.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.blame = Blame()
+                    self.blame.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -737,6 +822,10 @@
             oprot.writeFieldBegin('piece_map', TType.STRUCT, 4)
             self.piece_map.write(oprot)
             oprot.writeFieldEnd()
+        if self.blame is not None:
+            oprot.writeFieldBegin('blame', TType.STRUCT, 5)
+            self.blame.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -807,6 +896,11 @@
     (4, TType.BOOL, 'is_reply_wanted', None, None, ),  # 4
     (5, TType.I32, 'uploads', None, None, ),  # 5
 )
+all_structs.append(Blame)
+Blame.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'digests', (TType.I64, None, False), None, ),  # 1
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -814,6 +908,7 @@
     (2, TType.STRUCT, 'entry_load', [EntryLoad, None], None, ),  # 2
     (3, TType.STRUCT, 'agent_state', [AgentState, None], None, ),  # 3
     (4, TType.STRUCT, 'piece_map', [PieceMap, None], None, ),  # 4
+    (5, TType.STRUCT, 'blame', [Blame, None], None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -15,6 +15,7 @@
 from bamboolever.fleet.versions import NamedVersions
 
 MAX_HOLD_S = 0.12
+MIN_SOUND_SHARE = 0.5
 MIN_RETURN_S = 0.6
 RETURN_SPREAD_S = 1.0
 # A caller returns within the first third of what is left of its time limit.
@@ -120,13 +121,16 @@
 
     def _usable(self, call: PendingCall, now: float) -> Sequence[UpstreamView]:
         required = self._versions.required(call.model, now)
-        return [
+        able = [
             view
             for view in self._upstreams
-            if view.is_available(now)
+            if view.takes_requests(now)
             and view.instance_id not in call.tried
             and _serves(view, call.model, required)
         ]
+        sound = [view for view in able if not view.is_ejected(now)]
+        # Where most look unsound, the fault is not theirs alone: use them all.
+        return sound if len(sound) >= MIN_SOUND_SHARE * len(able) else able
 
     def _reject(self, call: PendingCall, reason: RejectReason, now: float) -> Rejection:
         delay_s = MIN_RETURN_S + RETURN_SPREAD_S * self._random.random()
--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -64,13 +64,13 @@
             pace=self.pace,
         )
 
-    def is_available(self, now: float) -> bool:
-        """Tell whether new requests may be sent."""
-        return (
-            not self.record.is_draining
-            and now >= self.ejected_until
-            and now >= self.switching_until
-        )
+    def takes_requests(self, now: float) -> bool:
+        """Tell whether it accepts new requests as far as is known."""
+        return not self.record.is_draining and now >= self.switching_until
+
+    def is_ejected(self, now: float) -> bool:
+        """Tell whether its failures keep new requests away."""
+        return now < self.ejected_until
 
     def version_of(self, model: str) -> int | None:
         """Return the whole version of ``model`` that it serves, or None."""
@@ -109,5 +109,5 @@
         return True
 
     def on_unreachable(self, now: float) -> None:
-        """It refused or did not answer a connection."""
+        """It did not answer a connection or a request."""
         self.ejected_until = max(self.ejected_until, now + UNREACHABLE_EJECTION_S)
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -11,7 +11,9 @@
 from bamboolever.calls.dispatcher import Assignment, Decision, RejectReason
 from bamboolever.calls.patience import PatienceEstimator
 from bamboolever.calls.placement import PendingCall
+from bamboolever.calls.poison import CrashLedger, request_digest
 from bamboolever.calls.split import choose_service
+from bamboolever.calls.upstream import UpstreamView
 from bamboolever.config.freshness import Freshness
 from bamboolever.config.model import Configuration, Route, Workspace
 from bamboolever.config.routes import RouteTable, path_of
@@ -81,6 +83,7 @@
         self._routes = RouteTable(Configuration(0))
         self._limits = HttpLimits()
         self._patience = PatienceEstimator()
+        self._crashes = CrashLedger()
         self._budgets: dict[str, RetryBudget] = {}
         self._relays: dict[ServerConnection, CallRelay] = {}
         self._placing: dict[int, CallRelay] = {}
@@ -252,11 +255,17 @@
             if workspace is None:
                 self._refuse(connection, facts, 401, "unknown-key")
                 return
+        digest = request_digest(
+            request.method, request.target, facts.api_key or "", request.body
+        )
+        if self._crashes.is_blocked(digest, self.task.now()):
+            self._refuse(connection, facts, 503, RejectReason.POISON.value)
+            return
         service = choose_service(route, facts.attempt_id)
         if service is None:
             self._refuse(connection, facts, 503, RejectReason.NO_UPSTREAM.value)
             return
-        self._begin(connection, request, facts, route, service, workspace)
+        self._begin(connection, request, facts, route, service, workspace, digest)
 
     def _find_workspace(
         self, configuration: Configuration, facts: wire.CallFacts
@@ -273,6 +282,7 @@
         route: Route,
         service: str,
         workspace: Workspace | None,
+        digest: int,
     ) -> None:
         used_s = 0.0
         if facts.deadline_s is not None:
@@ -287,6 +297,7 @@
             workspace,
             call_id=next(self._call_ids),
             used_s=used_s,
+            digest=digest,
         )
         self._relays[connection] = relay
         relay.start()
@@ -394,6 +405,33 @@
         """Count an event."""
         self.telemetry.count(name, 1, **attributes)
 
+    def on_break(self, relay: CallRelay, upstream: UpstreamView) -> None:
+        """Remember which requests broke at an upstream."""
+        key = self.fleet.key(upstream)
+        self._crashes.on_break(key, relay.digest, self.task.now())
+
+    def on_down(self, upstream: UpstreamView) -> None:
+        """Blame the requests that broke just before, here and at the peers."""
+        now = self.task.now()
+        digests = self._crashes.on_down(self.fleet.key(upstream), now)
+        if not digests:
+            return
+        logger.info(
+            "upstream down",
+            extra={"upstream": upstream.instance_id, "blamed": len(digests)},
+        )
+        data = exchange.encode(exchange.Blame(tuple(digests)))
+        for address in self.fleet.peers.addresses(now):
+            self._datagrams.send(data, address)
+
+    def on_completed(self, relay: CallRelay) -> None:
+        """Clear a request that ran to its end."""
+        self._crashes.on_completed(relay.digest)
+
+    def is_blocked(self, relay: CallRelay) -> bool:
+        """Tell whether the request is known to crash upstreams."""
+        return self._crashes.is_blocked(relay.digest, self.task.now())
+
     def _decide(self, service: str) -> None:
         self._carry_out(self.fleet.dispatcher(service).decide(self.task.now()))
 
@@ -442,6 +480,9 @@
             self.fleet.apply_peer_load(sender, message, now)
         elif isinstance(message, exchange.AgentState):
             self._on_agent_state(message, now)
+        elif isinstance(message, exchange.Blame):
+            for digest in message.digests:
+                self._crashes.blame(digest, now)
         for service in self.fleet.services():
             if self.fleet.dispatcher(service).waiting:
                 self._decide(service)
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -95,9 +95,7 @@
         """Return what this entry has at each upstream, to tell the peers."""
         self._sequence += 1
         uses = {
-            self._key(view): view.own_load
-            for view in self._views.values()
-            if view.calls
+            self.key(view): view.own_load for view in self._views.values() if view.calls
         }
         name = self._settings.name
         return EntryLoad(name, self._started_ms, self._sequence, uses)
@@ -120,9 +118,10 @@
         return self.peers.learn(state.entries, now)
 
     def _update_peers(self, view: UpstreamView, now: float) -> None:
-        view.peers = self.peers.load_at(self._key(view), now)
+        view.peers = self.peers.load_at(self.key(view), now)
 
-    def _key(self, view: UpstreamView) -> int:
+    def key(self, view: UpstreamView) -> int:
+        """Return the key of one incarnation of an upstream."""
         return upstream_key(view.instance_id, view.record.born_ms)
 
     def _has_engine(self, record: UpstreamRecord) -> bool:
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -62,6 +62,22 @@
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
 
+    @abstractmethod
+    def on_break(self, relay: "CallRelay", upstream: UpstreamView) -> None:
+        """An upstream's answer to the request broke."""
+
+    @abstractmethod
+    def on_down(self, upstream: UpstreamView) -> None:
+        """An upstream refused or did not answer a connection."""
+
+    @abstractmethod
+    def on_completed(self, relay: "CallRelay") -> None:
+        """An upstream ran the request to its end."""
+
+    @abstractmethod
+    def is_blocked(self, relay: "CallRelay") -> bool:
+        """Tell whether the request is known to crash upstreams."""
+
     @abstractmethod
     def count(self, name: str, **attributes: str) -> None:
         """Count an event by its attributes."""
@@ -96,6 +112,7 @@
         *,
         call_id: int,
         used_s: float,
+        digest: int,
     ):
         self._owner = owner
         self._task = owner.task
@@ -107,6 +124,7 @@
         self._workspace = workspace
         self.call_id = call_id
         self.used_s = used_s
+        self.digest = digest
         self.arrived_at = self._task.now()
         self._timeout_at = self.arrived_at + min(
             route.timeout_s, facts.deadline_s or route.timeout_s
@@ -248,6 +266,7 @@
         view = self._upstream
         assert view is not None
         view.on_success()
+        self._owner.on_completed(self)
         if self._is_stream():
             self._end_stream()
             return
@@ -258,8 +277,13 @@
         """The exchange broke."""
         self._exchange = None
         outcome = AttemptOutcome.UNKNOWN if failure.is_sent else AttemptOutcome.NOT_RUN
-        if failure.kind is FailureKind.CONNECT and self._upstream is not None:
-            self._upstream.on_unreachable(self._task.now())
+        view = self._upstream
+        assert view is not None
+        if failure.kind is FailureKind.CONNECT:
+            view.on_unreachable(self._task.now())
+            self._owner.on_down(view)
+        elif failure.is_sent:
+            self._owner.on_break(self, view)
         self._attempt_failed(outcome, f"{failure.kind.value}: {failure.detail}")
 
     # Streams.
@@ -333,6 +357,8 @@
             has_budget=True,
         )
         refusal = explain_no_retry(inputs)
+        if refusal is None and self._owner.is_blocked(self):
+            refusal = "crashes-upstreams"
         if refusal is None and not self._owner.budget(self.service).try_take():
             refusal = "budget-used"
         self._owner.count(
@@ -422,10 +448,13 @@
 
     def _arm_stall(self) -> None:
         self._disarm_stall()
-        if not (self._is_stream() and self.route.may_repeat):
+        if not self.route.may_repeat:
             return
-        gap_s = (self.route.target_gap_s or 0.0) * STALL_GAPS
-        limit_s = max(STALL_S, gap_s)
+        limit_s = STALL_S
+        if self._is_stream():
+            limit_s = max(STALL_S, (self.route.target_gap_s or 0.0) * STALL_GAPS)
+        elif self.route.target_latency_s > 0:
+            limit_s = min(STALL_S, self.route.target_latency_s)
         self._stall = self._task.call_later(limit_s, self._on_stall)
 
     def _disarm_stall(self) -> None:
@@ -437,4 +466,6 @@
         if self._is_done or self._exchange is None:
             return
         self._drop_exchange()
+        if self._upstream is not None and self._is_stream():
+            self._upstream.on_unreachable(self._task.now())
         self._attempt_failed(AttemptOutcome.UNKNOWN, "silent upstream")
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -70,7 +70,14 @@
     uploads: int = 0
 
 
-Message = Hello | EntryLoad | AgentState | PieceMap
+@dataclass(frozen=True)
+class Blame:
+    """Requests that an entry blames for the crash of an upstream, by digest."""
+
+    digests: tuple[int, ...]
+
+
+Message = Hello | EntryLoad | AgentState | PieceMap | Blame
 
 
 def upstream_key(instance_id: str, born_ms: int | None) -> int:
@@ -124,6 +131,8 @@
                 ],
             )
         }
+    if isinstance(message, Blame):
+        return {"blame": ttypes.Blame(list(message.digests))}
     size = max(1, (message.bitmap.bit_length() + 7) // 8)
     return {
         "piece_map": ttypes.PieceMap(
@@ -168,4 +177,6 @@
             bool(pieces.is_reply_wanted),
             pieces.uploads or 0,
         )
+    if datagram.blame is not None:
+        return Blame(tuple(datagram.blame.digests))
     raise ExchangeError("an empty datagram")
--- a/testing/calls/test_dispatcher.py
+++ b/testing/calls/test_dispatcher.py
@@ -146,3 +146,18 @@
     for _ in range(4):
         dispatcher.submit(make_pending(model=None), 0.0)
     assert len(near.calls) > len(far.calls) > 0
+
+
+def test_ejected_upstream_is_avoided_while_most_are_sound():
+    ejected, sound = make_view("ejected"), make_view("sound")
+    ejected.ejected_until = 10.0
+    (decision,) = _dispatcher([ejected, sound]).submit(make_pending(), 0.0)
+    assert decision.choice.upstream is sound
+
+
+def test_upstreams_are_used_where_most_are_ejected():
+    views = [make_view(f"up-{number}") for number in range(3)]
+    for view in views:
+        view.ejected_until = 10.0
+    (decision,) = _dispatcher(views).submit(make_pending(), 0.0)
+    assert isinstance(decision, Assignment)
--- a/testing/calls/test_upstream.py
+++ b/testing/calls/test_upstream.py
@@ -12,8 +12,8 @@
 def test_upstream_that_fails_in_a_row_is_ejected_and_comes_back():
     view = make_view()
     assert _fail(view, 0.0)[-1]
-    assert not view.is_available(MIN_EJECTION_S / 2)
-    assert view.is_available(MIN_EJECTION_S)
+    assert view.is_ejected(MIN_EJECTION_S / 2)
+    assert not view.is_ejected(MIN_EJECTION_S)
 
 
 def test_success_between_failures_keeps_the_upstream():
@@ -21,14 +21,14 @@
     for _ in range(10):
         assert not view.on_failure(0.0)
         view.on_success()
-    assert view.is_available(0.0)
+    assert not view.is_ejected(0.0)
 
 
 def test_each_ejection_in_a_row_is_longer():
     view = make_view()
     _fail(view, 0.0)
     _fail(view, 10.0)
-    assert not view.is_available(10.0 + MIN_EJECTION_S)
+    assert view.is_ejected(10.0 + MIN_EJECTION_S)
 
 
 def test_answered_version_is_newer_than_the_list_entry():
--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -6,7 +6,9 @@
 import pytest
 from sitebuilders import make_headers, make_stream_headers, read_answer, wait_for
 
+from bamboolever.calls.poison import request_digest
 from bamboolever.platform.standins.site import (
+    API_KEY,
     ENGINE_SERVICE,
     HOST,
     PLAIN_SERVICE,
@@ -323,3 +325,35 @@
     site.add_plain("plain-3")
     wait_for(lambda: "plain-3" in views_of(entry))
     assert entry.call("/lookup/1").status == 200
+
+
+def test_request_that_crashes_upstreams_is_blocked_at_every_entry(
+    site, engines, start_entry, start_agent
+):
+    start_agent(engines[0])
+    first = start_entry(name="entry-1", host="127.0.0.8").wait_ready(2)
+    second = start_entry(name="entry-2", host="127.0.0.9").wait_ready(2)
+    now = first.entry.task.now
+    wait_for(lambda: first.entry.fleet.peers.addresses(now()))
+    wait_for(lambda: second.entry.fleet.peers.addresses(now()))
+    relay = _crash_three_times(first, engines)
+    wait_for(lambda: second.entry._crashes.is_blocked(relay, now()))
+    answer = second.call("/stream/bad", **make_stream_headers())
+    assert answer.status == 503
+    assert answer.body == b"poison"
+    assert second.call("/stream/good", **make_stream_headers()).status == 200
+
+
+def _crash_three_times(running, engines):
+    entry = running.entry
+    digest = request_digest(b"POST", b"/stream/bad", API_KEY, b"body")
+    views = views_of(running)
+    for number in range(3):
+        view = views[engines[number % 2].instance_id]
+
+        def crash(view=view):
+            entry._crashes.on_break(entry.fleet.key(view), digest, entry.task.now())
+            entry.on_down(view)
+
+        entry.task.send(crash)
+    return digest
--- a/testing/fleet/test_exchange.py
+++ b/testing/fleet/test_exchange.py
@@ -16,6 +16,7 @@
     ),
     exchange.PieceMap("model", 2, (1 << 95) | 5, True),
     exchange.PieceMap("model", 2, 0),
+    exchange.Blame((-1, 5)),
 ]
 
 
