Know returning callers by digest, told between entries, not by their time limit

Fresh requests counted as late, were neither held nor given the last quarter of the slots.

Change: entries remember and tell each other the digests of what they rejected and since when the caller waits. Rejected callers are asked to come back after 1.1 to 1.9 s; a returning request may be held for 0.5 s.

--- a/protocol/exchange.thrift
+++ b/protocol/exchange.thrift
@@ -51,10 +51,19 @@
 // Requests that an entry blames for the crash of an upstream, by digest.
 struct Blame { 1: list<i64> digests }
 
+// A request that an entry rejected and how long ago its caller first asked.
+struct Rejected {
+  1: i64 digest
+  2: i32 age_ms
+}
+
+struct Rejections { 1: list<Rejected> rejected }
+
 struct Datagram {
   1: optional Hello hello
   2: optional EntryLoad entry_load
   3: optional AgentState agent_state
   4: optional PieceMap piece_map
   5: optional Blame blame
+  6: optional Rejections rejections
 }
--- a/src/bamboolever/_exchange_protocol/ttypes.py
+++ b/src/bamboolever/_exchange_protocol/ttypes.py
@@ -730,6 +730,163 @@
         return not (self == other)
 
 
+class Rejected(object):
+    """
+    Attributes:
+     - digest
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'digest',
+        'age_ms',
+    )
+
+
+    def __init__(self, digest=None, age_ms=None,):
+        self.digest = digest
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Rejected')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 1)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Rejections(object):
+    """
+    Attributes:
+     - rejected
+
+    """
+
+    __slots__ = (
+        'rejected',
+    )
+
+
+    def __init__(self, rejected=None,):
+        self.rejected = rejected
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.rejected = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Rejected()
+                        _elem33.read(iprot)
+                        self.rejected.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Rejections')
+        if self.rejected is not None:
+            oprot.writeFieldBegin('rejected', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.rejected))
+            for iter34 in self.rejected:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -738,6 +895,7 @@
      - agent_state
      - piece_map
      - blame
+     - rejections
 
     """
 
@@ -747,15 +905,17 @@
         'agent_state',
         'piece_map',
         'blame',
+        'rejections',
     )
 
 
-    def __init__(self, hello=None, entry_load=None, agent_state=None, piece_map=None, blame=None,):
+    def __init__(self, hello=None, entry_load=None, agent_state=None, piece_map=None, blame=None, rejections=None,):
         self.hello = hello
         self.entry_load = entry_load
         self.agent_state = agent_state
         self.piece_map = piece_map
         self.blame = blame
+        self.rejections = rejections
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -796,6 +956,12 @@
                     self.blame.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.rejections = Rejections()
+                    self.rejections.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -826,6 +992,10 @@
             oprot.writeFieldBegin('blame', TType.STRUCT, 5)
             self.blame.write(oprot)
             oprot.writeFieldEnd()
+        if self.rejections is not None:
+            oprot.writeFieldBegin('rejections', TType.STRUCT, 6)
+            self.rejections.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -901,6 +1071,17 @@
     None,  # 0
     (1, TType.LIST, 'digests', (TType.I64, None, False), None, ),  # 1
 )
+all_structs.append(Rejected)
+Rejected.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'digest', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
+all_structs.append(Rejections)
+Rejections.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'rejected', (TType.STRUCT, [Rejected, None], False), None, ),  # 1
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -909,6 +1090,7 @@
     (3, TType.STRUCT, 'agent_state', [AgentState, None], None, ),  # 3
     (4, TType.STRUCT, 'piece_map', [PieceMap, None], None, ),  # 4
     (5, TType.STRUCT, 'blame', [Blame, None], None, ),  # 5
+    (6, TType.STRUCT, 'rejections', [Rejections, None], None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -15,9 +15,10 @@
 from bamboolever.fleet.versions import NamedVersions
 
 MAX_HOLD_S = 0.12
+MAX_RETURN_HOLD_S = 0.5
 MIN_SOUND_SHARE = 0.5
-MIN_RETURN_S = 0.6
-RETURN_SPREAD_S = 1.0
+MIN_RETURN_S = 1.1
+RETURN_SPREAD_S = 0.8
 # A caller returns within the first third of what is left of its time limit.
 MAX_RETURN_SHARE = 0.3
 
@@ -117,6 +118,9 @@
 
     def _give_up_at(self, call: PendingCall) -> float:
         latest_start = call.target_at - self.policy.shortest_s(call)
+        if call.is_returning:
+            # It is late already: what counts is that it does not fail again.
+            return min(call.arrived_at + MAX_RETURN_HOLD_S, call.timeout_at)
         return min(call.arrived_at + MAX_HOLD_S, latest_start, call.timeout_at)
 
     def _usable(self, call: PendingCall, now: float) -> Sequence[UpstreamView]:
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -9,9 +9,9 @@
 from bamboolever._task import IoTask, Timer
 from bamboolever._telemetry import Telemetry
 from bamboolever.calls.dispatcher import Assignment, Decision, RejectReason
-from bamboolever.calls.patience import PatienceEstimator
 from bamboolever.calls.placement import PendingCall
 from bamboolever.calls.poison import CrashLedger, request_digest
+from bamboolever.calls.returns import ReturnLedger
 from bamboolever.calls.split import choose_service
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.config.freshness import Freshness
@@ -82,7 +82,8 @@
         self._configuration: Configuration | None = None
         self._routes = RouteTable(Configuration(0))
         self._limits = HttpLimits()
-        self._patience = PatienceEstimator()
+        self._returns = ReturnLedger()
+        self._new_rejections: dict[int, float] = {}
         self._crashes = CrashLedger()
         self._budgets: dict[str, RetryBudget] = {}
         self._relays: dict[ServerConnection, CallRelay] = {}
@@ -284,9 +285,6 @@
         workspace: Workspace | None,
         digest: int,
     ) -> None:
-        used_s = 0.0
-        if facts.deadline_s is not None:
-            used_s = self._patience.observe(route.name, facts.deadline_s)
         relay = CallRelay(
             self,
             connection,
@@ -296,7 +294,7 @@
             service,
             workspace,
             call_id=next(self._call_ids),
-            used_s=used_s,
+            used_s=self._returns.used_s(digest, self.task.now()),
             digest=digest,
         )
         self._relays[connection] = relay
@@ -366,6 +364,8 @@
         """Log and count a request's outcome."""
         self._relays.pop(relay._connection, None)
         record = relay.record
+        if record.outcome == "rejected":
+            self._remember_rejection(relay)
         self.count("call.ended", outcome=record.outcome, detail=record.detail[:40])
         logger.info(
             "call ended",
@@ -389,6 +389,12 @@
             },
         )
 
+    def _remember_rejection(self, relay: CallRelay) -> None:
+        first_at = relay.arrived_at - relay.used_s
+        self._returns.on_rejected(relay.digest, first_at, self.task.now())
+        self._new_rejections[relay.digest] = first_at
+        self._mark_load_changed()
+
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         budget = self._budgets.get(service)
@@ -480,6 +486,9 @@
             self.fleet.apply_peer_load(sender, message, now)
         elif isinstance(message, exchange.AgentState):
             self._on_agent_state(message, now)
+        elif isinstance(message, exchange.Rejections):
+            for digest, age_s in message.ages_s.items():
+                self._returns.on_rejected(digest, now - age_s, now)
         elif isinstance(message, exchange.Blame):
             for digest in message.digests:
                 self._crashes.blame(digest, now)
@@ -514,9 +523,15 @@
         addresses = self.fleet.peers.addresses(now)
         if not addresses:
             return
-        data = exchange.encode(self.fleet.own_load())
-        for address in addresses:
-            self._datagrams.send(data, address)
+        messages: list[exchange.Message] = [self.fleet.own_load()]
+        if self._new_rejections:
+            ages_s = {key: now - at for key, at in self._new_rejections.items()}
+            messages.append(exchange.Rejections(ages_s))
+            self._new_rejections = {}
+        for message in messages:
+            data = exchange.encode(message)
+            for address in addresses:
+                self._datagrams.send(data, address)
 
     def _send_load_if_quiet(self) -> None:
         if self.task.now() - self._load_sent_at >= LOAD_HEARTBEAT_S:
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -77,7 +77,14 @@
     digests: tuple[int, ...]
 
 
-Message = Hello | EntryLoad | AgentState | PieceMap | Blame
+@dataclass(frozen=True)
+class Rejections:
+    """Rejected requests by digest, with the seconds since each first arrived."""
+
+    ages_s: dict[int, float]
+
+
+Message = Hello | EntryLoad | AgentState | PieceMap | Blame | Rejections
 
 
 def upstream_key(instance_id: str, born_ms: int | None) -> int:
@@ -133,6 +140,12 @@
         }
     if isinstance(message, Blame):
         return {"blame": ttypes.Blame(list(message.digests))}
+    if isinstance(message, Rejections):
+        rejected = [
+            ttypes.Rejected(digest, int(age_s * 1000))
+            for digest, age_s in message.ages_s.items()
+        ]
+        return {"rejections": ttypes.Rejections(rejected)}
     size = max(1, (message.bitmap.bit_length() + 7) // 8)
     return {
         "piece_map": ttypes.PieceMap(
@@ -179,4 +192,7 @@
         )
     if datagram.blame is not None:
         return Blame(tuple(datagram.blame.digests))
+    if datagram.rejections is not None:
+        rejected = datagram.rejections.rejected
+        return Rejections({item.digest: item.age_ms / 1000 for item in rejected})
     raise ExchangeError("an empty datagram")
--- a/testing/fleet/test_exchange.py
+++ b/testing/fleet/test_exchange.py
@@ -17,6 +17,7 @@
     exchange.PieceMap("model", 2, (1 << 95) | 5, True),
     exchange.PieceMap("model", 2, 0),
     exchange.Blame((-1, 5)),
+    exchange.Rejections({-9: 1.25, 3: 0.0}),
 ]
 
 
