Log each decision on a call once, bounded; histograms and what the log dropped

Cause: an on-call engineer saw only how a call ended, and served calls filled the log as much as failed ones.

Change: lines for placement, failed attempt and end, with the inputs and their age; placements and served calls up to 100 lines a second, the failed always; histograms of first byte, prediction error and total time; dropped log lines are counted and said.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -50,6 +50,8 @@
     call: PendingCall
     reason: RejectReason
     retry_after_s: float
+    usable_upstreams: int = 0
+    waiting_calls: int = 0
 
 
 Decision = Assignment | Rejection
@@ -139,7 +141,13 @@
     def _reject(self, call: PendingCall, reason: RejectReason, now: float) -> Rejection:
         delay_s = MIN_RETURN_S + RETURN_SPREAD_S * self._random.random()
         left_s = max(0.0, call.timeout_at - now)
-        return Rejection(call, reason, min(delay_s, left_s * MAX_RETURN_SHARE))
+        return Rejection(
+            call,
+            reason,
+            min(delay_s, left_s * MAX_RETURN_SHARE),
+            usable_upstreams=len(self._usable(call, now)),
+            waiting_calls=len(self._waiting),
+        )
 
 
 def _urgency(call: PendingCall) -> tuple[int, float]:
--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -30,6 +30,7 @@
     record: UpstreamRecord
     calls: dict[int, ActiveCall] = field(default_factory=dict)
     peers: EngineLoad = EngineLoad()
+    peers_at: float = 0.0
     ejected_until: float = 0.0
     switching_until: float = 0.0
     answered_version: int | None = None
@@ -64,6 +65,10 @@
             pace=self.pace,
         )
 
+    def peers_age_s(self, now: float) -> float:
+        """Return the seconds since a peer told its load."""
+        return now - self.peers_at
+
     def takes_requests(self, now: float) -> bool:
         """Tell whether it accepts new requests as far as is known."""
         return not self.record.is_draining and now >= self.switching_until
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -18,6 +18,7 @@
 from bamboolever.config.model import Configuration, Route, Workspace
 from bamboolever.config.routes import RouteTable, path_of
 from bamboolever.config.watch import KindWatch, WatchTiming
+from bamboolever.daemons.calllog import CallLog
 from bamboolever.daemons.clock import suspended_clock
 from bamboolever.daemons.entryfleet import EntryFleet
 from bamboolever.daemons.observers import (
@@ -72,6 +73,7 @@
         self._settings = settings
         self.task = IoTask("entry", clock=suspended_clock)
         self.telemetry = Telemetry("entry")
+        self.log = CallLog(self.telemetry)
         self.pool = ConnectionPool(
             self.task, connect_timeout_s=CONNECT_TIMEOUT_S, max_idle_s=UPSTREAM_IDLE_S
         )
@@ -298,6 +300,11 @@
             digest=digest,
         )
         self._relays[connection] = relay
+        self.log.arrived(
+            relay,
+            configuration=self._configuration.version if self._configuration else 0,
+            confirmed_age_s=self._freshness.age_s(self.task.now()),
+        )
         relay.start()
 
     def _refuse(
@@ -362,32 +369,10 @@
 
     def on_ended(self, relay: CallRelay) -> None:
         """Log and count a request's outcome."""
-        self._relays.pop(relay._connection, None)
-        record = relay.record
-        if record.outcome == "rejected":
+        self._relays.pop(relay.connection, None)
+        if relay.record.outcome == "rejected":
             self._remember_rejection(relay)
-        self.count("call.ended", outcome=record.outcome, detail=record.detail[:40])
-        logger.info(
-            "call ended",
-            extra={
-                "attempt": _text(relay.facts.attempt_id),
-                "route": relay.route.name,
-                "service": relay.service,
-                "configuration": (
-                    self._configuration.version if self._configuration else 0
-                ),
-                "outcome": record.outcome,
-                "status": record.status,
-                "detail": record.detail,
-                "upstreams": record.upstreams,
-                "retries": record.retries,
-                "used_s": round(relay.used_s, 3),
-                "predicted_s": round(record.predicted_s, 3),
-                "first_byte_s": record.first_byte_s and round(record.first_byte_s, 3),
-                "total_s": round(self.task.now() - relay.arrived_at, 3),
-                "prompt_tokens": relay.facts.prompt_tokens,
-            },
-        )
+        self.log.ended(relay, self.task.now())
 
     def _remember_rejection(self, relay: CallRelay) -> None:
         first_at = relay.arrived_at - relay.used_s
@@ -448,6 +433,7 @@
                 continue
             if isinstance(decision, Assignment):
                 self._mark_load_changed()
+                self.log.placed(relay, decision.choice, self.task.now())
                 relay.on_placed(decision.choice)
                 continue
             relay.on_rejected(decision)
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -119,6 +119,7 @@
 
     def _update_peers(self, view: UpstreamView, now: float) -> None:
         view.peers = self.peers.load_at(self.key(view), now)
+        view.peers_at = now
 
     def key(self, view: UpstreamView) -> int:
         """Return the key of one incarnation of an upstream."""
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -13,6 +13,7 @@
 from bamboolever.calls.retry import AttemptOutcome, RetryInput, explain_no_retry
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.config.model import Route, RouteKind, Workspace
+from bamboolever.daemons.calllog import CallLog
 from bamboolever.net.client import (
     ClientConnection,
     ConnectionPool,
@@ -41,6 +42,7 @@
 
     task: IoTask
     pool: ConnectionPool
+    log: CallLog
 
     @abstractmethod
     def enqueue(self, relay: "CallRelay", pending: PendingCall) -> None:
@@ -94,6 +96,15 @@
     status: int | None = None
     outcome: str = "open"
     detail: str = ""
+    configuration: int = 0
+    confirmed_age_s: float | None = None
+    usable_upstreams: int | None = None
+    waiting_calls: int | None = None
+
+    @property
+    def is_uneventful(self) -> bool:
+        """Whether the first upstream served the request."""
+        return self.outcome == "served" and not self.retries
 
 
 @final
@@ -116,7 +127,7 @@
     ):
         self._owner = owner
         self._task = owner.task
-        self._connection = connection
+        self.connection = connection
         self._request = request
         self.facts = facts
         self.route = route
@@ -173,6 +184,8 @@
 
     def on_rejected(self, rejection: Rejection) -> None:
         """Tell the caller that no upstream can serve the request."""
+        self.record.usable_upstreams = rejection.usable_upstreams
+        self.record.waiting_calls = rejection.waiting_calls
         if self._has_started:
             self._abort("no-upstream-to-resume")
             return
@@ -299,7 +312,7 @@
         self._start_stream()
         if part.last_event_id is not None:
             self._last_event_id = part.last_event_id
-        self._connection.send(part.data)
+        self.connection.send(part.data)
 
     def _start_stream(self) -> None:
         if self._has_started:
@@ -308,14 +321,14 @@
         self._has_started = True
         self.record.status = self._first_head.status
         headers = wire.answer_headers(self._first_head)
-        self._connection.start(self._first_head.status, headers)
+        self.connection.start(self._first_head.status, headers)
 
     def _end_stream(self) -> None:
         self._start_stream()
         if self._splitter.leftover:
-            self._connection.send(self._splitter.leftover)
+            self.connection.send(self._splitter.leftover)
         self._finish("served")
-        self._connection.finish()
+        self.connection.finish()
 
     def _note_first_byte(self) -> None:
         view = self._upstream
@@ -361,9 +374,7 @@
             refusal = "crashes-upstreams"
         if refusal is None and not self._owner.budget(self.service).try_take():
             refusal = "budget-used"
-        self._owner.count(
-            "call.retry", outcome=outcome.value, refusal=refusal or "sent-again"
-        )
+        self._owner.log.retried(self, outcome.value, detail, refusal or "sent-again")
         if refusal is None:
             self._enqueue()
         elif self._has_started:
@@ -384,23 +395,23 @@
         self.record.status = head.status
         self._finish("served" if head.is_success else "upstream-error")
         headers = wire.answer_headers(head)
-        self._connection.respond(head.status, headers, bytes(self._body))
+        self.connection.respond(head.status, headers, bytes(self._body))
 
     def _reject(self, reason: RejectReason, retry_after_s: float | None) -> None:
         self.record.status = REJECTED_STATUS
         self._finish("rejected", reason.value)
         delay_s = 0.5 if retry_after_s is None else retry_after_s
         headers = [wire.retry_after_header(delay_s), *self._echo()]
-        self._connection.respond(REJECTED_STATUS, headers, reason.value.encode())
+        self.connection.respond(REJECTED_STATUS, headers, reason.value.encode())
 
     def _answer_failure(self, detail: str) -> None:
         self.record.status = FAILED_STATUS
         self._finish("failed", detail)
-        self._connection.respond(FAILED_STATUS, self._echo())
+        self.connection.respond(FAILED_STATUS, self._echo())
 
     def _abort(self, detail: str) -> None:
         self._finish("cut", detail)
-        self._connection.abort()
+        self.connection.abort()
 
     def _on_timeout(self) -> None:
         if self._is_done:
@@ -414,7 +425,7 @@
         else:
             self.record.status = TIMED_OUT_STATUS
             self._finish("timed-out")
-            self._connection.respond(TIMED_OUT_STATUS, self._echo())
+            self.connection.respond(TIMED_OUT_STATUS, self._echo())
 
     def on_caller_gone(self) -> None:
         """End everything: nobody waits for the answer."""
