--- a/src/bamboolever/_cli.py
+++ b/src/bamboolever/_cli.py
@@ -13,6 +13,9 @@
 import typer
 from returns.result import Failure
 
+from bamboolever._clitrials import bench_app, stand_in_app
+from bamboolever.reports.cli import explain
+
 EXIT_OK = 0
 EXIT_WRONG = 1
 EXIT_BAD_INPUT = 2
@@ -31,12 +34,9 @@
     add_completion=False,
     pretty_exceptions_enable=False,
 )
-stand_in_app = typer.Typer(
-    help="Small fakes of the outside systems, for trials.", no_args_is_help=True
-)
 app.add_typer(stand_in_app, name="stand-in")
-bench_app = typer.Typer(help="Measurements on this machine.", no_args_is_help=True)
 app.add_typer(bench_app, name="bench")
+app.command(epilog=EXIT_CODES)(explain)
 
 SettingsFile = Annotated[Path, typer.Option("--settings", help="TOML settings file.")]
 PlatformUrl = Annotated[
@@ -83,16 +83,6 @@
     raise typer.Exit(loaded.unwrap().run())
 
 
-def _wait_for_stop() -> None:
-    import signal
-    import threading
-
-    stop = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stop.set())
-    signal.signal(signal.SIGINT, lambda *_: stop.set())
-    stop.wait()
-
-
 @app.command(epilog=EXIT_CODES)
 def entry(settings: SettingsFile, log_level: LogLevel = "INFO") -> None:
     """Run an entry: callers' HTTP, contracts, routing."""
@@ -323,82 +313,6 @@
     raise typer.Exit(EXIT_OK if is_right else EXIT_WRONG)
 
 
-@bench_app.command("distribution", epilog=EXIT_CODES)
-def bench_distribution(quick: bool = False, as_json: AsJson = False) -> None:
-    """Push weights with every policy over shaped links."""
-    from bamboolever._benchdistribution import run_distribution_bench
-
-    _run_bench(run_distribution_bench, is_quick=quick, as_json=as_json)
-
-
-@bench_app.command("control", epilog=EXIT_CODES)
-def bench_control(quick: bool = False, as_json: AsJson = False) -> None:
-    """Measure decisions and messages at growing fleet views."""
-    from bamboolever._benchcontrol import run_control_bench
-
-    result = run_control_bench(is_quick=quick, say=_say)
-    if as_json:
-        typer.echo(json.dumps(result))
-
-
-@bench_app.command("configuration", epilog=EXIT_CODES)
-def bench_configuration(quick: bool = False, as_json: AsJson = False) -> None:
-    """Measure how long a change takes to be in force in every entry."""
-    from bamboolever._benchpropagation import run_propagation_bench
-
-    _run_bench(run_propagation_bench, is_quick=quick, as_json=as_json)
-
-
-def _run_bench(run: Any, *, is_quick: bool, as_json: bool) -> None:
-    import logging
-
-    logging.basicConfig(level=logging.ERROR)
-    rows = run(is_quick=is_quick, say=_say)
-    if as_json:
-        typer.echo(json.dumps({"rows": rows}))
-
-
-def _say(line: str) -> None:
-    typer.echo(line, err=True)
-
-
-@stand_in_app.command("platform")
-def stand_in_platform(port: int = 7000) -> None:
-    """Run a stand-in for the platform's object API."""
-    from bamboolever._standins.platform import StandInPlatform
-
-    server = StandInPlatform(port=port)
-    server.start()
-    typer.echo(server.url)
-    _wait_for_stop()
-
-
-@stand_in_app.command("origin")
-def stand_in_origin(
-    port: int = 7100, rate_mb_s: float = 100.0, chunk_kb: int = 256
-) -> None:
-    """Run a stand-in for the origin; POST /_versions adds a version."""
-    from bamboolever._standins.origin import StandInOrigin
-
-    server = StandInOrigin(
-        port=port, rate_bytes_per_s=rate_mb_s * 1e6, chunk_bytes=chunk_kb * 1024
-    )
-    server.start()
-    typer.echo(server.url)
-    _wait_for_stop()
-
-
-@stand_in_app.command("engine")
-def stand_in_engine(port: int = 7200, kind: str = "model") -> None:
-    """Run a stand-in for a model engine or a plain service."""
-    from bamboolever._standins.engine import StandInEngine
-
-    server = StandInEngine(kind, port=port)
-    server.start()
-    typer.echo(server.url)
-    _wait_for_stop()
-
-
 def main() -> None:
     """Run the command line."""
     app(prog_name="bamboolever")
--- /dev/null
+++ b/src/bamboolever/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Reads what the daemons wrote: logs and journal entries."""
--- /dev/null
+++ b/testing/platform/test_calls.py
@@ -0,0 +1,95 @@
+"""Requests and answers as the platform spells them."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bamboolever.net.messages import Request, ResponseHead
+from bamboolever.platform import calls
+
+REQUEST = Request(
+    b"POST",
+    b"/a/b?c",
+    (
+        (b"Host", b"h.example"),
+        (b"Bamboolever-Attempt-Id", b"9c41"),
+        (b"Bamboolever-Model", b"m"),
+        (b"Bamboolever-Token-Counts", b"1460,80"),
+        (b"Bamboolever-Deadline-Remaining", b"6097"),
+        (b"Authorization", b"Token key-1"),
+        (b"Bamboolever-Tenant", b"forged"),
+        (b"Bamboolever-Expected-Instance", b"forged"),
+        (b"Bamboolever-Request-Priority", b"0"),
+        (b"Path", b"1.2.3.4:80=0-16"),
+        (b"Connection", b"keep-alive, X-Private"),
+        (b"X-Private", b"hop"),
+        (b"X-Own", b"kept"),
+    ),
+    b"body",
+)
+
+
+def test_request_is_decoded():
+    facts = calls.decode_call(REQUEST)
+    assert facts.attempt_id == b"9c41"
+    assert facts.api_key == "key-1"
+    assert facts.deadline_s == 6.097
+    assert (facts.prompt_tokens, facts.max_output_tokens) == (1460, 80)
+
+
+def test_forwarded_request_keeps_what_is_the_callers():
+    dispatch = calls.Dispatch("i-1", 1.5, workspace="w")
+    sent = calls.forward_request(REQUEST, dispatch)
+    headers = dict(sent.headers)
+    assert (sent.method, sent.target, sent.body) == (b"POST", b"/a/b?c", b"body")
+    assert headers[b"Bamboolever-Attempt-Id"] == b"9c41"
+    assert headers[b"Bamboolever-Token-Counts"] == b"1460,80"
+    assert headers[b"X-Own"] == b"kept"
+
+
+def test_forwarded_request_has_only_our_own_of_what_we_set():
+    sent = calls.forward_request(REQUEST, calls.Dispatch("i-1", 1.5, workspace="w"))
+    headers = dict(sent.headers)
+    assert headers[b"Bamboolever-Deadline-Remaining"] == b"1500"
+    assert headers[b"Bamboolever-Expected-Instance"] == b"i-1"
+    assert headers[b"Bamboolever-Tenant"] == b"w"
+    names = {name for name, _ in sent.headers}
+    assert not names & {
+        b"Authorization",
+        b"Path",
+        b"Connection",
+        b"X-Private",
+        b"Bamboolever-Request-Priority",
+    }
+
+
+def test_request_without_a_workspace_has_no_workspace_header():
+    sent = calls.forward_request(REQUEST, calls.Dispatch("i-1", 1.5))
+    assert b"Bamboolever-Tenant" not in dict(sent.headers)
+
+
+def test_resumed_stream_goes_on_after_the_last_event():
+    dispatch = calls.Dispatch("i-1", 1.0, last_event_id=b"7")
+    sent = calls.forward_request(REQUEST, dispatch)
+    assert dict(sent.headers)[b"Last-Event-Id"] == b"7"
+
+
+def test_rejection_counts_as_not_executed_only_when_it_says_so():
+    says = ((b"Bamboolever-Not-Executed", b"1"),)
+    assert calls.is_not_executed(ResponseHead(503, says))
+    assert calls.is_not_executed(ResponseHead(421, ()))
+    assert not calls.is_not_executed(ResponseHead(503, ()))
+    assert not calls.is_not_executed(ResponseHead(200, says))
+
+
+@given(st.dictionaries(st.sampled_from([n for n, _ in REQUEST.headers]), st.binary()))
+def test_any_header_values_decode(values):
+    headers = tuple(values.items())
+    calls.decode_call(Request(b"GET", b"/", headers))
+
+
+def test_load_is_decoded_or_ignored():
+    head = ResponseHead(200, ((b"Bamboolever-Server-Load", b"3,0,8"),))
+    assert calls.decode_load(head) == calls.ServerLoad(3, 0, 8)
+    for value in (b"", b"1,2", b"a,b,c", b"1,2,3,4"):
+        bad = ResponseHead(200, ((b"Bamboolever-Server-Load", value),))
+        assert calls.decode_load(bad) is None
--- /dev/null
+++ b/testing/platform/test_documents.py
@@ -0,0 +1,135 @@
+"""Documents of the store, sound and broken."""
+
+import copy
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bamboolever.config.model import RouteKind
+from bamboolever.fleet.records import LayerRange
+from bamboolever.platform import documents, store
+from bamboolever.platform.errors import AdapterError
+
+SERVER = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "cape-a",
+    "version": "v1",
+    "slots": 16,
+    "state": "ready",
+    "coldRemainingMs": 250,
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "layers": {"from": 0, "to": 16, "version": 1},
+    "sequence": 4,
+    "born": 1700000000000,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "Hulo84.example",
+            "pathPrefix": "/x/",
+            "kind": "streaming",
+            "timeoutMs": 6000,
+            "targetLatencyMs": 405,
+            "priority": 1,
+            "trafficSplit": [
+                {"service": "a", "weight": 90},
+                {"service": "b", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "allowAnonymous": False,
+            "resumeStreams": True,
+            "targetGapMs": 300,
+        }
+    ],
+    "services": [
+        {"name": "o", "origin": "172.20.0.3:80", "zone": "z", "linkMbps": 8.0}
+    ],
+    "limits": {"maxHeaderBytes": 100, "idleTimeoutMs": 15000},
+    "tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def test_upstream_is_decoded():
+    record = documents.decode_upstream("i-1", SERVER)
+    assert record.instance_id == "i-1"
+    assert record.cold_remaining_s == 0.25
+    assert record.models[0].layers == LayerRange(0, 16, 1)
+    assert record.models[0].is_whole(16)
+    assert not record.models[0].is_whole(17)
+
+
+@pytest.mark.parametrize("field", ["service", "address", "state"])
+def test_upstream_without_a_needed_field_is_refused(field):
+    broken = {key: value for key, value in SERVER.items() if key != field}
+    with pytest.raises(AdapterError):
+        documents.decode_upstream("i-1", broken)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("slots", "16"), ("state", "dancing"), ("address", "nowhere"), ("service", 3)],
+)
+def test_upstream_with_a_field_of_another_kind_is_refused(field, value):
+    with pytest.raises(AdapterError):
+        documents.decode_upstream("i-1", {**SERVER, field: value})
+
+
+@given(st.recursive(st.none() | st.integers() | st.text(), st.lists, max_leaves=5))
+def test_any_document_decodes_or_raises_the_layers_error(document):
+    for decode in (
+        documents.decode_configuration,
+        documents.decode_version,
+        documents.decode_report,
+        lambda item: documents.decode_upstream("i", item),
+    ):
+        try:
+            decode(document)
+        except AdapterError:
+            pass
+
+
+def test_configuration_is_decoded():
+    configuration = documents.decode_configuration(CONFIGURATION)
+    (route,) = configuration.routes
+    assert route.kind is RouteKind.STREAMING
+    assert route.may_repeat
+    assert (route.timeout_s, route.target_latency_s) == (6.0, 0.405)
+    assert [share.weight for share in route.targets] == [90, 10]
+    assert configuration.workspaces_by_key["k2"].name == "t"
+    assert configuration.services["o"].origin.bytes_per_s == 1e6
+    assert configuration.limits.idle_timeout_s == 15.0
+
+
+def test_configuration_with_an_unknown_kind_is_refused():
+    broken = copy.deepcopy(CONFIGURATION)
+    broken["routes"][0]["kind"] = "sometimes"
+    with pytest.raises(AdapterError):
+        documents.decode_configuration(broken)
+
+
+def test_listing_leaves_unreadable_objects_out():
+    body = (
+        b'{"items": ["text", {"metadata": {"name": "a"}, "specification": 1}],'
+        b' "hasMore": false, "at": 9}'
+    )
+    listing = store.decode_listing(body)
+    assert [item.name for item in listing.documents] == ["a"]
+    assert listing.revision == 9
+
+
+def test_object_without_content_is_no_deletion():
+    body = b'{"items": [{"metadata": {"name": "a"}}], "at": 9}'
+    assert store.decode_listing(body).documents[0].value is not None
+
+
+@given(st.binary(max_size=80))
+def test_any_answer_of_the_store_decodes_or_raises(body):
+    for decode in (store.decode_listing, store.decode_changes):
+        try:
+            decode(body)
+        except AdapterError:
+            pass
--- /dev/null
+++ b/testing/rawserver.py
@@ -0,0 +1,66 @@
+"""A server that answers with scripted bytes, for tests of broken answers."""
+
+import socket
+import struct
+import threading
+
+from bamboolever.net.addresses import Address
+
+
+class RawServer:
+    """Each accepted connection plays the next script.
+
+    A script is a list of bytes to send after each request that arrived;
+    the words "close" and "reset" end the connection, "hold" keeps it open.
+    """
+
+    def __init__(self, *scripts):
+        self._scripts = list(scripts)
+        self._sock = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(*self._sock.getsockname())
+        self.requests = []
+        self.accepted = 0
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def close(self):
+        self._sock.close()
+
+    def _run(self):
+        for script in self._scripts:
+            try:
+                connection, _ = self._sock.accept()
+            except OSError:
+                return
+            self.accepted += 1
+            threading.Thread(
+                target=self._play, args=(connection, script), daemon=True
+            ).start()
+
+    def _play(self, connection, script):
+        for step in script:
+            if step == "close":
+                connection.close()
+                return
+            if step == "reset":
+                linger = struct.pack("ii", 1, 0)
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                connection.close()
+                return
+            if step == "hold":
+                connection.recv(65536)
+                return
+            request = b""
+            while b"\r\n\r\n" not in request:
+                data = connection.recv(65536)
+                if not data:
+                    return
+                request += data
+            self.requests.append(request)
+            connection.sendall(step)
+        connection.recv(65536)
+
+
+def make_answer(body=b"ok", status="200 OK", *headers):
+    lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- /dev/null
+++ b/testing/reports/test_explain.py
@@ -0,0 +1,67 @@
+"""From a request's id to its cause."""
+
+import json
+
+from typer.testing import CliRunner
+
+from bamboolever._cli import app
+from bamboolever.reports.explain import find_walk, parse_line
+
+TIMES = ["10:00:00,000", "10:00:01,000", "10:00:02,500", "10:00:03,000"]
+
+
+def _line(time, message, **fields):
+    return json.dumps({"asctime": f"2026-01-01 {time}", "message": message, **fields})
+
+
+LINES = [
+    _line("09:00:00,000", "configuration in force", version=3),
+    _line(TIMES[0], "upstream down", upstream="i-1", blamed=2),
+    _line(TIMES[0], "upstream down", upstream="i-9", blamed=1),
+    _line(TIMES[1], "call placed", attempt="a", upstream="i-1", predicted_s=0.1),
+    _line(TIMES[1], "call placed", attempt="b", upstream="i-1"),
+    _line(TIMES[2], "call attempt failed", attempt="a", upstream="i-1", detail="reset"),
+    _line(TIMES[3], "call ended", attempt="a", outcome="cut", upstreams=["i-1"]),
+]
+
+
+def _walk(texts, attempt="a"):
+    return find_walk([parse_line(text, "entry.log") for text in texts], attempt)
+
+
+def test_walk_has_the_requests_lines_and_its_upstreams_troubles():
+    messages = [line.message for line in _walk(LINES)]
+    assert messages == [
+        "upstream down",
+        "call placed",
+        "call attempt failed",
+        "call ended",
+    ]
+
+
+def test_line_behind_a_time_and_an_instance_is_read():
+    line = parse_line(f"  12.5 entry-1 {LINES[3]}", "all.log")
+    assert (line.source, line.time) == ("entry-1", "12.5")
+
+
+def test_other_lines_are_passed_over():
+    assert parse_line("Traceback (most recent call last):", "x") is None
+    assert parse_line("{not json", "x") is None
+    assert parse_line("[1]{}", "x") is None
+
+
+def test_command_prints_the_walk(tmp_path):
+    log = tmp_path / "entry.log"
+    log.write_text("\n".join(LINES))
+    result = CliRunner().invoke(app, ["explain", "a", str(log)])
+    assert result.exit_code == 0
+    assert "detail=reset" in result.output
+    result = CliRunner().invoke(app, ["explain", "a", str(log), "--json"])
+    assert len(json.loads(result.output)["lines"]) == 4
+
+
+def test_command_says_when_nothing_is_found(tmp_path):
+    log = tmp_path / "entry.log"
+    log.write_text("\n".join(LINES))
+    result = CliRunner().invoke(app, ["explain", "zzz", str(log)])
+    assert result.exit_code == 1
