--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -16,6 +16,8 @@
 
 MAX_HOLD_S = 0.12
 MAX_RETURN_HOLD_S = 0.5
+# Callers leave a stream that pauses for longer than two seconds.
+MAX_RESUME_HOLD_S = 1.5
 MIN_SOUND_SHARE = 0.5
 MIN_RETURN_S = 1.1
 RETURN_SPREAD_S = 0.8
@@ -85,7 +87,7 @@
 
     def submit(self, call: PendingCall, now: float) -> list[Decision]:
         """Add a request and decide."""
-        if not self._usable(call, now):
+        if not self._usable(call, now) and not call.is_resumed:
             return [self._reject(call, RejectReason.NO_UPSTREAM, now)]
         self._waiting.append(call)
         self._waiting.sort(key=_urgency)
@@ -120,6 +122,8 @@
 
     def _give_up_at(self, call: PendingCall) -> float:
         latest_start = call.target_at - self.policy.shortest_s(call)
+        if call.is_resumed:
+            return min(call.arrived_at + MAX_RESUME_HOLD_S, call.timeout_at)
         if call.is_returning:
             # It is late already: what counts is that it does not fail again.
             return min(call.arrived_at + MAX_RETURN_HOLD_S, call.timeout_at)
@@ -150,8 +154,8 @@
         )
 
 
-def _urgency(call: PendingCall) -> tuple[int, float]:
-    return (call.priority, call.target_at)
+def _urgency(call: PendingCall) -> tuple[bool, int, float]:
+    return (not call.is_resumed, call.priority, call.target_at)
 
 
 def _serves(view: UpstreamView, model: str | None, required: int) -> bool:
--- a/src/bamboolever/calls/placement.py
+++ b/src/bamboolever/calls/placement.py
@@ -15,6 +15,7 @@
 # A late answer is sent only where on-time ones leave this share of slots free.
 LATE_SLOT_SHARE = 0.75
 PLAIN_QUEUE_SHARE = 1.5
+FARTHEST_SHARE = 0.2
 
 
 @dataclass
@@ -33,6 +34,7 @@
     used_s: float = 0.0
     model: str | None = None
     tried: set[str] = field(default_factory=set)
+    is_resumed: bool = False
 
     @property
     def is_returning(self) -> bool:
@@ -116,9 +118,10 @@
         return 0.0
 
     def _score(self, view: UpstreamView) -> float:
-        # A nearer upstream is taken until it is fuller by half of its slots.
+        # A nearer upstream is taken until it is fuller by this share of its slots.
         share = view.load.active / max(1, view.record.slots)
-        return share + min(0.5, self._penalty(view) / OTHER_REGION_PENALTY_S * 0.5)
+        distance = min(1.0, self._penalty(view) / OTHER_REGION_PENALTY_S)
+        return share + FARTHEST_SHARE * distance
 
 
 @final
@@ -137,8 +140,9 @@
         self, call: PendingCall, upstreams: Sequence[UpstreamView], now: float
     ) -> Choice | None:
         """Return the upstream with the soonest first event that is in time."""
-        is_late = now + self.shortest_s(call) > call.target_at
-        share = LATE_SLOT_SHARE if is_late else 1.0
+        # A stream that broke is late in any case; its caller has part of it.
+        is_late = call.is_resumed or now + self.shortest_s(call) > call.target_at
+        share = LATE_SLOT_SHARE if is_late and not call.is_resumed else 1.0
         best: Choice | None = None
         best_score = 0.0
         for view in upstreams:
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -210,6 +210,7 @@
             used_s=self.used_s,
             model=self.facts.model,
             tried=self._tried,
+            is_resumed=self._has_started,
         )
         self._owner.enqueue(self, pending)
 
--- a/src/bamboolever/fleet/versions.py
+++ b/src/bamboolever/fleet/versions.py
@@ -54,6 +54,14 @@
         """Return the newest named version, or None."""
         return max(self._named_at.get(model, {}), default=None)
 
+    def due_at(self, model: str, version: int) -> float | None:
+        """Return when a version becomes required, None where that is not known."""
+        named_at = self._named_at.get(model, {}).get(version)
+        return None if named_at is None else self._due(named_at)
+
+    def _due(self, named_at: float) -> float:
+        return named_at + self._timeout_s - VERSION_MARGIN_S
+
     def required(self, model: str | None, now: float) -> int:
         """Return the lowest version that may serve new requests."""
         if model is None:
--- a/src/bamboolever/platform/weights.py
+++ b/src/bamboolever/platform/weights.py
@@ -90,13 +90,18 @@
         raise AdapterError(f"staged list does not decode: {error}") from error
 
 
-def start_order_request(address: Address, model: str, version: int) -> Request:
-    """Return the order to load the staged pieces once running work has ended."""
+def start_order_request(
+    address: Address, model: str, version: int, *, cuts: bool
+) -> Request:
+    """Return the order to load the staged pieces.
+
+    ``cuts`` ends running work at once; else the engine waits for it.
+    """
     order = {
         "operation": "start",
         "model": model,
         "version": version,
-        "switchMode": "wait",
+        "switchMode": "cut_off" if cuts else "wait",
     }
     headers = (host_header(address), (b"Content-Type", b"application/json"))
     return Request(b"POST", names.ORDER_PATH, headers, json.dumps(order).encode())
--- a/src/bamboolever/weights/loading.py
+++ b/src/bamboolever/weights/loading.py
@@ -15,6 +15,7 @@
     NOTHING = "nothing"
     LOOK_UP = "look-up"
     FETCH = "fetch"
+    DRAIN = "drain"
     VERIFY = "verify"
     ORDER = "order"
     WAIT = "wait"
@@ -28,6 +29,7 @@
     report: EngineReport | None
     layers: int
     is_staged: bool
+    is_drained: bool
     is_verified: bool
 
 
@@ -54,6 +56,8 @@
         return LoadStep.FETCH
     if state.report is None or state.report.is_busy:
         return LoadStep.WAIT
+    if not state.is_drained:
+        return LoadStep.DRAIN
     return LoadStep.ORDER if state.is_verified else LoadStep.VERIFY
 
 
--- a/src/bamboolever/weights/plan.py
+++ b/src/bamboolever/weights/plan.py
@@ -121,8 +121,10 @@
 
     def plan(self, view: SwarmView, now: float) -> list[PieceFetch]:
         """Return fetches, those that bring a piece into the region first."""
-        load = Counter(view.in_flight.values())
         room = MAX_FETCHES - len(view.in_flight)
+        if room <= 0:
+            return []
+        load = Counter(view.in_flight.values())
         imports: list[PieceFetch] = []
         locals_: list[PieceFetch] = []
         for number in self._order(view):
@@ -134,7 +136,7 @@
             is_local = fetch.source is not None and self._is_local(view, fetch.source)
             (locals_ if is_local else imports).append(fetch)
             load[fetch.source] += 1
-        return (imports + locals_)[: max(0, room)]
+        return (imports + locals_)[:room]
 
     def _order(self, view: SwarmView) -> list[int]:
         # Rare pieces first, ties in an own order: neighbours then hold different
