--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -10,8 +10,7 @@
 from bamboolever._telemetry import Telemetry
 from bamboolever.calls.dispatcher import Assignment, Decision, RejectReason
 from bamboolever.calls.placement import PendingCall
-from bamboolever.calls.poison import CrashLedger, request_digest
-from bamboolever.calls.returns import ReturnLedger
+from bamboolever.calls.poison import request_digest
 from bamboolever.calls.split import choose_service
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.config.freshness import Freshness
@@ -20,6 +19,7 @@
 from bamboolever.config.watch import KindWatch, WatchTiming
 from bamboolever.daemons.calllog import CallLog
 from bamboolever.daemons.clock import suspended_clock
+from bamboolever.daemons.entryexchange import EntryExchange
 from bamboolever.daemons.entryfleet import EntryFleet
 from bamboolever.daemons.observers import (
     ConfigurationObserver,
@@ -29,11 +29,9 @@
 from bamboolever.daemons.relay import CallRelay, RelayOwner
 from bamboolever.daemons.settings import InstanceSettings
 from bamboolever.daemons.statusport import StatusHandler
-from bamboolever.fleet import exchange
 from bamboolever.fleet.records import NamedVersion
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
-from bamboolever.net.datagrams import DatagramPort
 from bamboolever.net.messages import Request
 from bamboolever.net.server import (
     HttpLimits,
@@ -52,9 +50,6 @@
 CONFIGURATION_WAIT_S = 2.0
 LIST_WAIT_S = 20.0
 LIST_SETTLE_S = 0.1
-LOAD_PERIOD_S = 0.04
-LOAD_HEARTBEAT_S = 0.5
-HELLO_PERIOD_S = 1.0
 METRICS_PORT_OFFSET = 1
 FILES_RESERVED = 264
 # After a stop is asked for, the balancer still sends new connections this long.
@@ -84,9 +79,6 @@
         self._configuration: Configuration | None = None
         self._routes = RouteTable(Configuration(0))
         self._limits = HttpLimits()
-        self._returns = ReturnLedger()
-        self._new_rejections: dict[int, float] = {}
-        self._crashes = CrashLedger()
         self._budgets: dict[str, RetryBudget] = {}
         self._relays: dict[ServerConnection, CallRelay] = {}
         self._placing: dict[int, CallRelay] = {}
@@ -95,8 +87,6 @@
         self._stopped_at = 0.0
         self._due_timer: Timer | None = None
         self._due_at: float | None = None
-        self._load_sent_at = 0.0
-        self._is_load_due = False
         self.fleet = EntryFleet(settings, int(time.time() * 1000))
         self._open_ports()
         self._watches = self._make_watches()
@@ -110,11 +100,9 @@
         """Serve on the calling thread until a stop is complete."""
         for server in (self._server, self._readiness, self._metrics):
             server.start()
-        self._datagrams.start()
+        self.exchange.start()
         for watch in self._watches:
             watch.start()
-        self._send_hellos()
-        self._send_load_if_quiet()
         self.task.run()
 
     def _open_ports(self) -> None:
@@ -140,7 +128,14 @@
             self.task, metrics, status, limits, max_connections=32
         )
         own = Address(settings.host, settings.internal_port)
-        self._datagrams = DatagramPort(self.task, own, self._on_datagram)
+        self.exchange = EntryExchange(
+            self.task,
+            settings.name,
+            own,
+            self.fleet,
+            self.telemetry,
+            self._decide_waiting,
+        )
 
     def _make_watches(self) -> list[KindWatch]:
         def watch(
@@ -208,7 +203,7 @@
         self.fleet.refresh(self.task.now())
         if is_first:
             # Agents tell what a process that just started cannot know.
-            self._greet_agents()
+            self.exchange.greet_agents()
         for service in self.fleet.services():
             self.on_room(service)
 
@@ -261,7 +256,7 @@
         digest = request_digest(
             request.method, request.target, facts.api_key or "", request.body
         )
-        if self._crashes.is_blocked(digest, self.task.now()):
+        if self.exchange.crashes.is_blocked(digest, self.task.now()):
             self._refuse(connection, facts, 503, RejectReason.POISON.value)
             return
         service = choose_service(route, facts.attempt_id)
@@ -296,7 +291,7 @@
             service,
             workspace,
             call_id=next(self._call_ids),
-            used_s=self._returns.used_s(digest, self.task.now()),
+            used_s=self.exchange.returns.used_s(digest, self.task.now()),
             digest=digest,
         )
         self._relays[connection] = relay
@@ -363,7 +358,7 @@
 
     def on_room(self, service: str) -> None:
         """Place what waits for a service; not inside the caller's stack."""
-        self._mark_load_changed()
+        self.exchange.mark_load_changed()
         if self.fleet.dispatcher(service).waiting:
             self.task.send(lambda: self._decide(service))
 
@@ -371,15 +366,10 @@
         """Log and count a request's outcome."""
         self._relays.pop(relay.connection, None)
         if relay.record.outcome == "rejected":
-            self._remember_rejection(relay)
+            first_at = relay.arrived_at - relay.used_s
+            self.exchange.remember_rejection(relay.digest, first_at)
         self.log.ended(relay, self.task.now())
 
-    def _remember_rejection(self, relay: CallRelay) -> None:
-        first_at = relay.arrived_at - relay.used_s
-        self._returns.on_rejected(relay.digest, first_at, self.task.now())
-        self._new_rejections[relay.digest] = first_at
-        self._mark_load_changed()
-
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         budget = self._budgets.get(service)
@@ -399,29 +389,27 @@
     def on_break(self, relay: CallRelay, upstream: UpstreamView) -> None:
         """Remember which requests broke at an upstream."""
         key = self.fleet.key(upstream)
-        self._crashes.on_break(key, relay.digest, self.task.now())
+        self.exchange.crashes.on_break(key, relay.digest, self.task.now())
 
     def on_down(self, upstream: UpstreamView) -> None:
         """Blame the requests that broke just before, here and at the peers."""
         now = self.task.now()
-        digests = self._crashes.on_down(self.fleet.key(upstream), now)
+        digests = self.exchange.crashes.on_down(self.fleet.key(upstream), now)
         if not digests:
             return
         logger.info(
             "upstream down",
             extra={"upstream": upstream.instance_id, "blamed": len(digests)},
         )
-        data = exchange.encode(exchange.Blame(tuple(digests)))
-        for address in self.fleet.peers.addresses(now):
-            self._datagrams.send(data, address)
+        self.exchange.blame(digests)
 
     def on_completed(self, relay: CallRelay) -> None:
         """Clear a request that ran to its end."""
-        self._crashes.on_completed(relay.digest)
+        self.exchange.crashes.on_completed(relay.digest)
 
     def is_blocked(self, relay: CallRelay) -> bool:
         """Tell whether the request is known to crash upstreams."""
-        return self._crashes.is_blocked(relay.digest, self.task.now())
+        return self.exchange.crashes.is_blocked(relay.digest, self.task.now())
 
     def _decide(self, service: str) -> None:
         self._carry_out(self.fleet.dispatcher(service).decide(self.task.now()))
@@ -432,7 +420,7 @@
             if relay is None:
                 continue
             if isinstance(decision, Assignment):
-                self._mark_load_changed()
+                self.exchange.mark_load_changed()
                 self.log.placed(relay, decision.choice, self.task.now())
                 relay.on_placed(decision.choice)
                 continue
@@ -453,77 +441,14 @@
 
     def _on_due(self) -> None:
         self._due_at = None
-        for service in self.fleet.services():
-            if self.fleet.dispatcher(service).waiting:
-                self._decide(service)
+        self._decide_waiting()
         self._arm_due()
 
-    # Other instances.
-
-    def _on_datagram(self, data: bytes, sender: Address) -> None:
-        try:
-            message = exchange.decode(data)
-        except exchange.ExchangeError as error:
-            self.count("datagram.malformed")
-            logger.warning("datagram ignored", extra={"reason": str(error)})
-            return
-        now = self.task.now()
-        if isinstance(message, exchange.EntryLoad):
-            self.fleet.apply_peer_load(sender, message, now)
-        elif isinstance(message, exchange.AgentState):
-            self._on_agent_state(message, now)
-        elif isinstance(message, exchange.Rejections):
-            for digest, age_s in message.ages_s.items():
-                self._returns.on_rejected(digest, now - age_s, now)
-        elif isinstance(message, exchange.Blame):
-            for digest in message.digests:
-                self._crashes.blame(digest, now)
+    def _decide_waiting(self) -> None:
         for service in self.fleet.services():
             if self.fleet.dispatcher(service).waiting:
                 self._decide(service)
 
-    def _on_agent_state(self, state: exchange.AgentState, now: float) -> None:
-        if self.fleet.apply_agent_state(state, now):
-            self._mark_load_changed()
-
-    def _greet_agents(self) -> None:
-        data = exchange.encode(exchange.Hello(self._settings.name))
-        for address in self.fleet.agent_addresses():
-            self._datagrams.send(data, address)
-
-    def _send_hellos(self) -> None:
-        self._greet_agents()
-        self.task.call_later(HELLO_PERIOD_S, self._send_hellos)
-
-    def _mark_load_changed(self) -> None:
-        if self._is_load_due:
-            return
-        self._is_load_due = True
-        wait_s = self._load_sent_at + LOAD_PERIOD_S - self.task.now()
-        self.task.call_later(max(0.0, wait_s), self._send_load)
-
-    def _send_load(self) -> None:
-        self._is_load_due = False
-        now = self.task.now()
-        self._load_sent_at = now
-        addresses = self.fleet.peers.addresses(now)
-        if not addresses:
-            return
-        messages: list[exchange.Message] = [self.fleet.own_load()]
-        if self._new_rejections:
-            ages_s = {key: now - at for key, at in self._new_rejections.items()}
-            messages.append(exchange.Rejections(ages_s))
-            self._new_rejections = {}
-        for message in messages:
-            data = exchange.encode(message)
-            for address in addresses:
-                self._datagrams.send(data, address)
-
-    def _send_load_if_quiet(self) -> None:
-        if self.task.now() - self._load_sent_at >= LOAD_HEARTBEAT_S:
-            self._send_load()
-        self.task.call_later(LOAD_HEARTBEAT_S, self._send_load_if_quiet)
-
     # Stop.
 
     def request_stop(self) -> None:
--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -337,7 +337,7 @@
     wait_for(lambda: first.entry.fleet.peers.addresses(now()))
     wait_for(lambda: second.entry.fleet.peers.addresses(now()))
     relay = _crash_three_times(first, engines)
-    wait_for(lambda: second.entry._crashes.is_blocked(relay, now()))
+    wait_for(lambda: second.entry.exchange.crashes.is_blocked(relay, now()))
     answer = second.call("/stream/bad", **make_stream_headers())
     assert answer.status == 503
     assert answer.body == b"poison"
@@ -352,7 +352,9 @@
         view = views[engines[number % 2].instance_id]
 
         def crash(view=view):
-            entry._crashes.on_break(entry.fleet.key(view), digest, entry.task.now())
+            entry.exchange.crashes.on_break(
+                entry.fleet.key(view), digest, entry.task.now()
+            )
             entry.on_down(view)
 
         entry.task.send(crash)
