Split loader, entry and relay by job

Change: calls/admission (pure: may a request be placed), daemons/calldesk (calls under way), relayowner, transfer (pieces of one engine), loaderowner. Retry budget and crash findings are asked in one place.

--- a/src/bamboolever/calls/retry.py
+++ b/src/bamboolever/calls/retry.py
@@ -26,7 +26,6 @@
     attempts: int
     max_attempts: int
     remaining_s: float
-    has_budget: bool
 
 
 # Less than this is too little for an upstream to begin.
@@ -41,6 +40,4 @@
         return "attempts-used"
     if inputs.remaining_s < MIN_REMAINING_S:
         return "no-time-left"
-    if not inputs.has_budget:
-        return "budget-used"
     return None
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -8,7 +8,8 @@
 from bamboolever.config.model import Configuration, EngineProfile, WeightOrigin
 from bamboolever.config.watch import KindWatch, WatchTiming
 from bamboolever.daemons.clock import suspended_clock
-from bamboolever.daemons.loader import EngineLoader, LoaderOwner
+from bamboolever.daemons.loader import EngineLoader
+from bamboolever.daemons.loaderowner import LoaderOwner
 from bamboolever.daemons.observers import (
     ConfigurationObserver,
     UpstreamObserver,
@@ -102,7 +103,7 @@
     def _open_ports(self) -> None:
         limits = HttpLimits()
         self._piece_port = PiecePort(
-            self.task, self._loader.read_piece, self._settings.link_bytes_per_s
+            self.task, self._loader.transfer.read_piece, self._settings.link_bytes_per_s
         )
         self._piece_server = HttpServer(
             self.task, self._own, self._piece_port, limits, max_connections=128
@@ -133,7 +134,7 @@
             self._apply_configuration, lambda _as_of: None
         )
         upstreams = UpstreamObserver(
-            self._upstreams, self.task.now, self._loader.update_peers
+            self._upstreams, self.task.now, self._loader.transfer.update_peers
         )
         versions = VersionObserver(self._on_version)
         self._configuration_watch = watch(names.CONFIGURATION_KIND, configuration, None)
@@ -253,7 +254,9 @@
 
     def _refresh_if_needed(self) -> None:
         is_due = self.task.now() - self._listed_at > LIST_REFRESH_S
-        if is_due and (self._configuration is None or self._loader.needs_pieces):
+        if is_due and (
+            self._configuration is None or self._loader.transfer.needs_pieces
+        ):
             self.refresh_lists()
 
     # Other instances.
@@ -268,7 +271,7 @@
             self._subscribers[sender] = self.task.now()
             self._send_state(sender)
         elif isinstance(message, exchange.PieceMap):
-            self._loader.apply_map(sender, message)
+            self._loader.transfer.apply_map(sender, message)
 
     def _send_state(self, address: Address) -> None:
         report = self._loader.report
--- /dev/null
+++ b/src/bamboolever/daemons/calldesk.py
@@ -0,0 +1,190 @@
+"""The calls under way at an entry: placed by the dispatchers, logged, budgeted."""
+
+import itertools
+import logging
+from typing import final
+
+from bamboolever._retry import RetryBudget
+from bamboolever._task import IoTask, Timer
+from bamboolever._telemetry import Telemetry
+from bamboolever.calls.dispatcher import Assignment, Decision
+from bamboolever.calls.placement import PendingCall
+from bamboolever.calls.upstream import UpstreamView
+from bamboolever.daemons.calllog import CallLog
+from bamboolever.daemons.entryexchange import EntryExchange
+from bamboolever.daemons.entryfleet import EntryFleet
+from bamboolever.daemons.relay import CallRelay
+from bamboolever.daemons.relayowner import RelayOwner
+from bamboolever.daemons.settings import Bounds
+from bamboolever.net.client import ConnectionPool
+from bamboolever.net.server import ServerConnection
+
+logger = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 0.4
+UPSTREAM_IDLE_S = 3.0
+# The share of a service's retries that one of several entries may spend alone.
+RETRY_SHARE = 0.6
+RETRY_RESERVE_SHARE = 0.1
+
+
+@final
+class CallDesk(RelayOwner):
+    """Owns the relays of an entry and carries the dispatchers' decisions out."""
+
+    def __init__(
+        self,
+        task: IoTask,
+        telemetry: Telemetry,
+        fleet: EntryFleet,
+        exchange: EntryExchange,
+        bounds: Bounds,
+    ):
+        self.task = task
+        self.log = CallLog(telemetry)
+        self.pool = ConnectionPool(
+            task, connect_timeout_s=CONNECT_TIMEOUT_S, max_idle_s=UPSTREAM_IDLE_S
+        )
+        self._telemetry = telemetry
+        self._fleet = fleet
+        self._exchange = exchange
+        self._bounds = bounds
+        self._call_ids = itertools.count(1)
+        self._relays: dict[ServerConnection, CallRelay] = {}
+        self._placing: dict[int, CallRelay] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._due_timer: Timer | None = None
+        self._due_at: float | None = None
+
+    @property
+    def calls(self) -> int:
+        """Number of requests without a final outcome."""
+        return len(self._relays)
+
+    def new_call_id(self) -> int:
+        """Return a number that no other call of this process has."""
+        return next(self._call_ids)
+
+    def begin(self, relay: CallRelay) -> None:
+        """Own a new relay and have it placed."""
+        self._relays[relay.connection] = relay
+        relay.start()
+
+    def on_caller_gone(self, connection: ServerConnection) -> None:
+        """End the request of a caller that left."""
+        relay = self._relays.get(connection)
+        if relay is not None:
+            relay.on_caller_gone()
+
+    def enqueue(self, relay: CallRelay, pending: PendingCall) -> None:
+        """Place a request now or when there is room."""
+        self._placing[relay.call_id] = relay
+        dispatcher = self._fleet.dispatcher(relay.service)
+        now = self.task.now()
+        self._carry_out(dispatcher.submit(pending, now))
+
+    def withdraw(self, relay: CallRelay) -> None:
+        """Stop placing a request."""
+        if self._placing.pop(relay.call_id, None) is not None:
+            self._fleet.dispatcher(relay.service).cancel(relay.call_id)
+
+    def on_room(self, service: str) -> None:
+        """Place what waits for a service; not inside the caller's stack."""
+        self._exchange.mark_load_changed()
+        if self._fleet.dispatcher(service).waiting:
+            self.task.send(lambda: self._decide(service))
+
+    def on_ended(self, relay: CallRelay) -> None:
+        """Log and count a request's outcome."""
+        self._relays.pop(relay.connection, None)
+        if relay.record.outcome == "rejected":
+            first_at = relay.arrived_at - relay.used_s
+            self._exchange.remember_rejection(relay.digest, first_at)
+        self.log.ended(relay, self.task.now())
+
+    def on_first_attempt(self, service: str) -> None:
+        """Let the service's retry budget grow."""
+        self._budget(service).on_first_attempt()
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._bounds
+            reserve = bounds.retry_slack * RETRY_RESERVE_SHARE
+            budget = RetryBudget(
+                bounds.retry_ratio * RETRY_SHARE, reserve=reserve, max_saved=reserve
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def count(self, name: str, **attributes: str) -> None:
+        """Count an event."""
+        self._telemetry.count(name, 1, **attributes)
+
+    def on_break(self, relay: CallRelay, upstream: UpstreamView) -> None:
+        """Remember which requests broke at an upstream."""
+        key = self._fleet.key(upstream)
+        self._exchange.crashes.on_break(key, relay.digest, self.task.now())
+
+    def on_down(self, upstream: UpstreamView) -> None:
+        """Blame the requests that broke just before, here and at the peers."""
+        now = self.task.now()
+        digests = self._exchange.crashes.on_down(self._fleet.key(upstream), now)
+        if not digests:
+            return
+        logger.info(
+            "upstream down",
+            extra={"upstream": upstream.instance_id, "blamed": len(digests)},
+        )
+        self._exchange.blame(digests)
+
+    def on_completed(self, relay: CallRelay) -> None:
+        """Clear a request that ran to its end."""
+        self._exchange.crashes.on_completed(relay.digest)
+
+    def refuse_retry(self, relay: CallRelay) -> str | None:
+        """Take a retry from the budget; return why it may not be sent, or None."""
+        if self._exchange.crashes.is_blocked(relay.digest, self.task.now()):
+            return "crashes-upstreams"
+        if not self._budget(relay.service).try_take():
+            return "budget-used"
+        return None
+
+    def _decide(self, service: str) -> None:
+        self._carry_out(self._fleet.dispatcher(service).decide(self.task.now()))
+
+    def _carry_out(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            relay = self._placing.pop(decision.call.call_id, None)
+            if relay is None:
+                continue
+            if isinstance(decision, Assignment):
+                self._exchange.mark_load_changed()
+                self.log.placed(relay, decision.choice, self.task.now())
+                relay.on_placed(decision.choice)
+                continue
+            relay.on_rejected(decision)
+        self._arm_due()
+
+    def _arm_due(self) -> None:
+        dispatchers = [self._fleet.dispatcher(name) for name in self._fleet.services()]
+        due = [item.next_due() for item in dispatchers]
+        at = min((item for item in due if item is not None), default=None)
+        if at is None or (self._due_at is not None and self._due_at <= at):
+            return
+        if self._due_timer is not None:
+            self._due_timer.cancel()
+        self._due_at = at
+        delay_s = max(0.0, at - self.task.now())
+        self._due_timer = self.task.call_later(delay_s, self._on_due)
+
+    def _on_due(self) -> None:
+        self._due_at = None
+        self.decide_waiting()
+        self._arm_due()
+
+    def decide_waiting(self) -> None:
+        """Place or reject what waits, after something changed."""
+        for service in self._fleet.services():
+            if self._fleet.dispatcher(service).waiting:
+                self._decide(service)
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -1,23 +1,25 @@
 """The entry: takes callers' requests and calls upstreams of its own choice."""
 
-import itertools
 import logging
 import time
 from typing import Any, final
 
-from bamboolever._retry import RetryBudget
-from bamboolever._task import IoTask, Timer
+from bamboolever._task import IoTask
 from bamboolever._telemetry import Telemetry
-from bamboolever.calls.dispatcher import Assignment, Decision, RejectReason
-from bamboolever.calls.placement import PendingCall
+from bamboolever.calls.admission import (
+    AdmissionState,
+    Admitted,
+    Arrival,
+    Refused,
+    admit,
+)
+from bamboolever.calls.dispatcher import RejectReason
 from bamboolever.calls.poison import request_digest
-from bamboolever.calls.split import choose_service
-from bamboolever.calls.upstream import UpstreamView
 from bamboolever.config.freshness import Freshness
-from bamboolever.config.model import Configuration, Route, Workspace
-from bamboolever.config.routes import RouteTable, path_of
+from bamboolever.config.model import Configuration
+from bamboolever.config.routes import RouteTable
 from bamboolever.config.watch import KindWatch, WatchTiming
-from bamboolever.daemons.calllog import CallLog
+from bamboolever.daemons.calldesk import CONNECT_TIMEOUT_S, CallDesk
 from bamboolever.daemons.clock import suspended_clock
 from bamboolever.daemons.entryexchange import EntryExchange
 from bamboolever.daemons.entryfleet import EntryFleet
@@ -26,7 +28,7 @@
     UpstreamObserver,
     VersionObserver,
 )
-from bamboolever.daemons.relay import CallRelay, RelayOwner
+from bamboolever.daemons.relay import CallRelay
 from bamboolever.daemons.settings import InstanceSettings
 from bamboolever.daemons.statusport import StatusHandler
 from bamboolever.fleet.records import NamedVersion
@@ -44,8 +46,6 @@
 
 logger = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT_S = 0.4
-UPSTREAM_IDLE_S = 3.0
 STORE_IDLE_S = 10.0
 CONFIGURATION_WAIT_S = 2.0
 LIST_WAIT_S = 20.0
@@ -55,23 +55,16 @@
 # After a stop is asked for, the balancer still sends new connections this long.
 BALANCER_DELAY_S = 3.0
 STOP_MARGIN_S = 0.7
-# The share of a service's retries that one of several entries may spend alone.
-RETRY_SHARE = 0.6
-RETRY_RESERVE_SHARE = 0.1
 
 
 @final
-class Entry(RequestHandler, RelayOwner):
+class Entry(RequestHandler):
     """One entry process: sockets, watches and the calls under way."""
 
     def __init__(self, settings: InstanceSettings):
         self._settings = settings
         self.task = IoTask("entry", clock=suspended_clock)
         self.telemetry = Telemetry("entry")
-        self.log = CallLog(self.telemetry)
-        self.pool = ConnectionPool(
-            self.task, connect_timeout_s=CONNECT_TIMEOUT_S, max_idle_s=UPSTREAM_IDLE_S
-        )
         self._store_pool = ConnectionPool(
             self.task, connect_timeout_s=CONNECT_TIMEOUT_S, max_idle_s=STORE_IDLE_S
         )
@@ -79,14 +72,8 @@
         self._configuration: Configuration | None = None
         self._routes = RouteTable(Configuration(0))
         self._limits = HttpLimits()
-        self._budgets: dict[str, RetryBudget] = {}
-        self._relays: dict[ServerConnection, CallRelay] = {}
-        self._placing: dict[int, CallRelay] = {}
-        self._call_ids = itertools.count(1)
         self._is_stopping = False
         self._stopped_at = 0.0
-        self._due_timer: Timer | None = None
-        self._due_at: float | None = None
         self.fleet = EntryFleet(settings, int(time.time() * 1000))
         self._open_ports()
         self._watches = self._make_watches()
@@ -134,7 +121,10 @@
             own,
             self.fleet,
             self.telemetry,
-            self._decide_waiting,
+            lambda: self.calls.decide_waiting(),
+        )
+        self.calls = CallDesk(
+            self.task, self.telemetry, self.fleet, self.exchange, settings.bounds
         )
 
     def _make_watches(self) -> list[KindWatch]:
@@ -205,7 +195,7 @@
             # Agents tell what a process that just started cannot know.
             self.exchange.greet_agents()
         for service in self.fleet.services():
-            self.on_room(service)
+            self.calls.on_room(service)
 
     def _on_version(self, named: NamedVersion, is_new: bool) -> None:
         versions = self.fleet.versions
@@ -234,73 +224,49 @@
     def on_request(self, connection: ServerConnection, request: Request) -> None:
         """Check a request and have it placed, or answer it at once."""
         facts = wire.decode_call(request)
-        configuration = self._configuration
-        if configuration is None:
-            self._refuse(connection, facts, 503, RejectReason.NO_CONFIGURATION.value)
-            return
-        if facts.attempt_id is None:
-            self._refuse(connection, facts, 400, "no-attempt-id")
-            return
-        route = self._routes.find(facts.host, path_of(facts.target))
-        if route is None:
-            self._refuse(connection, facts, 404, "no-route")
+        now = self.task.now()
+        arrival = Arrival(facts.attempt_id, facts.host, facts.target, facts.api_key)
+        state = AdmissionState(
+            self._configuration, self._routes, self._freshness.allows_keys(now)
+        )
+        admitted = admit(arrival, state)
+        if isinstance(admitted, Refused):
+            self._refuse(connection, facts, admitted.status, admitted.reason)
             return
-        workspace = self._find_workspace(configuration, facts)
-        if configuration.has_workspaces and not route.is_anonymous:
-            if not self._freshness.allows_keys(self.task.now()):
-                self._refuse(connection, facts, 503, RejectReason.STALE_KEYS.value)
-                return
-            if workspace is None:
-                self._refuse(connection, facts, 401, "unknown-key")
-                return
         digest = request_digest(
             request.method, request.target, facts.api_key or "", request.body
         )
-        if self.exchange.crashes.is_blocked(digest, self.task.now()):
+        if self.exchange.crashes.is_blocked(digest, now):
             self._refuse(connection, facts, 503, RejectReason.POISON.value)
             return
-        service = choose_service(route, facts.attempt_id)
-        if service is None:
-            self._refuse(connection, facts, 503, RejectReason.NO_UPSTREAM.value)
-            return
-        self._begin(connection, request, facts, route, service, workspace, digest)
-
-    def _find_workspace(
-        self, configuration: Configuration, facts: wire.CallFacts
-    ) -> Workspace | None:
-        if facts.api_key is None:
-            return None
-        return configuration.workspaces_by_key.get(facts.api_key)
+        self._begin(connection, request, facts, admitted, digest)
 
     def _begin(
         self,
         connection: ServerConnection,
         request: Request,
         facts: wire.CallFacts,
-        route: Route,
-        service: str,
-        workspace: Workspace | None,
+        admitted: Admitted,
         digest: int,
     ) -> None:
         relay = CallRelay(
-            self,
+            self.calls,
             connection,
             request,
             facts,
-            route,
-            service,
-            workspace,
-            call_id=next(self._call_ids),
+            admitted.route,
+            admitted.service,
+            admitted.workspace,
+            call_id=self.calls.new_call_id(),
             used_s=self.exchange.returns.used_s(digest, self.task.now()),
             digest=digest,
         )
-        self._relays[connection] = relay
-        self.log.arrived(
+        self.calls.log.arrived(
             relay,
             configuration=self._configuration.version if self._configuration else 0,
             confirmed_age_s=self._freshness.age_s(self.task.now()),
         )
-        relay.start()
+        self.calls.begin(relay)
 
     def _refuse(
         self,
@@ -309,7 +275,7 @@
         status: int,
         reason: str,
     ) -> None:
-        self.count("call.refused", reason=reason)
+        self.telemetry.count("call.refused", 1, reason=reason)
         logger.info(
             "call refused",
             extra={
@@ -331,124 +297,13 @@
 
     def on_caller_gone(self, connection: ServerConnection) -> None:
         """End the caller's request."""
-        relay = self._relays.get(connection)
-        if relay is not None:
-            relay.on_caller_gone()
+        self.calls.on_caller_gone(connection)
 
     def on_rejected(self, status: int, reason: str) -> None:
         """Count a request that was not whole."""
-        self.count("request.malformed", status=str(status))
+        self.telemetry.count("request.malformed", 1, status=str(status))
         logger.info("request rejected", extra={"status": status, "reason": reason})
 
-    # RelayOwner.
-
-    def enqueue(self, relay: CallRelay, pending: PendingCall) -> None:
-        """Place a request now or when there is room."""
-        self._placing[relay.call_id] = relay
-        dispatcher = self.fleet.dispatcher(relay.service)
-        now = self.task.now()
-        if self._is_stopping and now - self._stopped_at > self._stop_limit_s():
-            self._placing.pop(relay.call_id)
-        self._carry_out(dispatcher.submit(pending, now))
-
-    def withdraw(self, relay: CallRelay) -> None:
-        """Stop placing a request."""
-        if self._placing.pop(relay.call_id, None) is not None:
-            self.fleet.dispatcher(relay.service).cancel(relay.call_id)
-
-    def on_room(self, service: str) -> None:
-        """Place what waits for a service; not inside the caller's stack."""
-        self.exchange.mark_load_changed()
-        if self.fleet.dispatcher(service).waiting:
-            self.task.send(lambda: self._decide(service))
-
-    def on_ended(self, relay: CallRelay) -> None:
-        """Log and count a request's outcome."""
-        self._relays.pop(relay.connection, None)
-        if relay.record.outcome == "rejected":
-            first_at = relay.arrived_at - relay.used_s
-            self.exchange.remember_rejection(relay.digest, first_at)
-        self.log.ended(relay, self.task.now())
-
-    def budget(self, service: str) -> RetryBudget:
-        """Return the retry budget of a service."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            bounds = self._settings.bounds
-            reserve = bounds.retry_slack * RETRY_RESERVE_SHARE
-            budget = RetryBudget(
-                bounds.retry_ratio * RETRY_SHARE, reserve=reserve, max_saved=reserve
-            )
-            self._budgets[service] = budget
-        return budget
-
-    def count(self, name: str, **attributes: str) -> None:
-        """Count an event."""
-        self.telemetry.count(name, 1, **attributes)
-
-    def on_break(self, relay: CallRelay, upstream: UpstreamView) -> None:
-        """Remember which requests broke at an upstream."""
-        key = self.fleet.key(upstream)
-        self.exchange.crashes.on_break(key, relay.digest, self.task.now())
-
-    def on_down(self, upstream: UpstreamView) -> None:
-        """Blame the requests that broke just before, here and at the peers."""
-        now = self.task.now()
-        digests = self.exchange.crashes.on_down(self.fleet.key(upstream), now)
-        if not digests:
-            return
-        logger.info(
-            "upstream down",
-            extra={"upstream": upstream.instance_id, "blamed": len(digests)},
-        )
-        self.exchange.blame(digests)
-
-    def on_completed(self, relay: CallRelay) -> None:
-        """Clear a request that ran to its end."""
-        self.exchange.crashes.on_completed(relay.digest)
-
-    def is_blocked(self, relay: CallRelay) -> bool:
-        """Tell whether the request is known to crash upstreams."""
-        return self.exchange.crashes.is_blocked(relay.digest, self.task.now())
-
-    def _decide(self, service: str) -> None:
-        self._carry_out(self.fleet.dispatcher(service).decide(self.task.now()))
-
-    def _carry_out(self, decisions: list[Decision]) -> None:
-        for decision in decisions:
-            relay = self._placing.pop(decision.call.call_id, None)
-            if relay is None:
-                continue
-            if isinstance(decision, Assignment):
-                self.exchange.mark_load_changed()
-                self.log.placed(relay, decision.choice, self.task.now())
-                relay.on_placed(decision.choice)
-                continue
-            relay.on_rejected(decision)
-        self._arm_due()
-
-    def _arm_due(self) -> None:
-        dispatchers = [self.fleet.dispatcher(name) for name in self.fleet.services()]
-        due = [item.next_due() for item in dispatchers]
-        at = min((item for item in due if item is not None), default=None)
-        if at is None or (self._due_at is not None and self._due_at <= at):
-            return
-        if self._due_timer is not None:
-            self._due_timer.cancel()
-        self._due_at = at
-        delay_s = max(0.0, at - self.task.now())
-        self._due_timer = self.task.call_later(delay_s, self._on_due)
-
-    def _on_due(self) -> None:
-        self._due_at = None
-        self._decide_waiting()
-        self._arm_due()
-
-    def _decide_waiting(self) -> None:
-        for service in self.fleet.services():
-            if self.fleet.dispatcher(service).waiting:
-                self._decide(service)
-
     # Stop.
 
     def request_stop(self) -> None:
@@ -458,7 +313,7 @@
         self._is_stopping = True
         self._stopped_at = self.task.now()
         self._server.announce_stop()
-        logger.info("stopping", extra={"calls": len(self._relays)})
+        logger.info("stopping", extra={"calls": self.calls.calls})
         self.task.call_later(BALANCER_DELAY_S, self._finish_stop)
 
     def _stop_limit_s(self) -> float:
@@ -467,10 +322,10 @@
     def _finish_stop(self) -> None:
         self._server.close_idle()
         elapsed_s = self.task.now() - self._stopped_at
-        if self._relays and elapsed_s < self._stop_limit_s():
+        if self.calls.calls and elapsed_s < self._stop_limit_s():
             self.task.call_later(0.1, self._finish_stop)
             return
-        logger.info("stopped", extra={"cut": len(self._relays)})
+        logger.info("stopped", extra={"cut": self.calls.calls})
         self.task.stop()
 
     def apply_settings(self, settings: InstanceSettings) -> None:
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -1,22 +1,17 @@
 """One caller's request on its way: placed, sent, answered, repeated, ended."""
 
-import logging
-from abc import ABC, abstractmethod
-from dataclasses import dataclass, field
 from typing import final
 
-from bamboolever._retry import RetryBudget
-from bamboolever._task import IoTask, Timer
+from bamboolever._task import Timer
 from bamboolever.calls.dispatcher import Rejection, RejectReason
 from bamboolever.calls.events import EventSplitter
 from bamboolever.calls.placement import Choice, PendingCall
 from bamboolever.calls.retry import AttemptOutcome, RetryInput, explain_no_retry
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.config.model import Route, RouteKind, Workspace
-from bamboolever.daemons.calllog import CallLog
+from bamboolever.daemons.relayowner import CallRecord, RelayOwner
 from bamboolever.net.client import (
     ClientConnection,
-    ConnectionPool,
     ExchangeFailure,
     FailureKind,
     ResponseHandler,
@@ -26,8 +21,6 @@
 from bamboolever.platform import calls as wire
 from bamboolever.platform.calls import CallFacts, Dispatch
 
-logger = logging.getLogger(__name__)
-
 # A stream whose next event is this late has lost its upstream.
 STALL_S = 1.5
 STALL_GAPS = 4.0
@@ -37,76 +30,6 @@
 MAX_BUFFERED_BYTES = 16 * 2**20
 
 
-class RelayOwner(ABC):
-    """What a relay needs of the entry."""
-
-    task: IoTask
-    pool: ConnectionPool
-    log: CallLog
-
-    @abstractmethod
-    def enqueue(self, relay: "CallRelay", pending: PendingCall) -> None:
-        """Have the request placed; the relay is told the outcome."""
-
-    @abstractmethod
-    def withdraw(self, relay: "CallRelay") -> None:
-        """Stop placing the request."""
-
-    @abstractmethod
-    def on_room(self, service: str) -> None:
-        """An upstream of the service has room again."""
-
-    @abstractmethod
-    def on_ended(self, relay: "CallRelay") -> None:
-        """The request has its final outcome."""
-
-    @abstractmethod
-    def budget(self, service: str) -> RetryBudget:
-        """Return the retry budget of a service."""
-
-    @abstractmethod
-    def on_break(self, relay: "CallRelay", upstream: UpstreamView) -> None:
-        """An upstream's answer to the request broke."""
-
-    @abstractmethod
-    def on_down(self, upstream: UpstreamView) -> None:
-        """An upstream refused or did not answer a connection."""
-
-    @abstractmethod
-    def on_completed(self, relay: "CallRelay") -> None:
-        """An upstream ran the request to its end."""
-
-    @abstractmethod
-    def is_blocked(self, relay: "CallRelay") -> bool:
-        """Tell whether the request is known to crash upstreams."""
-
-    @abstractmethod
-    def count(self, name: str, **attributes: str) -> None:
-        """Count an event by its attributes."""
-
-
-@dataclass
-class CallRecord:
-    """What is logged of a request when it ends."""
-
-    upstreams: list[str] = field(default_factory=list)
-    retries: list[str] = field(default_factory=list)
-    predicted_s: float = 0.0
-    first_byte_s: float | None = None
-    status: int | None = None
-    outcome: str = "open"
-    detail: str = ""
-    configuration: int = 0
-    confirmed_age_s: float | None = None
-    usable_upstreams: int | None = None
-    waiting_calls: int | None = None
-
-    @property
-    def is_uneventful(self) -> bool:
-        """Whether the first upstream served the request."""
-        return self.outcome == "served" and not self.retries
-
-
 @final
 class CallRelay(ResponseHandler):
     """Owns one request from its arrival to its final outcome."""
@@ -163,7 +86,7 @@
 
     def start(self) -> None:
         """Have the request placed for the first time."""
-        self._owner.budget(self.service).on_first_attempt()
+        self._owner.on_first_attempt(self.service)
         self._enqueue()
 
     def on_placed(self, choice: Choice) -> None:
@@ -368,13 +291,8 @@
             attempts=self._attempts,
             max_attempts=self.route.max_attempts,
             remaining_s=self._timeout_at - now,
-            has_budget=True,
         )
-        refusal = explain_no_retry(inputs)
-        if refusal is None and self._owner.is_blocked(self):
-            refusal = "crashes-upstreams"
-        if refusal is None and not self._owner.budget(self.service).try_take():
-            refusal = "budget-used"
+        refusal = explain_no_retry(inputs) or self._owner.refuse_retry(self)
         self._owner.log.retried(self, outcome.value, detail, refusal or "sent-again")
         if refusal is None:
             self._enqueue()
--- /dev/null
+++ b/testing/calls/test_admission.py
@@ -0,0 +1,64 @@
+"""What may be placed and what is answered at once."""
+
+import dataclasses
+
+import pytest
+from sitebuilders import make_route
+
+from bamboolever.calls.admission import AdmissionState, Admitted, Arrival, admit
+from bamboolever.config.model import Configuration, Workspace
+from bamboolever.config.routes import RouteTable
+
+CONFIGURATION = Configuration(
+    1,
+    routes=(
+        make_route("keyed", host="a.example", path_prefix="/a/"),
+        make_route("open", host="a.example", path_prefix="/b/", is_anonymous=True),
+        make_route("nowhere", host="a.example", path_prefix="/c/", targets=()),
+    ),
+    workspaces_by_key={"key": Workspace("studio")},
+)
+STATE = AdmissionState(CONFIGURATION, RouteTable(CONFIGURATION), allows_keys=True)
+ARRIVAL = Arrival(b"1", "a.example", "/a/x", "key")
+
+
+def _admit(state=STATE, **changes):
+    return admit(dataclasses.replace(ARRIVAL, **changes), state)
+
+
+def test_request_with_a_known_key_is_admitted():
+    admitted = _admit()
+    assert isinstance(admitted, Admitted)
+    assert (admitted.route.name, admitted.workspace.name) == ("keyed", "studio")
+
+
+@pytest.mark.parametrize(
+    ("changes", "status", "reason"),
+    [
+        ({"attempt_id": None}, 400, "no-attempt-id"),
+        ({"host": "b.example"}, 404, "no-route"),
+        ({"target": "/x"}, 404, "no-route"),
+        ({"api_key": None}, 401, "unknown-key"),
+        ({"api_key": "other"}, 401, "unknown-key"),
+        ({"target": "/c/x"}, 503, "no-upstream"),
+    ],
+)
+def test_what_is_not_allowed_is_refused(changes, status, reason):
+    refused = _admit(**changes)
+    assert (refused.status, refused.reason) == (status, reason)
+
+
+def test_nothing_is_admitted_before_a_configuration_is_known():
+    state = dataclasses.replace(STATE, configuration=None)
+    assert _admit(state).status == 503
+
+
+def test_keyed_requests_stop_where_keys_are_not_trusted_and_open_ones_go_on():
+    state = dataclasses.replace(STATE, allows_keys=False)
+    assert _admit(state).reason == "stale-keys"
+    assert isinstance(_admit(state, target="/b/x", api_key=None), Admitted)
+
+
+def test_key_on_an_open_route_names_its_workspace():
+    assert _admit(target="/b/x").workspace.name == "studio"
+    assert _admit(target="/b/x", api_key="other").workspace is None
--- a/testing/calls/test_retry.py
+++ b/testing/calls/test_retry.py
@@ -6,7 +6,7 @@
 
 from bamboolever.calls.retry import AttemptOutcome, RetryInput, explain_no_retry
 
-ALLOWED = RetryInput(AttemptOutcome.NOT_RUN, False, 1, 2, 1.0, True)
+ALLOWED = RetryInput(AttemptOutcome.NOT_RUN, False, 1, 2, 1.0)
 
 
 @pytest.mark.parametrize(
@@ -18,8 +18,7 @@
         ({"outcome": AttemptOutcome.UNKNOWN, "may_repeat": True}, None),
         ({"attempts": 2}, "attempts-used"),
         ({"remaining_s": 0.01}, "no-time-left"),
-        ({"has_budget": False}, "budget-used"),
     ],
 )
-def test_retry_needs_safety_attempts_time_and_budget(changes, expected):
+def test_retry_needs_safety_attempts_and_time(changes, expected):
     assert explain_no_retry(dataclasses.replace(ALLOWED, **changes)) == expected
--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -355,7 +355,17 @@
             entry.exchange.crashes.on_break(
                 entry.fleet.key(view), digest, entry.task.now()
             )
-            entry.on_down(view)
+            entry.calls.on_down(view)
 
         entry.task.send(crash)
     return digest
+
+
+def test_retries_stop_when_the_budget_is_used(plain, start_entry):
+    entry = start_entry(retryBudgetSlack=20, retryBudgetRatio=0.0).wait_ready(2)
+    for upstream in plain:
+        upstream.behaviours.extend([Behaviour.ERROR] * 40)
+    answers = [entry.call(f"/lookup/{number}") for number in range(10)]
+    assert {answer.status for answer in answers} == {500}
+    # A tenth of the slack is one entry's share.
+    assert _runs(plain) == 10 + 2
