--- a/protocol/exchange.thrift
+++ b/protocol/exchange.thrift
@@ -37,6 +37,8 @@
   4: double pace
   5: list<string> entries
   6: list<Naming> namings
+  // Model that the upstream serves whole in that version; version 0 is none.
+  7: string model
 }
 
 // Which pieces of a version an agent has verified.
--- a/src/bamboolever/_exchange_protocol/ttypes.py
+++ b/src/bamboolever/_exchange_protocol/ttypes.py
@@ -402,6 +402,7 @@
      - pace
      - entries
      - namings
+     - model
 
     """
 
@@ -412,16 +413,18 @@
         'pace',
         'entries',
         'namings',
+        'model',
     )
 
 
-    def __init__(self, upstream_address=None, is_switching=None, version=None, pace=None, entries=None, namings=None,):
+    def __init__(self, upstream_address=None, is_switching=None, version=None, pace=None, entries=None, namings=None, model=None,):
         self.upstream_address = upstream_address
         self.is_switching = is_switching
         self.version = version
         self.pace = pace
         self.entries = entries
         self.namings = namings
+        self.model = model
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -473,6 +476,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -513,6 +521,10 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 7)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1056,6 +1068,7 @@
     (4, TType.DOUBLE, 'pace', None, None, ),  # 4
     (5, TType.LIST, 'entries', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.LIST, 'namings', (TType.STRUCT, [Naming, None], False), None, ),  # 6
+    (7, TType.STRING, 'model', 'UTF8', None, ),  # 7
 )
 all_structs.append(PieceMap)
 PieceMap.thrift_spec = (
--- a/src/bamboolever/_subset.py
+++ b/src/bamboolever/_subset.py
@@ -1,9 +1,14 @@
 """Rendezvous hashing: stable, even subsets without shared state."""
 
+import functools
 import hashlib
 from collections.abc import Iterable
 
+# Pieces times agents of one version, with room for the next.
+MAX_CACHED_SCORES = 16_384
 
+
+@functools.lru_cache(maxsize=MAX_CACHED_SCORES)
 def score_member(key: str, member: str) -> int:
     """Return the member's weight for ``key``; the highest wins."""
     digest = hashlib.blake2b(f"{key}\0{member}".encode(), digest_size=8).digest()
--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -136,7 +136,7 @@
             for view in self._upstreams
             if view.takes_requests(now)
             and view.instance_id not in call.tried
-            and _serves(view, call.model, required)
+            and _serves(view, call.model, required, now)
         ]
         sound = [view for view in able if not view.is_ejected(now)]
         # Where most look unsound, the fault is not theirs alone: use them all.
@@ -158,8 +158,8 @@
     return (not call.is_resumed, call.priority, call.target_at)
 
 
-def _serves(view: UpstreamView, model: str | None, required: int) -> bool:
+def _serves(view: UpstreamView, model: str | None, required: int, now: float) -> bool:
     if model is None:
         return True
-    version = view.version_of(model)
+    version = view.version_of(model, now)
     return version is not None and version >= required
--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -13,6 +13,8 @@
 MIN_EJECTION_S = 1.0
 MAX_EJECTION_S = 8.0
 UNREACHABLE_EJECTION_S = 0.5
+# Agents answer a greeting each second.
+AGENT_WORD_LIFE_S = 2.5
 
 
 @dataclass
@@ -23,6 +25,13 @@
     has_first_event: bool = False
 
 
+@dataclass(frozen=True)
+class _Served:
+    model: str
+    version: int
+    at: float
+
+
 @dataclass
 class UpstreamView:
     """One upstream as seen by this entry."""
@@ -36,6 +45,7 @@
     answered_version: int | None = None
     pace: float = 1.0
     layers: int = 0
+    _told: _Served | None = None
     _failures: int = 0
     _ejection_s: float = MIN_EJECTION_S
 
@@ -77,8 +87,19 @@
         """Tell whether its failures keep new requests away."""
         return now < self.ejected_until
 
-    def version_of(self, model: str) -> int | None:
-        """Return the whole version of ``model`` that it serves, or None."""
+    def tell_served(self, model: str, version: int, now: float) -> None:
+        """Note what its agent says that it serves whole; version 0 is nothing."""
+        self._told = _Served(model, version, now)
+
+    def version_of(self, model: str, now: float) -> int | None:
+        """Return the whole version of ``model`` that it serves, or None.
+
+        An agent's word is fresher than the list, while the agent is heard.
+        """
+        told = self._told
+        if told is not None and now - told.at <= AGENT_WORD_LIFE_S:
+            is_served = told.model == model and told.version > 0
+            return max(told.version, self.answered_version or 0) if is_served else None
         for loaded in self.record.models:
             if loaded.name == model and loaded.is_whole(self.layers):
                 return max(loaded.version, self.answered_version or 0)
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -38,7 +38,7 @@
 IDLE_S = 4.0
 VERSION_WAIT_S = 25.0
 REPORT_PERIOD_S = 0.25
-BUSY_REPORT_PERIOD_S = 0.1
+BUSY_REPORT_PERIOD_S = 0.05
 REPORT_TIMEOUT_S = 0.5
 LIST_REFRESH_S = 2.0
 SUBSCRIBER_SILENCE_S = 4.0
@@ -103,7 +103,10 @@
     def _open_ports(self) -> None:
         limits = HttpLimits()
         self._piece_port = PiecePort(
-            self.task, self._loader.transfer.read_piece, self._settings.link_bytes_per_s
+            self.task,
+            self._loader.transfer.read_piece,
+            self._settings.link_bytes_per_s,
+            lambda: self._loader.served() is not None,
         )
         self._piece_server = HttpServer(
             self.task, self._own, self._piece_port, limits, max_connections=128
@@ -213,8 +216,8 @@
         for address in addresses:
             self._datagrams.send(data, address)
 
-    def on_switching(self) -> None:
-        """Tell the entries that the engine begins or ends to switch."""
+    def on_served_changed(self) -> None:
+        """Tell the entries what the engine serves and whether it takes requests."""
         now = self.task.now()
         for address, heard_at in list(self._subscribers.items()):
             if now - heard_at > SUBSCRIBER_SILENCE_S:
@@ -274,7 +277,7 @@
             self._loader.transfer.apply_map(sender, message)
 
     def _send_state(self, address: Address) -> None:
-        report = self._loader.report
+        report, served = self._loader.report, self._loader.served()
         now = self.task.now()
         entries = tuple(
             item
@@ -284,7 +287,8 @@
         state = exchange.AgentState(
             upstream=self._engine,
             is_switching=self._loader.is_switching,
-            version=max((m.version for m in report.models), default=0) if report else 0,
+            version=served.version if served is not None else 0,
+            model=served.model if served is not None else "",
             pace=report.pace if report is not None else 1.0,
             entries=entries,
             namings=tuple(
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -111,7 +111,10 @@
         for view in self._views.values():
             if view.record.address != state.upstream:
                 continue
+            if not self._has_engine(view.record):
+                continue
             view.pace = max(1.0, state.pace)
+            view.tell_served(state.model, state.version, now)
             view.switching_until = now + SWITCH_NOTICE_S if state.is_switching else 0.0
         for naming in state.namings:
             self.versions.learn(naming.model, naming.version, naming.age_s, now)
--- a/src/bamboolever/daemons/loader.py
+++ b/src/bamboolever/daemons/loader.py
@@ -100,9 +100,19 @@
         if not is_kept:
             self._take_newest()
 
+    def served(self) -> NamedVersion | None:
+        """Return the model and version that the engine serves whole, or None."""
+        profile, report = self._owner.profile(), self._report
+        if profile is None or report is None:
+            return None
+        for model in report.models:
+            if model.is_whole(profile.layers):
+                return NamedVersion(model.name, model.version)
+        return None
+
     def set_report(self, report: EngineReport | None) -> None:
         """Take over the engine's report; None where it did not answer."""
-        before = self._report
+        before, served = self._report, self.served()
         self._report = report
         if (before is None) != (report is None):
             logger.info("engine reached" if report else "engine lost")
@@ -111,6 +121,8 @@
             self._on_engine_restarted()
         if report is not None:
             self.transfer.note_held(report)
+        if self.served() != served:
+            self._owner.on_served_changed()
         self.advance()
 
     def stop(self) -> None:
@@ -124,7 +136,7 @@
         if self.is_switching and self._serves_ordered():
             self._end_switch()
             logger.info("engine serves the version", extra=self._target_fields())
-            self._owner.on_switching()
+            self._owner.on_served_changed()
         state = self._state()
         if serves_target(state):
             self._forget_order()
@@ -243,7 +255,7 @@
         self._drain_started_at = now
         self._ordered = None
         logger.info("draining the engine", extra=self._target_fields())
-        self._owner.on_switching()
+        self._owner.on_served_changed()
         self.advance()
 
     def _end_wait(self) -> None:
--- a/src/bamboolever/daemons/loaderowner.py
+++ b/src/bamboolever/daemons/loaderowner.py
@@ -49,8 +49,8 @@
         """Tell other agents which pieces are held here."""
 
     @abstractmethod
-    def on_switching(self) -> None:
-        """The engine begins or ends to switch."""
+    def on_served_changed(self) -> None:
+        """What the engine serves, or whether it takes requests, changed."""
 
     @abstractmethod
     def uploads(self) -> int:
--- a/src/bamboolever/daemons/pieceport.py
+++ b/src/bamboolever/daemons/pieceport.py
@@ -22,7 +22,7 @@
 PREFIX = "/pieces/"
 URGENT_QUERY = "?urgent"
 SLICE_BYTES = 4096
-# Share of the link that pieces may use.
+# Share of the link that pieces may use beside the engine's answers.
 LINK_SHARE = 0.92
 
 ReadPiece = Callable[[str, int, int, Callable[[bytes | None], None]], None]
@@ -52,10 +52,17 @@
 class PiecePort(RequestHandler):
     """Answers `make_piece_request` with the piece or 404."""
 
-    def __init__(self, task: IoTask, read_piece: ReadPiece, link_bytes_per_s: float):
+    def __init__(
+        self,
+        task: IoTask,
+        read_piece: ReadPiece,
+        link_bytes_per_s: float,
+        is_serving: Callable[[], bool],
+    ):
         self._task = task
         self._read_piece = read_piece
-        self._bytes_per_s = link_bytes_per_s * LINK_SHARE
+        self._bytes_per_s = link_bytes_per_s
+        self._is_serving = is_serving
         self._uploads: collections.deque[_Upload] = collections.deque()
         self._is_sending = False
         self.served = 0
@@ -119,7 +126,9 @@
             self._uploads.popleft()
             self.served += 1
             upload.connection.finish()
-        delay_s = len(part) / self._bytes_per_s if self._bytes_per_s > 0 else 0.0
+        share = LINK_SHARE if self._is_serving() else 1.0
+        rate = self._bytes_per_s * share
+        delay_s = len(part) / rate if rate > 0 else 0.0
         self._task.call_later(delay_s, self._send_slice)
 
 
--- a/src/bamboolever/daemons/swarm.py
+++ b/src/bamboolever/daemons/swarm.py
@@ -73,9 +73,11 @@
     def apply_map(self, sender: Address, piece_map: PieceMap) -> None:
         """Take over which pieces a peer has."""
         now = self._task.now()
+        is_news = piece_map.bitmap != self.view.have.get(sender)
         uploads = piece_map.uploads
         self.view.note_have(sender, piece_map.bitmap, now, uploads=uploads)
-        self._plan()
+        if is_news:
+            self._plan()
 
     def make_map(self, *, is_reply_wanted: bool = False) -> PieceMap:
         """Return what this agent has."""
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -49,7 +49,10 @@
 
 @dataclass(frozen=True)
 class AgentState:
-    """What an agent says of its upstream, the entries and namings it knows."""
+    """What an agent says of its upstream, the entries and namings it knows.
+
+    ``version`` is of the model that the upstream serves whole; 0 is none.
+    """
 
     upstream: Address
     is_switching: bool
@@ -57,6 +60,7 @@
     pace: float
     entries: tuple[Address, ...]
     namings: tuple[Naming, ...] = ()
+    model: str = ""
 
 
 @dataclass(frozen=True)
@@ -136,6 +140,7 @@
                     ttypes.Naming(item.model, item.version, int(item.age_s * 1000))
                     for item in message.namings
                 ],
+                message.model,
             )
         }
     if isinstance(message, Blame):
@@ -180,6 +185,7 @@
                 Naming(item.model, item.version, item.age_ms / 1000)
                 for item in state.namings
             ),
+            state.model or "",
         )
     if datagram.piece_map is not None:
         pieces = datagram.piece_map
--- a/src/bamboolever/weights/plan.py
+++ b/src/bamboolever/weights/plan.py
@@ -8,9 +8,10 @@
 that should act is silent, the next in rank acts after a delay.
 """
 
+import functools
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from typing import final
 
@@ -27,6 +28,8 @@
 # A piece that nobody brought by then is read from the origin.
 LAST_RESORT_S = 12.0
 SOURCE_PAUSE_S = 1.0
+# Choices of a version's pieces among a few views of the fleet.
+MAX_CACHED_CHOICES = 4096
 
 
 @dataclass(frozen=True)
@@ -115,6 +118,53 @@
         return [PieceFetch(number, None) for number in wanted[:room]]
 
 
+@dataclass(frozen=True)
+class _Round:
+    """What stays the same while one plan is made."""
+
+    now: float
+    local_peers: list[Peer]
+    local_have: int
+    region_members: tuple[str, ...]
+    regions: tuple[str, ...]
+
+    @classmethod
+    def from_view(cls, view: SwarmView, now: float) -> "_Round":
+        region = view.own.region
+        members = view.active_members(now)
+        local_peers = [peer for peer in view.peers if peer.region == region]
+        local_have = 0
+        for peer in local_peers:
+            local_have |= view.have.get(peer.address, 0)
+        names = (str(peer.address) for peer in members if peer.region == region)
+        regions = {peer.region for peer in members}
+        return cls(
+            now,
+            local_peers,
+            local_have,
+            tuple(sorted(names)),
+            tuple(sorted(regions)),
+        )
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_CHOICES)
+def first_member(number: int, members: tuple[str, ...]) -> str:
+    """Return which of a region's agents brings a piece into the region."""
+    return rank_members(f"piece\0{number}", members)[0]
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_CHOICES)
+def region_chain(
+    number: int, regions: tuple[str, ...], origin_region: str
+) -> tuple[str, ...]:
+    """Return the regions in the order in which they import a piece."""
+    ranked = rank_members(f"region\0{number}", regions)
+    if origin_region in ranked:
+        ranked.remove(origin_region)
+        ranked.insert(0, origin_region)
+    return tuple(ranked)
+
+
 @final
 class RegionChainPolicy(PiecePolicy):
     """One copy from the origin, one into each region, the rest within regions."""
@@ -125,103 +175,81 @@
         if room <= 0:
             return []
         load = Counter(view.in_flight.values())
+        round_ = _Round.from_view(view, now)
+        local_sources = {peer.address for peer in round_.local_peers}
         imports: list[PieceFetch] = []
         locals_: list[PieceFetch] = []
-        for number in self._order(view):
+        for number in self._order(view, round_):
             if room <= len(imports):
                 break
-            fetch = self._plan_piece(view, number, load, now)
+            fetch = self._plan_piece(view, number, round_, load)
             if fetch is None:
                 continue
-            is_local = fetch.source is not None and self._is_local(view, fetch.source)
+            is_local = fetch.source in local_sources
             (locals_ if is_local else imports).append(fetch)
             load[fetch.source] += 1
         return (imports + locals_)[:room]
 
-    def _order(self, view: SwarmView) -> list[int]:
+    def _order(self, view: SwarmView, round_: "_Round") -> list[int]:
         # Rare pieces first, ties in an own order: neighbours then hold different
         # pieces and have something to give to each other.
         copies: Counter = Counter()
         missing = [n for n in view.pieces.missing() if n not in view.in_flight]
-        for peer in view.peers:
-            if peer.region != view.own.region:
-                continue
+        for peer in round_.local_peers:
             bitmap = view.have.get(peer.address, 0)
             copies.update(n for n in missing if bitmap >> n & 1)
         own = str(view.own.address)
         return sorted(missing, key=lambda n: (copies[n], score_member(own, str(n))))
 
     def _plan_piece(
-        self, view: SwarmView, number: int, load: Counter, now: float
+        self, view: SwarmView, number: int, round_: "_Round", load: Counter
     ) -> PieceFetch | None:
-        local = self._holders(
-            view, number, now, lambda peer: peer.region == view.own.region
-        )
-        if local:
-            return self._from(view, local, number, load)
-        if now - view.started_at > LAST_RESORT_S:
-            return self._from_origin(view, number, load, now)
-        members = view.active_members(now)
-        region = [peer for peer in members if peer.region == view.own.region]
-        if self._first(number, region) != view.own.address:
+        if round_.local_have >> number & 1:
+            local = self._holders(view, number, round_.now, round_.local_peers)
+            if local:
+                return self._from(view, local, number, load)
+        if round_.now - view.started_at > LAST_RESORT_S:
+            return self._from_origin(view, number, load, round_.now)
+        if first_member(number, round_.region_members) != str(view.own.address):
             return None
-        return self._import(view, number, members, load, now)
+        return self._import(view, number, round_, load)
 
     def _import(
-        self,
-        view: SwarmView,
-        number: int,
-        members: list[Peer],
-        load: Counter,
-        now: float,
+        self, view: SwarmView, number: int, round_: "_Round", load: Counter
     ) -> PieceFetch | None:
-        chain = self._chain(view, number, members)
+        chain = region_chain(number, round_.regions, view.origin_region)
         position = chain.index(view.own.region)
         if position == 0:
-            return self._from_origin(view, number, load, now)
-        before = chain[position - 1]
-        holders = self._holders(view, number, now, lambda peer: peer.region == before)
-        if not holders and self._is_offered_long(view, number, now):
-            holders = self._holders(view, number, now, lambda peer: True)
+            return self._from_origin(view, number, load, round_.now)
+        before = [peer for peer in view.peers if peer.region == chain[position - 1]]
+        holders = self._holders(view, number, round_.now, before)
+        if not holders and self._is_offered_long(view, number, round_.now):
+            holders = self._holders(view, number, round_.now, view.peers)
         if not holders:
             return None
         fetch = self._from(view, holders, number, load)
         return None if fetch is None else replace(fetch, is_import=True)
 
-    def _chain(self, view: SwarmView, number: int, members: list[Peer]) -> list[str]:
-        regions = {peer.region for peer in members}
-        ranked = rank_members(f"region\0{number}", regions)
-        if view.origin_region in regions:
-            ranked.remove(view.origin_region)
-            ranked.insert(0, view.origin_region)
-        return ranked
-
     def _holders(
-        self,
-        view: SwarmView,
-        number: int,
-        now: float,
-        is_wanted: Callable[[Peer], bool],
+        self, view: SwarmView, number: int, now: float, peers: Iterable[Peer]
     ) -> list[Address]:
         return [
             peer.address
-            for peer in view.peers
+            for peer in peers
             if view.have.get(peer.address, 0) >> number & 1
-            and is_wanted(peer)
             and view.is_usable(peer.address, now)
         ]
 
     def _from(
         self, view: SwarmView, holders: list[Address], number: int, load: Counter
     ) -> PieceFetch | None:
-        ranked = rank_members(f"source\0{number}", (str(item) for item in holders))
-        order = {text: position for position, text in enumerate(ranked)}
+        key = f"source\0{number}"
         best = min(
             holders,
             key=lambda item: (
                 load[item],
                 view.uploads.get(item, 0),
-                order[str(item)],
+                score_member(key, str(item)),
             ),
         )
         if load[best] >= MAX_FETCHES_PER_PEER:
@@ -235,16 +263,6 @@
             return None
         return PieceFetch(number, None)
 
-    def _first(self, number: int, peers: Iterable[Peer]) -> Address:
-        by_name = {str(peer.address): peer.address for peer in peers}
-        return by_name[rank_members(f"piece\0{number}", by_name)[0]]
-
-    def _is_local(self, view: SwarmView, source: Address) -> bool:
-        return any(
-            peer.address == source and peer.region == view.own.region
-            for peer in view.peers
-        )
-
     def _is_offered_long(self, view: SwarmView, number: int, now: float) -> bool:
         since = view.offered_since.get(number)
         return since is not None and now - since > CHAIN_PATIENCE_S
--- a/testing/calls/test_upstream.py
+++ b/testing/calls/test_upstream.py
@@ -2,7 +2,11 @@
 
 from sitebuilders import make_view
 
-from bamboolever.calls.upstream import FAILURES_TO_EJECT, MIN_EJECTION_S
+from bamboolever.calls.upstream import (
+    AGENT_WORD_LIFE_S,
+    FAILURES_TO_EJECT,
+    MIN_EJECTION_S,
+)
 
 
 def _fail(view, now):
@@ -33,7 +37,23 @@
 
 def test_answered_version_is_newer_than_the_list_entry():
     view = make_view()
-    assert view.version_of("model-1") == 1
+    assert view.version_of("model-1", 0.0) == 1
     view.answered_version = 2
-    assert view.version_of("model-1") == 2
-    assert view.version_of("other") is None
+    assert view.version_of("model-1", 0.0) == 2
+    assert view.version_of("other", 0.0) is None
+
+
+def test_agents_word_goes_before_the_list_while_it_is_fresh():
+    view = make_view(models=())
+    assert view.version_of("model-1", 0.0) is None
+    view.tell_served("model-1", 2, 10.0)
+    assert view.version_of("model-1", 10.0) == 2
+    assert view.version_of("other", 10.0) is None
+    assert view.version_of("model-1", 10.1 + AGENT_WORD_LIFE_S) is None
+
+
+def test_engine_that_its_agent_found_empty_is_not_used():
+    view = make_view()
+    view.tell_served("", 0, 10.0)
+    assert view.version_of("model-1", 10.0) is None
+    assert view.version_of("model-1", 10.1 + AGENT_WORD_LIFE_S) == 1
--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -272,7 +272,7 @@
     assert entry.call("/stream/1", **make_stream_headers()).status == 503
     engines[0].engine.version = 2
     site.list_upstream(engines[0], ENGINE_SERVICE)
-    wait_for(lambda: views_of(entry)["engine-1"].version_of("model-1") == 2)
+    wait_for(lambda: views_of(entry)["engine-1"].version_of("model-1", now()) == 2)
     assert entry.call("/stream/1", **make_stream_headers()).status == 200
 
 
@@ -369,3 +369,17 @@
     assert {answer.status for answer in answers} == {500}
     # A tenth of the slack is one entry's share.
     assert _runs(plain) == 10 + 2
+
+
+def test_entry_learns_from_the_agent_that_an_engine_serves(
+    site, start_entry, start_agent
+):
+    full = site.add_engine("engine-1", "127.0.0.2")
+    empty = site.add_engine("engine-2", "127.0.0.3", version=None)
+    for number, engine in enumerate((full, empty)):
+        start_agent(engine, f"agent-{number}")
+    entry = start_entry(host="127.0.0.8").wait_ready(2)
+    view = views_of(entry)["engine-2"]
+    now = entry.entry.task.now
+    wait_for(lambda: view.version_of("model-1", now()) == 1)
+    assert not view.record.models
--- a/testing/fleet/test_exchange.py
+++ b/testing/fleet/test_exchange.py
@@ -14,6 +14,15 @@
     exchange.AgentState(
         Address("10.0.0.1", 80), True, 3, 1.5, (Address("10.0.0.2", 81),)
     ),
+    exchange.AgentState(
+        Address("10.0.0.1", 80),
+        False,
+        0,
+        1.0,
+        (),
+        (exchange.Naming("model", 2, 1.5),),
+        "model",
+    ),
     exchange.PieceMap("model", 2, (1 << 95) | 5, True),
     exchange.PieceMap("model", 2, 0),
     exchange.Blame((-1, 5)),
