--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -3,7 +3,7 @@
 import logging
 import socket
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -260,9 +260,9 @@
         self._server.handler.on_rejected(status, reason)
         self._is_closing = True
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            body = reason.encode()
+            headers, body = self._server.make_rejection(status, reason)
             length = str(len(body)).encode()
-            headers = [(b"Content-Length", length), (b"Connection", b"close")]
+            headers += [(b"Content-Length", length), (b"Connection", b"close")]
             self._send_event(h11.Response(status_code=status, headers=headers))
             self._send_event(h11.Data(data=body))
             self._send_event(h11.EndOfMessage())
@@ -326,6 +326,15 @@
         self.close()
 
 
+# Returns headers and body of the answer to a request that was not whole.
+MakeRejection = Callable[[int, str], tuple[list[Header], bytes]]
+
+
+def make_plain_rejection(_status: int, reason: str) -> tuple[list[Header], bytes]:
+    """Return the reason as the body."""
+    return [], reason.encode()
+
+
 class HttpServer:
     """Listens on one address and owns the accepted connections."""
 
@@ -337,7 +346,9 @@
         limits: HttpLimits,
         *,
         max_connections: int,
+        make_rejection: MakeRejection | None = None,
     ):
+        self.make_rejection = make_rejection or make_plain_rejection
         self.task = task
         self.handler = handler
         self.limits = limits
@@ -366,10 +377,14 @@
             if not connection.is_due:
                 connection.close()
 
-    def close(self) -> None:
-        """Stop listening and close every connection."""
+    def stop_listening(self) -> None:
+        """Take no new connections; open ones stay."""
         self.task.unregister(self._sock)
         self._sock.close()
+
+    def close(self) -> None:
+        """Stop listening and close every connection."""
+        self.stop_listening()
         for connection in list(self._connections):
             connection.close()
 
