Send callers of an entry without the store to a ready one at once; record errors of both signs

The histogram of prediction errors took no negative values and wrote a warning for each.

Change: entries tell whether they are ready; a caller that is rejected for this entry's own lack comes back at once where another is ready (or where this one hears nobody, so is itself cut off). The error's side is an attribute.

--- a/protocol/exchange.thrift
+++ b/protocol/exchange.thrift
@@ -20,6 +20,8 @@
   2: i64 started_ms
   3: i64 sequence
   4: list<UpstreamUse> uses
+  // Whether the entry may serve requests that carry a key.
+  5: bool is_ready
 }
 
 // A named version of a model and how long ago it was named.
--- a/src/bamboolever/_exchange_protocol/ttypes.py
+++ b/src/bamboolever/_exchange_protocol/ttypes.py
@@ -195,6 +195,7 @@
      - started_ms
      - sequence
      - uses
+     - is_ready
 
     """
 
@@ -203,14 +204,16 @@
         'started_ms',
         'sequence',
         'uses',
+        'is_ready',
     )
 
 
-    def __init__(self, instance_id=None, started_ms=None, sequence=None, uses=None,):
+    def __init__(self, instance_id=None, started_ms=None, sequence=None, uses=None, is_ready=None,):
         self.instance_id = instance_id
         self.started_ms = started_ms
         self.sequence = sequence
         self.uses = uses
+        self.is_ready = is_ready
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -247,6 +250,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.is_ready = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -276,6 +284,10 @@
                 iter6.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.is_ready is not None:
+            oprot.writeFieldBegin('is_ready', TType.BOOL, 5)
+            oprot.writeBool(self.is_ready)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1051,6 +1063,7 @@
     (2, TType.I64, 'started_ms', None, None, ),  # 2
     (3, TType.I64, 'sequence', None, None, ),  # 3
     (4, TType.LIST, 'uses', (TType.STRUCT, [UpstreamUse, None], False), None, ),  # 4
+    (5, TType.BOOL, 'is_ready', None, None, ),  # 5
 )
 all_structs.append(Naming)
 Naming.thrift_spec = (
--- a/src/bamboolever/daemons/calllog.py
+++ b/src/bamboolever/daemons/calllog.py
@@ -84,8 +84,7 @@
         if record.first_byte_s is not None:
             self._telemetry.record("call.first_byte_s", record.first_byte_s, kind=kind)
             if record.predicted_s:
-                error_s = record.first_byte_s - record.predicted_s
-                self._telemetry.record("call.prediction_error_s", error_s, kind=kind)
+                self._record_error(record.first_byte_s - record.predicted_s)
         self._telemetry.record("call.total_s", now - relay.arrived_at, kind=kind)
         if record.is_uneventful and not self._may_log(now):
             return
@@ -112,6 +111,11 @@
             },
         )
 
+    def _record_error(self, error_s: float) -> None:
+        # Histograms take no negative values: the side is an attribute.
+        side = "later" if error_s > 0 else "sooner"
+        self._telemetry.record("call.prediction_error_s", abs(error_s), side=side)
+
     def _may_log(self, now: float) -> bool:
         if self._bucket.try_take(now):
             return True
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -7,6 +7,7 @@
 from bamboolever._task import IoTask
 from bamboolever._telemetry import Telemetry
 from bamboolever.calls.admission import (
+    NOT_NOW_STATUS,
     AdmissionState,
     Admitted,
     Arrival,
@@ -55,6 +56,13 @@
 # After a stop is asked for, the balancer still sends new connections this long.
 BALANCER_DELAY_S = 3.0
 STOP_MARGIN_S = 0.7
+# When a caller may come back where another entry can serve it, and where not.
+ELSEWHERE_DELAY_S = 0.02
+ALONE_DELAY_S = 0.5
+# Reasons that another entry may not have.
+OWN_LACKS = frozenset(
+    {RejectReason.STALE_KEYS.value, RejectReason.NO_CONFIGURATION.value}
+)
 
 
 @final
@@ -122,6 +130,7 @@
             self.fleet,
             self.telemetry,
             lambda: self.calls.decide_waiting(),
+            self.is_ready,
         )
         self.calls = CallDesk(
             self.task, self.telemetry, self.fleet, self.exchange, settings.bounds
@@ -237,7 +246,7 @@
             request.method, request.target, facts.api_key or "", request.body
         )
         if self.exchange.crashes.is_blocked(digest, now):
-            self._refuse(connection, facts, 503, RejectReason.POISON.value)
+            self._refuse(connection, facts, NOT_NOW_STATUS, RejectReason.POISON.value)
             return
         self._begin(connection, request, facts, admitted, digest)
 
@@ -291,10 +300,18 @@
         headers = []
         if facts.attempt_id is not None:
             headers.append(wire.attempt_header(facts.attempt_id))
-        if status == 503:
-            headers.append(wire.retry_after_header(0.5))
+        if status == NOT_NOW_STATUS:
+            headers.append(wire.retry_after_header(self._return_delay_s(reason)))
         connection.respond(status, headers, reason.encode())
 
+    def _return_delay_s(self, reason: str) -> float:
+        elsewhere = self.fleet.peers.is_ready_elsewhere(self.task.now())
+        if reason == RejectReason.STALE_KEYS.value and elsewhere is None:
+            # This entry hears neither the store nor its peers: they serve on.
+            return ELSEWHERE_DELAY_S
+        is_own_lack = reason in OWN_LACKS
+        return ELSEWHERE_DELAY_S if is_own_lack and elsewhere else ALONE_DELAY_S
+
     def on_caller_gone(self, connection: ServerConnection) -> None:
         """End the caller's request."""
         self.calls.on_caller_gone(connection)
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -35,12 +35,14 @@
         fleet: EntryFleet,
         telemetry: Telemetry,
         on_changed: Callable[[], None],
+        is_ready: Callable[[], bool],
     ):
         self._task = task
         self._name = name
         self._fleet = fleet
         self._telemetry = telemetry
         self._on_changed = on_changed
+        self._is_ready = is_ready
         self._port = DatagramPort(task, address, self._on_datagram)
         self._load_sent_at = 0.0
         self._is_load_due = False
@@ -91,7 +93,7 @@
         self._is_load_due = False
         now = self._task.now()
         self._load_sent_at = now
-        self._send_to_peers(self._fleet.own_load())
+        self._send_to_peers(self._fleet.own_load(is_ready=self._is_ready()))
         if self._new_rejections:
             ages_s = {key: now - at for key, at in self._new_rejections.items()}
             self._new_rejections = {}
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -91,14 +91,14 @@
             if self._has_engine(view.record)
         ]
 
-    def own_load(self) -> EntryLoad:
+    def own_load(self, *, is_ready: bool) -> EntryLoad:
         """Return what this entry has at each upstream, to tell the peers."""
         self._sequence += 1
         uses = {
             self.key(view): view.own_load for view in self._views.values() if view.calls
         }
         name = self._settings.name
-        return EntryLoad(name, self._started_ms, self._sequence, uses)
+        return EntryLoad(name, self._started_ms, self._sequence, uses, is_ready)
 
     def apply_peer_load(self, sender: Address, load: EntryLoad, now: float) -> None:
         """Take over what another entry has at the upstreams."""
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -30,12 +30,16 @@
 
 @dataclass(frozen=True)
 class EntryLoad:
-    """An entry's requests at upstreams, by `upstream_key`."""
+    """An entry's requests at upstreams, by `upstream_key`.
+
+    ``is_ready`` tells whether it may serve requests that carry a key.
+    """
 
     instance_id: str
     started_ms: int
     sequence: int
     uses: dict[int, EngineLoad]
+    is_ready: bool = True
 
 
 @dataclass(frozen=True)
@@ -125,7 +129,11 @@
             for key, load in message.uses.items()
         ]
         wire = ttypes.EntryLoad(
-            message.instance_id, message.started_ms, message.sequence, uses
+            message.instance_id,
+            message.started_ms,
+            message.sequence,
+            uses,
+            message.is_ready,
         )
         return {"entry_load": wire}
     if isinstance(message, AgentState):
@@ -172,7 +180,13 @@
             use.upstream_key: EngineLoad(use.writing, use.waiting, use.waiting_tokens)
             for use in wire.uses
         }
-        return EntryLoad(wire.instance_id, wire.started_ms, wire.sequence, uses)
+        return EntryLoad(
+            wire.instance_id,
+            wire.started_ms,
+            wire.sequence,
+            uses,
+            bool(wire.is_ready),
+        )
     if datagram.agent_state is not None:
         state = datagram.agent_state
         return AgentState(
--- a/src/bamboolever/fleet/peers.py
+++ b/src/bamboolever/fleet/peers.py
@@ -40,6 +40,15 @@
             del self._peers[address]
         return list(self._peers)
 
+    def is_ready_elsewhere(self, now: float) -> bool | None:
+        """Tell whether another entry is ready; None where none was heard lately."""
+        heard = [
+            peer.load.is_ready
+            for peer in self._peers.values()
+            if peer.load is not None and now - peer.heard_at <= PEER_SILENCE_S
+        ]
+        return any(heard) if heard else None
+
     def learn(self, addresses: tuple[Address, ...], now: float) -> bool:
         """Note entries that an agent knows; return whether any is new."""
         new = [item for item in addresses if item not in self._peers]
--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -383,3 +383,31 @@
     now = entry.entry.task.now
     wait_for(lambda: view.version_of("model-1", now()) == 1)
     assert not view.record.models
+
+
+def test_entry_without_the_store_sends_callers_to_ready_peers_at_once(
+    site, plain, start_entry
+):
+    entry = start_entry(revocationMs=1500).wait_ready(2)
+    site.store.trouble = StoreTrouble.SILENT
+    wait_for(lambda: not entry.entry.is_ready())
+    delays = []
+    for is_ready in (True, False, None):
+        entry.entry.fleet.peers.is_ready_elsewhere = lambda _now, it=is_ready: it
+        answer = entry.call("/orders/1")
+        assert answer.status == 503
+        delays.append(float(answer.headers["Retry-After"]))
+    assert delays[0] < 0.1
+    assert delays[1] >= 0.5
+    assert delays[2] < 0.1
+
+
+def test_negative_and_positive_prediction_errors_are_recorded(
+    engines, start_entry, caplog
+):
+    entry = start_entry().wait_ready(2)
+    for _ in range(3):
+        entry.call("/stream/1", **make_stream_headers())
+    assert "non-negative" not in caplog.text
+    text = entry.entry.telemetry.render_text()
+    assert "call_prediction_error_s_count" in text
--- a/testing/fleet/test_peers.py
+++ b/testing/fleet/test_peers.py
@@ -47,3 +47,13 @@
     assert not peers.learn((OWN,), 0.0)
     assert peers.learn((PEER,), 0.0)
     assert peers.addresses(0.0) == [PEER]
+
+
+def test_ready_peers_are_known_while_they_are_heard():
+    peers = PeerLoads(OWN)
+    assert peers.is_ready_elsewhere(0.0) is None
+    peers.apply(PEER, EntryLoad("peer", 1, 1, {}, is_ready=False), 0.0)
+    assert peers.is_ready_elsewhere(0.0) is False
+    peers.apply(OTHER, EntryLoad("other", 1, 1, {}, is_ready=True), 0.0)
+    assert peers.is_ready_elsewhere(0.0) is True
+    assert peers.is_ready_elsewhere(PEER_SILENCE_S + 0.1) is None
