--- /dev/null
+++ b/testing/calls/test_dispatchermachine.py
@@ -0,0 +1,130 @@
+"""A state machine over the dispatcher, against an oracle of what callers may see.
+
+The oracle knows only who asked, what was decided and the limits: each request gets
+one decision, none waits beyond its limit, no engine is given more than its slots,
+and nothing goes to an upstream that drains, switches, or serves an old version.
+"""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from sitebuilders import make_pending, make_profile, make_view
+
+from bamboolever.calls.dispatcher import (
+    MAX_HOLD_S,
+    MAX_RESUME_HOLD_S,
+    MAX_RETURN_HOLD_S,
+    Assignment,
+    ServiceDispatcher,
+)
+from bamboolever.calls.placement import PredictedPolicy
+from bamboolever.fleet.versions import NamedVersions
+
+SLOTS = 3
+UPSTREAMS = 3
+LONGEST_HOLD_S = max(MAX_HOLD_S, MAX_RETURN_HOLD_S, MAX_RESUME_HOLD_S)
+
+
+class DispatcherMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.versions = NamedVersions(8.0)
+        self.views = [make_view(f"up-{n}", slots=SLOTS) for n in range(UPSTREAMS)]
+        policy = PredictedPolicy(make_profile(slots=SLOTS), lambda _view: 0.0)
+        self.dispatcher = ServiceDispatcher(policy, self.versions)
+        self.dispatcher.set_upstreams(self.views)
+        self.open = {}
+        self.decided = set()
+        self.running = {}
+
+    def _take(self, decisions):
+        for decision in decisions:
+            call = decision.call
+            assert call.call_id in self.open
+            assert call.call_id not in self.decided
+            self.decided.add(call.call_id)
+            del self.open[call.call_id]
+            if isinstance(decision, Assignment):
+                self._check_assignment(call, decision.choice.upstream)
+                continue
+            assert 0 <= decision.retry_after_s <= (call.timeout_at - self.now) / 3
+
+    def _check_assignment(self, call, view):
+        assert not view.record.is_draining
+        assert self.now >= view.switching_until
+        assert view.instance_id not in call.tried
+        required = self.versions.required("model-1", self.now)
+        assert view.version_of("model-1", self.now) >= required
+        self.running[call.call_id] = view
+
+    @rule(
+        tokens=st.integers(1, 4000),
+        used_s=st.sampled_from([0.0, 0.0, 1.5]),
+        is_resumed=st.booleans(),
+        tried=st.sets(st.integers(0, UPSTREAMS - 1), max_size=1),
+    )
+    def submit(self, tokens, used_s, is_resumed, tried):
+        call = make_pending(
+            arrived_at=self.now,
+            target_at=self.now + 0.4 - used_s,
+            timeout_at=self.now + 6.0 - used_s,
+            prompt_tokens=tokens,
+            used_s=used_s,
+            is_resumed=is_resumed,
+            tried={f"up-{n}" for n in tried},
+        )
+        self.open[call.call_id] = call
+        self._take(self.dispatcher.submit(call, self.now))
+
+    @rule(passed_s=st.floats(0.001, 0.3))
+    def wait(self, passed_s):
+        self.now += passed_s
+        self._take(self.dispatcher.decide(self.now))
+
+    @rule(data=st.data())
+    def end_one(self, data):
+        if not self.running:
+            return
+        call_id = data.draw(st.sampled_from(sorted(self.running)))
+        self.running.pop(call_id).end(call_id)
+        self._take(self.dispatcher.decide(self.now))
+
+    @rule(data=st.data())
+    def cancel_one(self, data):
+        if not self.open:
+            return
+        call_id = data.draw(st.sampled_from(sorted(self.open)))
+        self.dispatcher.cancel(call_id)
+        self.decided.add(call_id)
+        del self.open[call_id]
+
+    @rule(number=st.integers(0, UPSTREAMS - 1))
+    def fail(self, number):
+        self.views[number].on_failure(self.now)
+
+    @rule(number=st.integers(0, UPSTREAMS - 1), seconds=st.floats(0.0, 2.0))
+    def switch(self, number, seconds):
+        self.views[number].switching_until = self.now + seconds
+
+    @rule(version=st.integers(1, 4))
+    def name_version(self, version):
+        self.versions.put("model-1", version, self.now)
+
+    @rule(number=st.integers(0, UPSTREAMS - 1), version=st.integers(1, 4))
+    def serve_version(self, number, version):
+        self.views[number].tell_served("model-1", version, self.now)
+
+    @invariant()
+    def no_engine_has_more_than_its_slots(self):
+        assert all(len(view.calls) <= SLOTS for view in self.views)
+
+    @invariant()
+    def nothing_waits_beyond_its_limit(self):
+        self._take(self.dispatcher.decide(self.now))
+        assert all(
+            self.now - call.arrived_at <= LONGEST_HOLD_S for call in self.open.values()
+        )
+        assert self.dispatcher.waiting == len(self.open)
+
+
+TestDispatcherMachine = DispatcherMachine.TestCase
--- /dev/null
+++ b/testing/net/test_server.py
@@ -0,0 +1,114 @@
+"""The HTTP server against input that is broken, slow or hostile."""
+
+import queue
+import socket
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bamboolever._task import IoTask
+from bamboolever.net.addresses import Address
+from bamboolever.net.server import HttpLimits, HttpServer, RequestHandler
+
+WAIT_S = 30.0
+
+
+class Echo(RequestHandler):
+    def __init__(self):
+        self.requests = queue.Queue()
+        self.rejected = queue.Queue()
+
+    def on_request(self, connection, request):
+        self.requests.put(request)
+        connection.respond(200, [], b"path " + request.target)
+
+    def on_caller_gone(self, connection):
+        pass
+
+    def on_rejected(self, status, reason):
+        self.rejected.put(status)
+
+
+@pytest.fixture(scope="module")
+def server():
+    task = IoTask("test server")
+    handler = Echo()
+    limits = HttpLimits(header_timeout_s=0.3, idle_timeout_s=1.0)
+    server = HttpServer(
+        task, Address("127.0.0.1", 0), handler, limits, max_connections=500
+    )
+    server.start()
+    task.start()
+    yield server
+    task.send(server.close)
+    task.stop()
+
+
+def _exchange(server, data):
+    with socket.create_connection(server.address, WAIT_S) as sock:
+        sock.sendall(data)
+        sock.shutdown(socket.SHUT_WR)
+        received = b""
+        try:
+            while chunk := sock.recv(65536):
+                received += chunk
+        except ConnectionError:
+            pass
+        return received
+
+
+def _ask(server, data):
+    with socket.create_connection(server.address, WAIT_S) as sock:
+        sock.sendall(data)
+        return sock.recv(65536)
+
+
+def _is_alive(server):
+    return b"200" in _ask(server, b"GET /alive HTTP/1.1\r\nHost: h\r\n\r\n")
+
+
+@settings(max_examples=40)
+@given(st.binary(max_size=300))
+def test_any_bytes_leave_the_server_alive(server, data):
+    _exchange(server, data)
+    assert _is_alive(server)
+
+
+@settings(max_examples=40)
+@given(
+    st.sampled_from(
+        [b"Content-Length: 5", b"Content-Length: +5", b"Content-Length: 5, 6"]
+    ),
+    st.sampled_from(
+        [b"Transfer-Encoding: chunked", b"Transfer-Encoding: gzip", b"X: y"]
+    ),
+    st.binary(max_size=40),
+)
+def test_smuggled_requests_are_never_taken_for_requests(server, length, coding, body):
+    handler = server.handler
+    head = b"POST /outer HTTP/1.1\r\nHost: h\r\n%s\r\n%s\r\n\r\n" % (length, coding)
+    _exchange(server, head + body + b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert _is_alive(server)
+    targets = set()
+    while not handler.requests.empty():
+        targets.add(handler.requests.get().target)
+    # One sound length: what follows its five bytes is the next request by right.
+    is_plain = length == b"Content-Length: 5" and coding == b"X: y"
+    if not is_plain:
+        assert targets <= {b"/alive"}
+
+
+def test_head_that_does_not_end_is_answered_408(server):
+    answer = _ask(server, b"GET /slow HTTP/1.1\r\nHost:")
+    assert b" 408 " in answer
+
+
+def test_pipelined_requests_are_answered_in_order(server):
+    request = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+    with socket.create_connection(server.address, WAIT_S) as sock:
+        sock.sendall(request % 1 + request % 2)
+        received = b""
+        while received.count(b"path ") < 2:
+            received += sock.recv(65536)
+    assert received.index(b"path /1") < received.index(b"path /2")
