Swap placement and piece policies by name; drop what nothing uses; processes tested

Cause: the plain policies stood in the code and nothing could start them, though the product is a testbed; the adapter decoded values that nobody read; no test started the daemons as processes.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -21,7 +21,7 @@
 MIN_SOUND_SHARE = 0.5
 MIN_RETURN_S = 1.1
 RETURN_SPREAD_S = 0.8
-# A caller returns within the first third of what is left of its time limit.
+# A caller returns within the first third of the time until its deadline.
 MAX_RETURN_SHARE = 0.3
 
 
--- a/src/bamboolever/calls/placement.py
+++ b/src/bamboolever/calls/placement.py
@@ -54,6 +54,9 @@
 
 Penalty = Callable[[UpstreamView], float]
 
+# Requests that an entry has at most at one engine under the baseline.
+BASELINE_BOUND = 4
+
 
 class PlacementPolicy(ABC):
     """Chooses among upstreams that may be sent the request."""
@@ -161,3 +164,29 @@
     def shortest_s(self, call: PendingCall) -> float:
         """Return the predicted seconds on an idle engine."""
         return predict_first_event_s(self._profile, _IDLE, call.prompt_tokens)
+
+
+PolicyMaker = Callable[[EngineProfile, Penalty], PlacementPolicy]
+
+_POLICIES: dict[str, PolicyMaker] = {
+    "predicted": PredictedPolicy,
+    "least-outstanding": lambda _profile, penalty: LeastOutstandingPolicy(
+        BASELINE_BOUND, penalty
+    ),
+}
+
+
+def register_placement(name: str, maker: PolicyMaker) -> None:
+    """Make a policy known, so that entries can be started with it."""
+    _POLICIES[name] = maker
+
+
+def find_placement(name: str) -> PolicyMaker:
+    """Return the maker of the policy with this name.
+
+    Raises `LookupError` naming the known ones.
+    """
+    if name not in _POLICIES:
+        known = ", ".join(sorted(_POLICIES))
+        raise LookupError(f"no placement policy is named {name!r}; known: {known}")
+    return _POLICIES[name]
--- a/src/bamboolever/calls/returns.py
+++ b/src/bamboolever/calls/returns.py
@@ -7,7 +7,7 @@
 
 from collections import OrderedDict
 
-# Callers come back within a third of what is left of their time limit.
+# Callers come back within a third of the time until their deadline.
 MEMORY_S = 4.0
 MAX_REMEMBERED = 20_000
 
--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -85,11 +85,6 @@
         self._timer: Timer | None = None
         self._random = random.Random()
 
-    @property
-    def is_reached(self) -> bool:
-        """Whether the last call to the store was answered."""
-        return self._is_reached
-
     def start(self) -> None:
         """Begin with a listing."""
         self._list("")
@@ -108,14 +103,6 @@
             self._revision = None
             self._list("")
 
-    def restart(self) -> None:
-        """Make the call under way anew: its connection may have gone silent."""
-        if self._fetch is None or self._is_stopped:
-            return
-        self._fetch.cancel()
-        self._fetch = None
-        self._continue()
-
     def _continue(self) -> None:
         if self._is_stopped:
             return
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -30,7 +30,7 @@
 from bamboolever.platform import names
 from bamboolever.platform import weights as wire
 from bamboolever.platform.errors import AdapterError
-from bamboolever.weights.plan import Peer
+from bamboolever.weights.plan import Peer, make_piece_policy
 
 logger = logging.getLogger(__name__)
 
@@ -64,7 +64,11 @@
         self._upstreams = UpstreamList()
         self._versions = NamedVersions(settings.bounds.version_timeout_s)
         self._loader = EngineLoader(
-            self, self._engine, self._versions, settings.link_bytes_per_s
+            self,
+            self._engine,
+            self._versions,
+            settings.link_bytes_per_s,
+            make_piece_policy(settings.piece_policy),
         )
         self._subscribers: dict[Address, float] = {}
         self._listed_at = 0.0
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -8,7 +8,7 @@
     OTHER_ZONE_PENALTY_S,
     PlacementPolicy,
     PlainServicePolicy,
-    PredictedPolicy,
+    find_placement,
 )
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.config.model import Configuration
@@ -32,6 +32,7 @@
     def __init__(self, settings: InstanceSettings, started_ms: int):
         self._settings = settings
         self._started_ms = started_ms
+        self._make_placement = find_placement(settings.placement)
         self._configuration = Configuration(0)
         self._dispatchers: dict[str, ServiceDispatcher] = {}
         self._views: dict[str, UpstreamView] = {}
@@ -142,7 +143,7 @@
         service = self._configuration.services.get(name)
         if service is None or service.engine is None:
             return PlainServicePolicy(self._penalty)
-        return PredictedPolicy(service.engine, self._penalty)
+        return self._make_placement(service.engine, self._penalty)
 
     def _penalty(self, view: UpstreamView) -> float:
         zone = view.record.availability_zone
--- a/src/bamboolever/daemons/loader.py
+++ b/src/bamboolever/daemons/loader.py
@@ -19,6 +19,7 @@
     next_step,
     serves_target,
 )
+from bamboolever.weights.plan import PiecePolicy
 from bamboolever.weights.switching import (
     SwitchInput,
     drain_at,
@@ -45,13 +46,14 @@
         engine: Address,
         versions: NamedVersions,
         link_bytes_per_s: float,
+        policy: PiecePolicy,
     ):
         self._owner = owner
         self._task = owner.task
         self._engine = engine
         self._versions = versions
         self._link_bytes_per_s = link_bytes_per_s
-        self.transfer = Transfer(owner, engine, self.advance)
+        self.transfer = Transfer(owner, engine, policy, self.advance)
         # The version being brought in, and the newest named: they differ while a
         # transfer that is almost done goes on.
         self._target: NamedVersion | None = None
--- a/src/bamboolever/daemons/process.py
+++ b/src/bamboolever/daemons/process.py
@@ -1,5 +1,7 @@
 """Starts a daemon from the platform's settings file and handles its signals."""
 
+import argparse
+import dataclasses
 import logging
 import signal
 import sys
@@ -18,7 +20,6 @@
 EXIT_OK = 0
 EXIT_BAD_INPUT = 2
 SETTINGS_CHECK_S = 2.0
-USAGE = "usage: python3 -m bamboolever.daemons entry|agent"
 
 
 class PlatformDaemon(Protocol):
@@ -38,23 +39,25 @@
 
 def main(arguments: list[str]) -> int:
     """Run the daemon that the arguments name; return the exit code."""
-    if len(arguments) != 1 or arguments[0] not in ("entry", "agent"):
-        print(USAGE, file=sys.stderr)
-        return EXIT_BAD_INPUT
+    options = make_parser().parse_args(arguments)
     listener = configure_logging(stream=sys.stdout)
     try:
         path = nodefile.settings_path()
-        settings = nodefile.read_settings(path)
-    except AdapterError as error:
+        settings = dataclasses.replace(
+            nodefile.read_settings(path),
+            placement=options.placement,
+            piece_policy=options.pieces,
+        )
+        daemon = make_daemon(options.role, settings)
+    except (AdapterError, LookupError, ValueError) as error:
         print(f"bamboolever: {error}", file=sys.stderr)
         return EXIT_BAD_INPUT
-    daemon = make_daemon(arguments[0], settings)
     reloader = SettingsReloader(daemon, path)
     handle_signals(daemon, reloader)
     logger.info(
         "started",
         extra={
-            "role": arguments[0],
+            "role": options.role,
             "instance": settings.name,
             "availability_zone": settings.availability_zone,
         },
@@ -64,6 +67,23 @@
     return EXIT_OK
 
 
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of a daemon's arguments; the file has the settings."""
+    parser = argparse.ArgumentParser(prog="python3 -m bamboolever.daemons")
+    parser.add_argument("role", choices=["entry", "agent"])
+    parser.add_argument(
+        "--placement",
+        default=InstanceSettings.placement,
+        help="policy by which an entry places requests on engines",
+    )
+    parser.add_argument(
+        "--pieces",
+        default=InstanceSettings.piece_policy,
+        help="policy by which an agent fetches pieces",
+    )
+    return parser
+
+
 def make_daemon(role: str, settings: InstanceSettings) -> PlatformDaemon:
     """Return the daemon of a role; only its own modules are imported."""
     if role == "entry":
--- a/src/bamboolever/daemons/settings.py
+++ b/src/bamboolever/daemons/settings.py
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True)
 class InstanceSettings:
-    """Where this process runs and what it listens on and talks to."""
+    """Where this process runs, what it listens on, and its policies by name."""
 
     name: str
     host: str
@@ -40,6 +40,8 @@
     file_descriptors: int = 1024
     link_bytes_per_s: float = 0.0
     bounds: Bounds = field(default_factory=Bounds)
+    placement: str = "predicted"
+    piece_policy: str = "region-chain"
 
     def region_of(self, availability_zone: str) -> str:
         """Return the region of an availability zone; unknown ones are their own."""
--- a/src/bamboolever/daemons/transfer.py
+++ b/src/bamboolever/daemons/transfer.py
@@ -14,13 +14,12 @@
 from bamboolever.platform import weights as wire
 from bamboolever.platform.errors import AdapterError
 from bamboolever.weights.pieces import PieceSet
-from bamboolever.weights.plan import SwarmView, make_piece_policy
+from bamboolever.weights.plan import PiecePolicy, SwarmView
 
 logger = logging.getLogger(__name__)
 
 MANIFEST_TIMEOUT_S = 1.0
 MANIFEST_RETRY_S = 0.3
-POLICY = "region-chain"
 
 
 @final
@@ -31,8 +30,10 @@
         self,
         owner: LoaderOwner,
         engine: Address,
+        policy: PiecePolicy,
         on_changed: Callable[[], None],
     ):
+        self._policy = policy
         self._owner = owner
         self._task = owner.task
         self._stage = Stage(owner.pool, engine)
@@ -205,7 +206,7 @@
             self._owner.pool,
             self._stage,
             self._owner.origin,
-            make_piece_policy(POLICY),
+            self._policy,
             view,
             self._owner.announce,
             self._on_staged,
--- a/src/bamboolever/net/fetch.py
+++ b/src/bamboolever/net/fetch.py
@@ -1,4 +1,4 @@
-"""Fetches a whole response within a time limit."""
+"""Fetches a whole response before a timeout."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -111,7 +111,7 @@
         self._finish(failure)
 
     def _on_timeout(self) -> None:
-        self._fail(FailureKind.SILENT, "no response within the time limit")
+        self._fail(FailureKind.SILENT, "no response before the timeout")
 
     def _fail(self, kind: FailureKind, detail: str) -> None:
         if not self._is_done:
--- a/src/bamboolever/platform/calls.py
+++ b/src/bamboolever/platform/calls.py
@@ -38,7 +38,6 @@
     model: str | None = None
     prompt_tokens: int | None = None
     max_output_tokens: int | None = None
-    expected_output_tokens: int | None = None
     last_event_id: bytes | None = None
 
 
@@ -50,17 +49,6 @@
     remaining_s: float
     workspace: str | None = None
     last_event_id: bytes | None = None
-    expected_version: int | None = None
-    priority: int | None = None
-
-
-@dataclass(frozen=True)
-class ServerLoad:
-    """Requests at an upstream as its answer tells them."""
-
-    running: int
-    waiting: int
-    slots: int
 
 
 def decode_call(request: Request) -> CallFacts:
@@ -68,7 +56,6 @@
     prompt, output = _token_counts(request.get(names.TOKEN_COUNTS.lower()))
     deadline_ms = _number(request.get(names.DEADLINE.lower()))
     model = request.get(names.MODEL.lower())
-    hint = _number(request.get(names.LENGTH_HINT.lower()))
     return CallFacts(
         attempt_id=request.get(names.ATTEMPT_ID.lower()),
         host=(request.get(b"host") or b"").decode("latin-1"),
@@ -78,7 +65,6 @@
         model=None if model is None else model.decode("latin-1"),
         prompt_tokens=prompt,
         max_output_tokens=output,
-        expected_output_tokens=None if hint is None else int(hint),
         last_event_id=request.get(names.LAST_EVENT_ID.lower()),
     )
 
@@ -100,11 +86,6 @@
         headers.append((names.WORKSPACE, dispatch.workspace.encode()))
     if dispatch.last_event_id is not None:
         headers.append((names.LAST_EVENT_ID, dispatch.last_event_id))
-    if dispatch.expected_version is not None:
-        version = str(dispatch.expected_version).encode()
-        headers.append((names.EXPECTED_VERSION, version))
-    if dispatch.priority is not None:
-        headers.append((names.REQUEST_PRIORITY, str(dispatch.priority).encode()))
     return Request(request.method, request.target, tuple(headers), request.body)
 
 
@@ -141,17 +122,6 @@
     return None if value is None else int(value)
 
 
-def decode_load(head: ResponseHead) -> ServerLoad | None:
-    """Return the load that the answer tells, or None."""
-    value = head.get(names.SERVER_LOAD.lower())
-    if value is None:
-        return None
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    return ServerLoad(*(int(part) for part in parts))
-
-
 def retry_after_header(delay_s: float) -> Header:
     """Return the header that tells a caller when to come back."""
     return (names.RETRY_AFTER, f"{delay_s:.3f}".encode())
--- a/src/bamboolever/weights/plan.py
+++ b/src/bamboolever/weights/plan.py
@@ -277,6 +277,11 @@
 }
 
 
+def register_piece_policy(name: str, policy: type[PiecePolicy]) -> None:
+    """Make a policy known, so that agents can be started with it."""
+    _POLICIES[name] = policy
+
+
 def make_piece_policy(name: str) -> PiecePolicy:
     """Return the policy with this name.
 
--- /dev/null
+++ b/testing/calls/test_placement.py
@@ -0,0 +1,38 @@
+"""Placement policies by name, and the baseline."""
+
+import pytest
+from sitebuilders import make_pending, make_profile, make_view
+
+from bamboolever.calls import placement
+from bamboolever.calls.placement import (
+    BASELINE_BOUND,
+    LeastOutstandingPolicy,
+    find_placement,
+    register_placement,
+)
+
+
+def _no_penalty(_view):
+    return 0.0
+
+
+def test_baseline_keeps_a_bound_of_own_requests_on_each_upstream():
+    views = [make_view("a", slots=16), make_view("b", slots=16)]
+    policy = find_placement("least-outstanding")(make_profile(), _no_penalty)
+    for number in range(2 * BASELINE_BOUND):
+        choice = policy.choose(make_pending(), views, 0.0)
+        choice.upstream.begin(number, 10)
+    assert [len(view.calls) for view in views] == [BASELINE_BOUND] * 2
+    assert policy.choose(make_pending(), views, 0.0) is None
+
+
+def test_unknown_policy_names_the_known_ones():
+    with pytest.raises(LookupError, match="least-outstanding, predicted"):
+        find_placement("none")
+
+
+def test_own_policy_can_be_registered(monkeypatch):
+    monkeypatch.setattr(placement, "_POLICIES", dict(placement._POLICIES))
+    register_placement("own", lambda _p, penalty: LeastOutstandingPolicy(1, penalty))
+    policy = find_placement("own")(make_profile(), _no_penalty)
+    assert policy.choose(make_pending(), [make_view()], 0.0) is not None
--- /dev/null
+++ b/testing/daemons/test_process.py
@@ -0,0 +1,125 @@
+"""Daemons as processes: start, reload, stop, bad settings."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import urllib.error
+import urllib.request
+
+import pytest
+from sitebuilders import WAIT_S, wait_for
+
+from bamboolever.daemons.process import make_parser
+
+
+class Process:
+    def __init__(self, document, path, *arguments):
+        path.write_text(json.dumps(document))
+        self.path = path
+        self.log = path.with_suffix(".log")
+        with self.log.open("wb") as log:
+            self._popen = subprocess.Popen(
+                [sys.executable, "-m", "bamboolever.daemons", *arguments],
+                env={**os.environ, "BAMBOOLEVER_NODE_FILE": str(path)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def signal(self, number):
+        self._popen.send_signal(number)
+
+    def wait(self):
+        return self._popen.wait(WAIT_S)
+
+    def messages(self):
+        lines = self.log.read_text().splitlines()
+        return [json.loads(line)["message"] for line in lines if line.startswith("{")]
+
+    def kill(self):
+        if self._popen.poll() is None:
+            self._popen.kill()
+            self._popen.wait()
+
+
+@pytest.fixture
+def start(tmp_path):
+    running = []
+
+    def start(document, *arguments):
+        path = tmp_path / f"settings-{len(running)}.json"
+        running.append(Process(document, path, *arguments))
+        return running[-1]
+
+    yield start
+    for process in running:
+        process.kill()
+
+
+def _is_ready(address):
+    try:
+        with urllib.request.urlopen(f"http://{address}/-/readiness", timeout=5) as it:
+            return it.status == 200
+    except (urllib.error.URLError, OSError):
+        return False
+
+
+def test_entry_serves_reloads_and_stops(site, start):
+    site.add_plain("plain-1")
+    document = site.settings(name="entry-1", host="127.0.0.1")
+    process = start(document, "entry")
+    wait_for(lambda: _is_ready(document["listenAddresses"]["ready"]))
+    process.path.write_text(json.dumps(document | {"region": "region-1"}))
+    process.signal(signal.SIGHUP)
+    wait_for(lambda: "settings reloaded" in process.messages())
+    process.signal(signal.SIGTERM)
+    assert process.wait() == 0
+    assert process.messages()[-1] == "stopped"
+
+
+def test_changed_file_is_reloaded_without_a_signal(site, start):
+    document = site.settings(name="entry-1", host="127.0.0.1")
+    process = start(document, "entry")
+    wait_for(lambda: "started" in process.messages())
+    process.path.write_text(json.dumps(document | {"region": "another-region"}))
+    wait_for(lambda: "settings reloaded" in process.messages())
+
+
+def test_bad_settings_on_reload_change_nothing(site, start):
+    site.add_plain("plain-1")
+    document = site.settings(name="entry-1", host="127.0.0.1")
+    process = start(document, "entry")
+    wait_for(lambda: _is_ready(document["listenAddresses"]["ready"]))
+    process.path.write_text("{broken")
+    process.signal(signal.SIGHUP)
+    wait_for(lambda: "settings not reloaded" in process.messages())
+    assert _is_ready(document["listenAddresses"]["ready"])
+
+
+@pytest.mark.parametrize(
+    ("document", "arguments"),
+    [
+        ({}, ["entry"]),
+        ({"nodeName": 7}, ["agent"]),
+        (None, ["entry", "--placement", "unknown"]),
+        (None, ["agent"]),
+    ],
+)
+def test_bad_settings_at_the_start_are_said_and_end_it(
+    site, start, document, arguments
+):
+    if document is None:
+        document = site.settings(name="x", host="127.0.0.1")
+    process = start(document, *arguments)
+    assert process.wait() == 2
+    assert "bamboolever: " in process.log.read_text()
+
+
+def test_baseline_policies_are_swapped_by_arguments(site, start):
+    options = make_parser().parse_args(["entry", "--placement", "least-outstanding"])
+    assert options.placement == "least-outstanding"
+    site.add_engine("engine-1", "127.0.0.2")
+    document = site.settings(name="entry-1", host="127.0.0.1")
+    start(document, "entry", "--placement", "least-outstanding")
+    wait_for(lambda: _is_ready(document["listenAddresses"]["ready"]))
--- a/testing/platform/test_calls.py
+++ b/testing/platform/test_calls.py
@@ -85,11 +85,3 @@
 def test_any_header_values_decode(values):
     headers = tuple(values.items())
     calls.decode_call(Request(b"GET", b"/", headers))
-
-
-def test_load_is_decoded_or_ignored():
-    head = ResponseHead(200, ((b"Bamboolever-Server-Load", b"3,0,8"),))
-    assert calls.decode_load(head) == calls.ServerLoad(3, 0, 8)
-    for value in (b"", b"1,2", b"a,b,c", b"1,2,3,4"):
-        bad = ResponseHead(200, ((b"Bamboolever-Server-Load", value),))
-        assert calls.decode_load(bad) is None
