Split a burst of rejections over datagrams

Cause: reading the diff: a batch of rejections had no bound, and a datagram over 1,400 bytes is cut by the receiver and then ignored, so that peers would not know returning callers just when most are rejected.

--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -22,6 +22,8 @@
 LOAD_PERIOD_S = 0.04
 LOAD_HEARTBEAT_S = 0.5
 HELLO_PERIOD_S = 1.0
+# Twenty bytes each at the most, in a datagram that no link splits.
+MAX_REJECTIONS_A_DATAGRAM = 60
 
 
 class EntryExchange:
@@ -95,9 +97,12 @@
         self._load_sent_at = now
         self._send_to_peers(self._fleet.own_load(is_ready=self._is_ready()))
         if self._new_rejections:
-            ages_s = {key: now - at for key, at in self._new_rejections.items()}
+            rejected = list(self._new_rejections.items())
             self._new_rejections = {}
-            self._send_to_peers(exchange.Rejections(ages_s))
+            for start in range(0, len(rejected), MAX_REJECTIONS_A_DATAGRAM):
+                part = rejected[start : start + MAX_REJECTIONS_A_DATAGRAM]
+                ages_s = {digest: now - first_at for digest, first_at in part}
+                self._send_to_peers(exchange.Rejections(ages_s))
 
     def _send_to_peers(self, message: exchange.Message) -> None:
         addresses = self._fleet.peers.addresses(self._task.now())
