--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -42,7 +42,6 @@
 REPORT_TIMEOUT_S = 0.5
 LIST_REFRESH_S = 2.0
 SUBSCRIBER_SILENCE_S = 4.0
-METRICS_PORT_OFFSET = 1
 
 
 @final
@@ -120,7 +119,7 @@
             lambda: not self._is_stopping,
             self.telemetry.render_text,
         )
-        metrics = Address(self._own.host, self._own.port + METRICS_PORT_OFFSET)
+        metrics = self._settings.metrics_address
         self._metrics = HttpServer(
             self.task, metrics, status, limits, max_connections=16
         )
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -51,7 +51,6 @@
 CONFIGURATION_WAIT_S = 2.0
 LIST_WAIT_S = 20.0
 LIST_SETTLE_S = 0.1
-METRICS_PORT_OFFSET = 1
 FILES_RESERVED = 264
 # After a stop is asked for, the balancer still sends new connections this long.
 BALANCER_DELAY_S = 3.0
@@ -118,9 +117,8 @@
         self._readiness = HttpServer(
             self.task, settings.readiness_address, status, limits, max_connections=32
         )
-        metrics = Address(settings.host, settings.internal_port + METRICS_PORT_OFFSET)
         self._metrics = HttpServer(
-            self.task, metrics, status, limits, max_connections=32
+            self.task, settings.metrics_address, status, limits, max_connections=32
         )
         own = Address(settings.host, settings.internal_port)
         self.exchange = EntryExchange(
--- a/src/bamboolever/daemons/process.py
+++ b/src/bamboolever/daemons/process.py
@@ -47,6 +47,7 @@
             nodefile.read_settings(path),
             placement=options.placement,
             piece_policy=options.pieces,
+            metrics_port=options.metrics_port,
         )
         daemon = make_daemon(options.role, settings)
     except (AdapterError, LookupError, ValueError) as error:
@@ -81,6 +82,11 @@
         default=InstanceSettings.piece_policy,
         help="policy by which an agent fetches pieces",
     )
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        help="port of the metrics, by default the second internal one",
+    )
     return parser
 
 
--- a/src/bamboolever/daemons/settings.py
+++ b/src/bamboolever/daemons/settings.py
@@ -42,6 +42,13 @@
     bounds: Bounds = field(default_factory=Bounds)
     placement: str = "predicted"
     piece_policy: str = "region-chain"
+    metrics_port: int | None = None
+
+    @property
+    def metrics_address(self) -> Address:
+        """Where metrics are served; by default beside the internal port."""
+        port = self.metrics_port
+        return Address(self.host, self.internal_port + 1 if port is None else port)
 
     def region_of(self, availability_zone: str) -> str:
         """Return the region of an availability zone; unknown ones are their own."""
--- a/testing/daemons/test_process.py
+++ b/testing/daemons/test_process.py
@@ -12,6 +12,7 @@
 from sitebuilders import WAIT_S, wait_for
 
 from bamboolever.daemons.process import make_parser
+from bamboolever.platform.standins.site import free_port
 
 
 class Process:
@@ -123,3 +124,13 @@
     document = site.settings(name="entry-1", host="127.0.0.1")
     start(document, "entry", "--placement", "least-outstanding")
     wait_for(lambda: _is_ready(document["listenAddresses"]["ready"]))
+
+
+def test_metrics_are_served_on_the_given_port(site, start):
+    site.add_plain("plain-1")
+    port = free_port()
+    document = site.settings(name="entry-1", host="127.0.0.1")
+    start(document, "entry", "--metrics-port", str(port))
+    wait_for(lambda: _is_ready(document["listenAddresses"]["ready"]))
+    with urllib.request.urlopen(f"http://127.0.0.1:{port}/metrics", timeout=5) as it:
+        assert it.status == 200
