Tests that three broken guards got past now fail on them

Cause: eleven guards were broken on purpose, one at a time; the tests meant for three of them passed all the same: an older configuration coming back (the check was hidden by a later version without routes), a forged workspace header (the last of two won), a length beside sound chunks (only unsound ones were tried). Change: each test now fails without its guard.

--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -2,11 +2,13 @@
 
 import json
 import socket
+import threading
 
 import pytest
 from sitebuilders import make_headers, make_stream_headers, read_answer, wait_for
 
 from bamboolever.calls.poison import request_digest
+from bamboolever.platform.documents import decode_configuration
 from bamboolever.platform.standins.site import (
     API_KEY,
     ENGINE_SERVICE,
@@ -222,12 +224,18 @@
 
 def test_older_configuration_never_comes_back(site, plain, start_entry):
     entry = start_entry().wait_ready(2)
-    old = dict(site.configuration)
+    old = decode_configuration(dict(site.configuration))
     site.apply_configuration(routes=[])
     wait_for(lambda: entry.entry._configuration.version == 2)
-    site.store.put("config", "main", old)
-    site.apply_configuration(tenants=[])
-    wait_for(lambda: entry.entry._configuration.version == 3)
+    is_applied = threading.Event()
+
+    def apply_old():
+        entry.entry._apply_configuration(old)
+        is_applied.set()
+
+    entry.entry.task.send(apply_old)
+    assert is_applied.wait(30)
+    assert entry.entry._configuration.version == 2
     assert entry.call("/orders/1").status == 404
 
 
--- a/testing/net/test_server.py
+++ b/testing/net/test_server.py
@@ -112,3 +112,15 @@
         while received.count(b"path ") < 2:
             received += sock.recv(65536)
     assert received.index(b"path /1") < received.index(b"path /2")
+
+
+def test_sound_chunks_beside_a_length_are_rejected(server):
+    handler = server.handler
+    while not handler.requests.empty():
+        handler.requests.get()
+    request = (
+        b"POST /outer HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    )
+    assert b" 400 " in _ask(server, request)
+    assert handler.requests.empty()
--- a/testing/platform/test_calls.py
+++ b/testing/platform/test_calls.py
@@ -52,8 +52,9 @@
     assert headers[b"Bamboolever-Deadline-Remaining"] == b"1500"
     assert headers[b"Bamboolever-Expected-Instance"] == b"i-1"
     assert headers[b"Bamboolever-Tenant"] == b"w"
-    names = {name for name, _ in sent.headers}
-    assert not names & {
+    sent_names = [name for name, _ in sent.headers]
+    assert len(sent_names) == len(set(sent_names))
+    assert not set(sent_names) & {
         b"Authorization",
         b"Path",
         b"Connection",
