Half of the engines finish a version that is overtaken under way

Cause: two versions named 4 s apart.

Change: where dropping leaves a gap of half a second, the first half of the ranked agents finishes, the second takes the newest. An agent that moves another version is not waited for and gives what it still has of the older one. A version that can no longer serve anything is given up. An engine that skipped a version holds its own only until the first one named after it is due (ends_at in place of due_at). The log names the version served, not the one to come.

--- a/src/bamboolever/daemons/loader.py
+++ b/src/bamboolever/daemons/loader.py
@@ -15,7 +15,9 @@
 from bamboolever.weights.loading import (
     LoadState,
     LoadStep,
+    Overtaking,
     finishes_first,
+    is_too_late,
     next_step,
     serves_target,
 )
@@ -88,7 +90,7 @@
         known = self._newest
         if known is not None and named.version <= known.version:
             return
-        is_kept = self._is_kept(now)
+        is_kept = self._is_kept(named, now)
         logger.info(
             "version named",
             extra={
@@ -137,10 +139,10 @@
         """Do the next step towards the intended version."""
         if self.is_switching and self._serves_ordered():
             self._end_switch()
-            logger.info("engine serves the version", extra=self._target_fields())
+            logger.info("engine serves the version", extra=_fields(self._ordered))
             self._owner.on_served_changed()
         state = self._state()
-        if serves_target(state):
+        if serves_target(state) or self._is_overtaken(state):
             self._forget_order()
             self._take_newest()
         step = next_step(state)
@@ -198,13 +200,7 @@
             for model in report.models
         )
 
-    def _target_fields(self) -> dict[str, Any]:
-        target = self._target
-        if target is None:
-            return {}
-        return {"model": target.model, "version": target.version}
-
-    def _is_kept(self, now: float) -> bool:
+    def _is_kept(self, named: NamedVersion, now: float) -> bool:
         profile = self._owner.profile()
         if not self.transfer.is_begun or self._target is None or profile is None:
             return False
@@ -212,7 +208,23 @@
             return False
         link = self._link_bytes_per_s * LINK_SHARE
         transfer_s = profile.weight_bytes / link if link > 0 else 0.0
-        return finishes_first(now - self._target_at, transfer_s)
+        elapsed_s = now - self._target_at
+        return finishes_first(
+            Overtaking(elapsed_s, transfer_s, self._versions.timeout_s),
+            is_second_half=self._is_second_half(named),
+        )
+
+    def _is_overtaken(self, state: LoadState) -> bool:
+        target = self._target
+        if target is None or self._newest == target or state.is_staged:
+            return False
+        ends_at = self._versions.ends_at(target.model, target.version)
+        return ends_at is not None and is_too_late(self._task.now(), ends_at)
+
+    def _is_second_half(self, named: NamedVersion) -> bool:
+        own = str(self._owner.own().address)
+        members = [own, *(str(peer.address) for peer in self._owner.peers())]
+        return is_second_half(own, members, named.version)
 
     def _take_newest(self) -> None:
         if self._newest is None or self._newest == self._target:
@@ -256,7 +268,7 @@
             return
         self._drain_started_at = now
         self._ordered = None
-        logger.info("draining the engine", extra=self._target_fields())
+        logger.info("draining the engine", extra=_fields(self._target))
         self._owner.on_served_changed()
         self.advance()
 
@@ -267,20 +279,24 @@
     def _drain_at(self, now: float) -> float:
         target, report = self._target, self._report
         assert target is not None
-        own = str(self._owner.own().address)
-        members = [own, *(str(peer.address) for peer in self._owner.peers())]
-        due_at = self._versions.due_at(target.model, target.version)
+        ends_at = self._served_ends_at()
         staged_at = self.transfer.staged_at
         return drain_at(
             SwitchInput(
                 staged_at=now if staged_at is None else staged_at,
-                due_at=now if due_at is None else due_at,
-                is_second_half=is_second_half(own, members, target.version),
+                due_at=now if ends_at is None else ends_at,
+                is_second_half=self._is_second_half(target),
                 is_superseded=self._newest != target,
                 serves_older=report is not None and bool(report.models),
             )
         )
 
+    def _served_ends_at(self) -> float | None:
+        served = self.served()
+        if served is None:
+            return None
+        return self._versions.ends_at(served.model, served.version)
+
     def _verify(self) -> None:
         started_at = self._task.now()
 
@@ -300,7 +316,7 @@
         cuts = is_alone and self._owner.may_cut() and report.running > 0
         logger.info(
             "ordering the engine",
-            extra={**self._target_fields(), "running": report.running, "cuts": cuts},
+            extra={**_fields(target), "running": report.running, "cuts": cuts},
         )
         request = wire.start_order_request(
             self._engine, target.model, target.version, cuts=cuts
@@ -334,3 +350,9 @@
         if self._order_timer is not None:
             self._order_timer.cancel()
             self._order_timer = None
+
+
+def _fields(version: NamedVersion | None) -> dict[str, Any]:
+    if version is None:
+        return {}
+    return {"model": version.model, "version": version.version}
--- a/src/bamboolever/daemons/stage.py
+++ b/src/bamboolever/daemons/stage.py
@@ -18,16 +18,26 @@
 
 
 class Stage:
-    """Calls to the staging area of one engine; answers come by callback."""
+    """Calls to the staging area of one engine; answers come by callback.
 
-    def __init__(self, pool: ConnectionPool, engine: Address):
+    ``on_overwrite`` is told the number of each piece before it is written over.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        engine: Address,
+        on_overwrite: Callable[[int], None],
+    ):
         self._pool = pool
         self._engine = engine
+        self._on_overwrite = on_overwrite
 
     def put(
         self, model: str, number: int, data: bytes, on_done: Callable[[bool], None]
     ) -> None:
         """Stage one piece and tell whether the engine took it."""
+        self._on_overwrite(number)
         request = wire.stage_request(self._engine, model, number, data)
 
         def on_result(result: FetchResult) -> None:
--- a/src/bamboolever/daemons/transfer.py
+++ b/src/bamboolever/daemons/transfer.py
@@ -36,9 +36,10 @@
         self._policy = policy
         self._owner = owner
         self._task = owner.task
-        self._stage = Stage(owner.pool, engine)
+        self._stage = Stage(owner.pool, engine, self._on_overwrite)
         self._on_changed = on_changed
         self._swarm: Swarm | None = None
+        # What is left of the version that was staged before, for other agents.
         self._held_version: NamedVersion | None = None
         self._held = 0
         self._is_fetching_manifest = False
@@ -89,6 +90,9 @@
     def drop(self) -> None:
         """End the transfer; staged pieces stay."""
         if self._swarm is not None:
+            pieces = self._swarm.view.pieces
+            self._held_version = _version(pieces)
+            self._held = pieces.verified
             self._swarm.stop()
             self._swarm = None
         self.staged_at = None
@@ -124,11 +128,12 @@
         named = NamedVersion(piece_map.model, piece_map.version)
         swarm = self._swarm
         if swarm is not None:
-            manifest = swarm.view.pieces.manifest
-            if NamedVersion(manifest.model, manifest.version) == named:
+            if _version(swarm.view.pieces) == named:
                 swarm.apply_map(sender, piece_map)
                 if piece_map.is_reply_wanted:
                     self._owner.announce(swarm.make_map(), [sender])
+            else:
+                swarm.view.leave(sender)
             return
         if piece_map.is_reply_wanted and self._held_version == named and self._held:
             uploads = self._owner.uploads()
@@ -165,11 +170,12 @@
         logger.info("staged pieces found", extra={"pieces": len(held)})
 
     def _holds(self, named: NamedVersion, number: int) -> bool:
-        if self._swarm is None:
-            return self._held_version == named
-        pieces = self._swarm.view.pieces
-        is_same = NamedVersion(pieces.manifest.model, pieces.manifest.version) == named
-        return is_same and bool(pieces.verified >> number & 1)
+        if self._swarm is not None and _version(self._swarm.view.pieces) == named:
+            return bool(self._swarm.view.pieces.verified >> number & 1)
+        return self._held_version == named and bool(self._held >> number & 1)
+
+    def _on_overwrite(self, number: int) -> None:
+        self._held &= ~(1 << number)
 
     def _on_manifest(
         self, result: FetchResult, on_version: Callable[[NamedVersion], bool]
@@ -212,7 +218,6 @@
             self._on_staged,
             self._owner.uploads,
         )
-        self._held_version = None
         logger.info("fetching", extra=_fields(pieces))
         self._reuse_staged(self._swarm)
 
@@ -257,6 +262,10 @@
         self._on_changed()
 
 
+def _version(pieces: PieceSet) -> NamedVersion:
+    return NamedVersion(pieces.manifest.model, pieces.manifest.version)
+
+
 def _fields(pieces: PieceSet) -> dict[str, object]:
     manifest = pieces.manifest
     return {
--- a/src/bamboolever/fleet/versions.py
+++ b/src/bamboolever/fleet/versions.py
@@ -54,13 +54,28 @@
         """Return the newest named version, or None."""
         return max(self._named_at.get(model, {}), default=None)
 
-    def due_at(self, model: str, version: int) -> float | None:
-        """Return when a version becomes required, None where that is not known."""
-        named_at = self._named_at.get(model, {}).get(version)
-        return None if named_at is None else self._due(named_at)
+    @property
+    def timeout_s(self) -> float:
+        """Seconds after a naming in which an older version may begin requests."""
+        return self._timeout_s - VERSION_MARGIN_S
+
+    def ends_at(self, model: str, version: int) -> float | None:
+        """Return when a version may no longer begin requests.
+
+        None where that is not known, or where nothing newer was named.
+        """
+        namings = [
+            named_at
+            for newer, named_at in self._named_at.get(model, {}).items()
+            if newer > version
+        ]
+        known = [named_at for named_at in namings if named_at is not None]
+        if not known or len(known) < len(namings):
+            return None
+        return self._due(min(known))
 
     def _due(self, named_at: float) -> float:
-        return named_at + self._timeout_s - VERSION_MARGIN_S
+        return named_at + self.timeout_s
 
     def required(self, model: str | None, now: float) -> int:
         """Return the lowest version that may serve new requests."""
@@ -69,6 +84,6 @@
         due = (
             version
             for version, named_at in self._named_at.get(model, {}).items()
-            if named_at is None or now >= named_at + self._timeout_s - VERSION_MARGIN_S
+            if named_at is None or now >= self._due(named_at)
         )
         return max(due, default=0)
--- a/src/bamboolever/weights/loading.py
+++ b/src/bamboolever/weights/loading.py
@@ -61,16 +61,47 @@
     return LoadStep.ORDER if state.is_verified else LoadStep.VERIFY
 
 
-# A transfer that has come this far is ended before a newer version's begins.
-FINISH_SHARE = 0.55
+# How long an engine serves nothing while it changes its version.
+SWITCH_S = 1.5
+# Time without any service that is worth a second copy to half of the engines.
+MIN_GAP_S = 0.5
 
 
-def finishes_first(elapsed_s: float, transfer_s: float) -> bool:
+@dataclass(frozen=True)
+class Overtaking:
+    """A version named while its predecessor is moving; times in seconds.
+
+    ``elapsed_s`` is the time between the two namings, ``transfer_s`` what one
+    version takes to every engine and ``timeout_s`` how long after a naming an
+    older version may begin requests.
+    """
+
+    elapsed_s: float
+    transfer_s: float
+    timeout_s: float
+
+
+def finishes_first(overtaking: Overtaking, *, is_second_half: bool) -> bool:
     """Tell whether a transfer under way ends before a newer version is fetched.
 
-    Load pattern: a version named while its predecessor is moving. Dropping one
-    that is almost there leaves the engines on a version whose time runs out
-    before the newer one can have come. The answer depends on times that all
-    agents share, so that they move the same version.
+    Load pattern: a version named while its predecessor is moving. Where all drop
+    it, the oldest version's time may be up before the newest has come; where all
+    finish it, the newest comes a whole transfer later. So one half finishes it
+    and serves in between, and the other half brings the newest. The answer
+    depends on what all agents share, so that the halves are the same to all.
+    """
+    transfer_s, elapsed_s = overtaking.transfer_s, overtaking.elapsed_s
+    gap_s = transfer_s - (overtaking.timeout_s - elapsed_s)
+    if gap_s < MIN_GAP_S or is_second_half:
+        return False
+    serves_in_s = max(0.0, transfer_s - elapsed_s) + SWITCH_S
+    return serves_in_s < transfer_s
+
+
+def is_too_late(now: float, ends_at: float) -> bool:
+    """Tell whether a version not yet staged would serve no request any more.
+
+    Load pattern: a version whose last pieces do not come, since the origin is
+    away. It is given up for the one that was named after it.
     """
-    return elapsed_s >= FINISH_SHARE * transfer_s
+    return now + SWITCH_S >= ends_at
--- a/src/bamboolever/weights/plan.py
+++ b/src/bamboolever/weights/plan.py
@@ -9,6 +9,7 @@
 """
 
 import functools
+import math
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Iterable
@@ -86,6 +87,13 @@
             new >>= 1
             number += 1
 
+    def leave(self, address: Address) -> None:
+        """Note that a peer moves another version: it brings no more of this one.
+
+        What it has of this one it gives until it is written over.
+        """
+        self.heard_at[address] = -math.inf
+
     def active_members(self, now: float) -> list[Peer]:
         """Return this agent and the peers that were heard lately."""
         alive = [
--- a/testing/fleet/test_versions.py
+++ b/testing/fleet/test_versions.py
@@ -42,3 +42,20 @@
     assert restarted.required("m", 25.0) == 0
     assert restarted.required("m", 26.0) == 2
     assert restarted.required("m", 28.0) == 3
+
+
+def test_version_ends_with_the_first_one_named_after_it():
+    """Engines that skipped a version held on to one that nobody may use."""
+    versions = NamedVersions(8.0)
+    versions.put("m", 2, 10.0)
+    versions.put("m", 3, 12.0)
+    assert versions.ends_at("m", 1) == 18.0 - VERSION_MARGIN_S
+    assert versions.ends_at("m", 2) == 20.0 - VERSION_MARGIN_S
+    assert versions.ends_at("m", 3) is None
+
+
+def test_end_is_unknown_where_a_naming_is_of_unknown_age():
+    versions = NamedVersions(8.0)
+    versions.put("m", 2, 10.0, is_new=False)
+    versions.put("m", 3, 12.0)
+    assert versions.ends_at("m", 1) is None
--- a/testing/weights/test_plan.py
+++ b/testing/weights/test_plan.py
@@ -179,3 +179,40 @@
 def test_unknown_policy_names_the_known_ones():
     with pytest.raises(LookupError, match="origin-only, region-chain"):
         make_piece_policy("none")
+
+
+def test_agent_that_moves_another_version_is_not_waited_for():
+    """Its share of the pieces was brought in only after it was silent for long."""
+    replay = Replay("region-chain", (2, 0, 0))
+    view, other = replay.views.values()
+    view.leave(other.own.address)
+    assert view.active_members(1.0) == [view.own]
+    seen = _planned_numbers(replay, view)
+    assert seen == set(range(PIECES))
+
+
+def test_agent_that_left_for_another_version_still_gives_what_it_has():
+    replay = Replay("region-chain", (2, 0, 0))
+    view, other = replay.views.values()
+    view.note_have(other.own.address, (1 << PIECES) - 1, 1.0)
+    view.leave(other.own.address)
+    fetches = replay.policy.plan(view, 1.0)
+    assert [fetch.source for fetch in fetches] == [other.own.address]
+
+
+def _planned_numbers(replay, view):
+    numbers = set()
+    while fetches := replay.policy.plan(view, 1.0):
+        for fetch in fetches:
+            assert fetch.source is None
+            numbers.add(fetch.number)
+            view.pieces.add(fetch.number)
+    return numbers
+
+
+def test_agent_that_comes_to_the_version_takes_part_again():
+    replay = Replay("region-chain", (2, 0, 0))
+    view, other = replay.views.values()
+    view.leave(other.own.address)
+    view.note_have(other.own.address, 0b1, 2.0)
+    assert other.own in view.active_members(2.0)
