Find out at once that the store is back

The store is silent from 24 s to 28 s. The watch of the configuration, lost at 26.2 s, sent another call that waits 2 s at the store with a limit of 3.5 s. Sent into the silence it was never answered, and the next one, sent at 29.96 s, was answered after its wait: keys were refused until 31.96 s, four seconds after the watch of the upstreams had been answered.

Change: out of contact a watch asks without waiting, with a limit of 1 s that grows to 2 s; an answer to one watch sends those that have hung for half a second again (StoreContact).

--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -23,6 +23,13 @@
 
 LIST_TIMEOUT_S = 2.0
 ANSWER_SLACK_S = 1.5
+# A call that finds out whether the store is back; the limit grows, as the store
+# may be slow rather than away.
+MIN_PROBE_TIMEOUT_S = 1.0
+MAX_PROBE_TIMEOUT_S = 2.0
+PROBE_TIMEOUT_GROWTH = 1.5
+# A call that has hung for this long is given up when the store answers another.
+HANGING_S = 0.5
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 1.0
 RETRY_GROWTH = 2.0
@@ -55,6 +62,26 @@
     wait_s: float | None
 
 
+class StoreContact:
+    """The watches of one process: an answer to one tells the others.
+
+    Load pattern: a store that comes back after a silence. Calls sent during the
+    silence are never answered, so those that hang are sent again at once.
+    """
+
+    def __init__(self) -> None:
+        self._watches: list[KindWatch] = []
+
+    def add(self, watch: "KindWatch") -> None:
+        """Make a watch known."""
+        self._watches.append(watch)
+
+    def on_answered(self) -> None:
+        """Have the watches that are out of contact ask again."""
+        for watch in self._watches:
+            watch.ask_again()
+
+
 class KindWatch:
     """Keeps an observer up to date with one kind of object."""
 
@@ -67,6 +94,7 @@
         observer: KindObserver,
         timing: WatchTiming,
         *,
+        contact: StoreContact,
         settle_s: float = 0.0,
     ):
         self._task = task
@@ -78,7 +106,11 @@
         self._settle_s = settle_s
         self._revision: int | None = None
         self._pages: list[StoredDocument] = []
+        self._contact = contact
+        contact.add(self)
         self._retry_s = MIN_RETRY_S
+        self._probe_timeout_s = MIN_PROBE_TIMEOUT_S
+        self._sent_at = 0.0
         self._is_reached = False
         self._is_stopped = False
         self._fetch: Fetch | None = None
@@ -103,6 +135,16 @@
             self._revision = None
             self._list("")
 
+    def ask_again(self) -> None:
+        """Give up a call that hangs while the store answers others."""
+        if self._is_reached or self._is_stopped or self._fetch is None:
+            return
+        if self._task.now() - self._sent_at < HANGING_S:
+            return
+        self._fetch.cancel()
+        self._fetch = None
+        self._continue()
+
     def _continue(self) -> None:
         if self._is_stopped:
             return
@@ -112,10 +154,21 @@
             return
         if wait_s is None:
             return
+        if not self._is_reached:
+            self._probe(self._revision)
+            return
         request = store.watch_request(
             self._kind, revision=self._revision, wait_s=wait_s
         )
-        timeout_s = wait_s + ANSWER_SLACK_S
+        self._send(request, wait_s + ANSWER_SLACK_S, self._on_changes)
+
+    def _probe(self, revision: int) -> None:
+        # A call that waits at the store would tell late that the store is back.
+        request = store.watch_request(self._kind, revision=revision, wait_s=0.0)
+        timeout_s = self._probe_timeout_s
+        self._probe_timeout_s = min(
+            MAX_PROBE_TIMEOUT_S, timeout_s * PROBE_TIMEOUT_GROWTH
+        )
         self._send(request, timeout_s, self._on_changes)
 
     def _list(self, after: str) -> None:
@@ -141,6 +194,7 @@
                 self._revision = None
                 self._on_unreachable(str(error))
 
+        self._sent_at = self._task.now()
         self._fetch = Fetch.start(
             self._pool, self._store_address(), request, on_result, timeout_s=timeout_s
         )
@@ -184,6 +238,7 @@
     def _as_of(self, response: Response, changes: StoreListing) -> float:
         wait_s = self._timing.wait_s or 0.0
         waited_s = self._task.now() - response.sent_at
+        # An answer that came sooner did not wait, or tells changes.
         if changes.documents or waited_s < wait_s:
             return response.sent_at
         # An answer without changes was given at the end of the wait.
@@ -191,9 +246,11 @@
 
     def _on_reached(self) -> None:
         self._retry_s = MIN_RETRY_S
+        self._probe_timeout_s = MIN_PROBE_TIMEOUT_S
         if not self._is_reached:
             self._is_reached = True
             self._observer.on_contact(True, "answered")
+        self._contact.on_answered()
 
     def _on_unreachable(self, reason: str) -> None:
         if self._is_reached:
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -6,7 +6,7 @@
 from bamboolever._task import IoTask
 from bamboolever._telemetry import Telemetry
 from bamboolever.config.model import Configuration, EngineProfile, WeightOrigin
-from bamboolever.config.watch import KindWatch, WatchTiming
+from bamboolever.config.watch import KindWatch, StoreContact, WatchTiming
 from bamboolever.daemons.clock import suspended_clock
 from bamboolever.daemons.loader import EngineLoader
 from bamboolever.daemons.loaderowner import LoaderOwner
@@ -126,6 +126,8 @@
         self._datagrams = DatagramPort(self.task, self._own, self._on_datagram)
 
     def _make_watches(self) -> None:
+        contact = StoreContact()
+
         def watch(kind: str, observer: Any, wait_s: float | None) -> KindWatch:
             return KindWatch(
                 self.task,
@@ -134,6 +136,7 @@
                 kind,
                 observer,
                 WatchTiming(wait_s),
+                contact=contact,
             )
 
         configuration = ConfigurationObserver(
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -19,7 +19,7 @@
 from bamboolever.config.freshness import Freshness
 from bamboolever.config.model import Configuration
 from bamboolever.config.routes import RouteTable
-from bamboolever.config.watch import KindWatch, WatchTiming
+from bamboolever.config.watch import KindWatch, StoreContact, WatchTiming
 from bamboolever.daemons.calldesk import CONNECT_TIMEOUT_S, CallDesk
 from bamboolever.daemons.clock import suspended_clock
 from bamboolever.daemons.entryexchange import EntryExchange
@@ -135,6 +135,8 @@
         )
 
     def _make_watches(self) -> list[KindWatch]:
+        contact = StoreContact()
+
         def watch(
             kind: str, observer: Any, wait_s: float, settle_s: float
         ) -> KindWatch:
@@ -145,6 +147,7 @@
                 kind,
                 observer,
                 WatchTiming(wait_s),
+                contact=contact,
                 settle_s=settle_s,
             )
 
