check: settings of daemons, deploy files and the platform's settings

check took every file for documents unless told otherwise and refused the shipped entry.toml and agent.toml. The kind follows from the content now; deploy files and the platform's settings are checked too, all faults at once, with key path and the mend.

--- a/src/bamboolever/_cli.py
+++ b/src/bamboolever/_cli.py
@@ -49,7 +49,9 @@
 Operator = Annotated[
     str, typer.Option("--operator", help="Your name, shown to other operators.")
 ]
-Files = Annotated[list[Path], typer.Argument(help="TOML files.")]
+Files = Annotated[
+    list[Path], typer.Argument(help="TOML files; JSON for the platform's settings.")
+]
 LogLevel = Annotated[str, typer.Option("--log-level")]
 
 DEFAULT_PLATFORM = "http://127.0.0.1:7000"
@@ -99,26 +101,20 @@
 def check(
     files: Files,
     kind: Annotated[
-        str, typer.Option(help="documents, entry or agent (settings).")
-    ] = "documents",
+        str | None,
+        typer.Option(
+            help="documents, entry, agent, deploy or platform; by content if left out."
+        ),
+    ] = None,
     as_json: AsJson = False,
 ) -> None:
-    """Check TOML files and write nothing."""
-    from bamboolever._documents import load_toml
-    from bamboolever._operator import load_files
-    from bamboolever._settings import AgentSettings, EntrySettings
-
-    faults: list[Any] = []
-    if kind == "documents":
-        loaded = load_files(files)
-        faults = loaded.failure() if isinstance(loaded, Failure) else []
-    elif kind in ("entry", "agent"):
-        model = EntrySettings if kind == "entry" else AgentSettings
-        for path in files:
-            result = load_toml(path, model)
-            faults += result.failure() if isinstance(result, Failure) else []
-    else:
-        raise _fail(f"unknown kind {kind!r}; use documents, entry, agent", 2)
+    """Check documents, settings and deploy files; write nothing."""
+    from bamboolever._check import FileKind, check_files
+
+    known = ", ".join(item.value for item in FileKind)
+    if kind is not None and kind not in known.split(", "):
+        raise _fail(f"unknown kind {kind!r}; use one of {known}", EXIT_BAD_INPUT)
+    faults = check_files(files, None if kind is None else FileKind(kind))
     if as_json:
         rows = [dataclasses.asdict(fault) for fault in faults]
         typer.echo(json.dumps({"faults": rows}))
--- a/src/bamboolever/platform/nodefile.py
+++ b/src/bamboolever/platform/nodefile.py
@@ -39,7 +39,9 @@
     link_mbps: float = Field(0, alias="linkMbps")
 
 
-class _NodeFile(_Document):
+class NodeFile(_Document):
+    """The settings file as the platform writes it."""
+
     node_name: str = Field(alias="nodeName")
     ip_address: str = Field(alias="ipAddress")
     zone: str
@@ -87,13 +89,38 @@
     Raises `AdapterError` when a field is missing or of another type.
     """
     try:
-        node = _NodeFile.model_validate(document)
+        node = NodeFile.model_validate(document)
         return _convert(node)
     except (ValidationError, ValueError) as error:
         raise AdapterError(f"settings do not decode: {error}") from error
 
 
-def _convert(node: _NodeFile) -> InstanceSettings:
+def check_settings(document: Any) -> list[tuple[str, str]]:
+    """Return the key and fault of each address that does not decode.
+
+    The document is one that `NodeFile` accepts.
+    """
+    node = NodeFile.model_validate(document)
+    addresses = {f"listenAddresses.{name}": text for name, text in node.listen.items()}
+    addresses["platformSettings.address"] = node.store.address
+    if node.app:
+        addresses["app"] = node.app
+    return [
+        (key, f"is no IP:PORT; correct it (found {text!r})")
+        for key, text in addresses.items()
+        if not _is_address(text)
+    ]
+
+
+def _is_address(text: str) -> bool:
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _convert(node: NodeFile) -> InstanceSettings:
     bounds = node.bounds
     return InstanceSettings(
         name=node.node_name,
@@ -123,6 +150,6 @@
     )
 
 
-def _listen(node: _NodeFile, name: str) -> Address | None:
+def _listen(node: NodeFile, name: str) -> Address | None:
     text = node.listen.get(name)
     return parse_address(text) if text else None
