A stopping entry rejects what it would cut

Change: from the moment at which less than 4 s (or the route's timeout, where that is shorter) is left until its end, an entry answers new requests with 503, not run, and has them go to another entry at once.

--- a/src/bamboolever/calls/admission.py
+++ b/src/bamboolever/calls/admission.py
@@ -15,6 +15,8 @@
 UNKNOWN_KEY_STATUS = 401
 NO_ROUTE_STATUS = 404
 NOT_NOW_STATUS = 503
+# Nearly every call has ended after this time.
+LONGEST_CALL_S = 4.0
 
 
 @dataclass(frozen=True)
@@ -73,3 +75,12 @@
     if service is None:
         return Refused(NOT_NOW_STATUS, RejectReason.NO_UPSTREAM.value)
     return Admitted(route, workspace, service)
+
+
+def may_begin(left_s: float, timeout_s: float) -> bool:
+    """Tell whether an entry that stops in ``left_s`` still takes a request.
+
+    Load pattern: callers that still come to an entry seconds after its stop was
+    asked for. What would be cut at the end is rejected before it has run.
+    """
+    return left_s >= min(timeout_s, LONGEST_CALL_S)
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -13,6 +13,7 @@
     Arrival,
     Refused,
     admit,
+    may_begin,
 )
 from bamboolever.calls.dispatcher import RejectReason
 from bamboolever.calls.poison import request_digest
@@ -60,7 +61,11 @@
 ALONE_DELAY_S = 0.5
 # Reasons that another entry may not have.
 OWN_LACKS = frozenset(
-    {RejectReason.STALE_KEYS.value, RejectReason.NO_CONFIGURATION.value}
+    {
+        RejectReason.STALE_KEYS.value,
+        RejectReason.NO_CONFIGURATION.value,
+        RejectReason.STOPPING.value,
+    }
 )
 
 
@@ -243,6 +248,11 @@
         if isinstance(admitted, Refused):
             self._refuse(connection, facts, admitted.status, admitted.reason)
             return
+        if self._is_stopping and not may_begin(
+            self._stop_left_s(), admitted.route.timeout_s
+        ):
+            self._refuse(connection, facts, NOT_NOW_STATUS, RejectReason.STOPPING.value)
+            return
         digest = request_digest(
             request.method, request.target, facts.api_key or "", request.body
         )
@@ -334,13 +344,13 @@
         logger.info("stopping", extra={"calls": self.calls.calls})
         self.task.call_later(BALANCER_DELAY_S, self._finish_stop)
 
-    def _stop_limit_s(self) -> float:
-        return self._settings.bounds.grace_period_s - STOP_MARGIN_S
+    def _stop_left_s(self) -> float:
+        limit_s = self._settings.bounds.grace_period_s - STOP_MARGIN_S
+        return limit_s - (self.task.now() - self._stopped_at)
 
     def _finish_stop(self) -> None:
         self._server.close_idle()
-        elapsed_s = self.task.now() - self._stopped_at
-        if self.calls.calls and elapsed_s < self._stop_limit_s():
+        if self.calls.calls and self._stop_left_s() > 0:
             self.task.call_later(0.1, self._finish_stop)
             return
         logger.info("stopped", extra={"cut": self.calls.calls})
--- a/testing/calls/test_admission.py
+++ b/testing/calls/test_admission.py
@@ -5,7 +5,14 @@
 import pytest
 from sitebuilders import make_route
 
-from bamboolever.calls.admission import AdmissionState, Admitted, Arrival, admit
+from bamboolever.calls.admission import (
+    LONGEST_CALL_S,
+    AdmissionState,
+    Admitted,
+    Arrival,
+    admit,
+    may_begin,
+)
 from bamboolever.config.model import Configuration, Workspace
 from bamboolever.config.routes import RouteTable
 
@@ -62,3 +69,10 @@
 def test_key_on_an_open_route_names_its_workspace():
     assert _admit(target="/b/x").workspace.name == "studio"
     assert _admit(target="/b/x", api_key="other").workspace is None
+
+
+def test_stopping_entry_takes_what_it_can_finish():
+    assert may_begin(LONGEST_CALL_S, 6.0)
+    assert not may_begin(LONGEST_CALL_S - 0.1, 6.0)
+    assert may_begin(1.0, 0.8)
+    assert not may_begin(0.5, 0.8)
--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -269,6 +269,17 @@
     assert read_answer(connection).body == ALL_EVENTS
 
 
+def test_stopping_entry_takes_nothing_that_it_would_cut(engines, start_entry):
+    """A stream taken five seconds after the stop was asked for was cut at its end."""
+    entry = start_entry(gracePeriodS=4).wait_ready(2)
+    entry.entry.task.send(entry.entry.request_stop)
+    wait_for(lambda: not entry.entry.is_ready())
+    answer = entry.call("/stream/1", **make_stream_headers())
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) < 1.0
+    assert _runs(engines) == 0
+
+
 def test_engine_with_an_old_version_gets_nothing_once_its_time_is_up(
     site, engines, start_entry
 ):
