Begin nothing behind full slots on a version about to end

Change: in the last quarter of a second an engine that is three quarters full is not used on a version about to end.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -23,6 +23,9 @@
 RETURN_SPREAD_S = 0.8
 # A caller returns within the first third of the time until its deadline.
 MAX_RETURN_SHARE = 0.3
+# In the last stretch of a version's time its upstreams are not filled: a request
+# that waits there for a slot would begin too late.
+ENDING_SLOT_SHARE = 0.75
 
 
 class RejectReason(Enum):
@@ -87,7 +90,7 @@
 
     def submit(self, call: PendingCall, now: float) -> list[Decision]:
         """Add a request and decide."""
-        if not self._usable(call, now) and not call.is_resumed:
+        if not self._usable(call, now) and not self._may_wait(call):
             return [self._reject(call, RejectReason.NO_UPSTREAM, now)]
         self._waiting.append(call)
         self._waiting.sort(key=_urgency)
@@ -110,7 +113,7 @@
                 choice.upstream.begin(call.call_id, call.prompt_tokens)
                 decisions.append(Assignment(call, choice))
             elif now >= self._give_up_at(call):
-                decisions.append(self._reject(call, RejectReason.NO_ROOM, now))
+                decisions.append(self._reject(call, self._explain(call, now), now))
             else:
                 still.append(call)
         self._waiting = still
@@ -120,6 +123,14 @@
         """Return when the next waiting request is given up, or None."""
         return min((self._give_up_at(call) for call in self._waiting), default=None)
 
+    def _may_wait(self, call: PendingCall) -> bool:
+        # A caller that came back does not come again, and engines load meanwhile.
+        return call.is_resumed or (call.is_returning and bool(self._upstreams))
+
+    def _explain(self, call: PendingCall, now: float) -> RejectReason:
+        is_served = bool(self._usable(call, now))
+        return RejectReason.NO_ROOM if is_served else RejectReason.NO_UPSTREAM
+
     def _give_up_at(self, call: PendingCall) -> float:
         latest_start = call.target_at - self.policy.shortest_s(call)
         if call.is_resumed:
@@ -130,18 +141,27 @@
         return min(call.arrived_at + MAX_HOLD_S, latest_start, call.timeout_at)
 
     def _usable(self, call: PendingCall, now: float) -> Sequence[UpstreamView]:
-        required = self._versions.required(call.model, now)
         able = [
             view
             for view in self._upstreams
             if view.takes_requests(now)
             and view.instance_id not in call.tried
-            and _serves(view, call.model, required, now)
+            and self._serves(view, call.model, now)
         ]
         sound = [view for view in able if not view.is_ejected(now)]
         # Where most look unsound, the fault is not theirs alone: use them all.
         return sound if len(sound) >= MIN_SOUND_SHARE * len(able) else able
 
+    def _serves(self, view: UpstreamView, model: str | None, now: float) -> bool:
+        if model is None:
+            return True
+        version = view.version_of(model, now)
+        if version is None or version < self._versions.required(model, now):
+            return False
+        if not self._versions.is_ending(model, version, now):
+            return True
+        return view.load.active < ENDING_SLOT_SHARE * view.record.slots
+
     def _reject(self, call: PendingCall, reason: RejectReason, now: float) -> Rejection:
         delay_s = MIN_RETURN_S + RETURN_SPREAD_S * self._random.random()
         left_s = max(0.0, call.timeout_at - now)
@@ -156,10 +176,3 @@
 
 def _urgency(call: PendingCall) -> tuple[bool, int, float]:
     return (not call.is_resumed, call.priority, call.target_at)
-
-
-def _serves(view: UpstreamView, model: str | None, required: int, now: float) -> bool:
-    if model is None:
-        return True
-    version = view.version_of(model, now)
-    return version is not None and version >= required
--- a/src/bamboolever/fleet/versions.py
+++ b/src/bamboolever/fleet/versions.py
@@ -7,6 +7,8 @@
 
 # Taken off the bound: queueing at the upstream and the age of its list entry.
 VERSION_MARGIN_S = 0.4
+# How long before its end a version is used with care.
+ENDING_S = 0.25
 
 
 # Namings older than this no longer matter to anybody.
@@ -74,6 +76,11 @@
             return None
         return self._due(min(known))
 
+    def is_ending(self, model: str, version: int, now: float) -> bool:
+        """Tell whether a version may begin requests for a moment only."""
+        ends_at = self.ends_at(model, version)
+        return ends_at is not None and now >= ends_at - ENDING_S
+
     def _due(self, named_at: float) -> float:
         return named_at + self.timeout_s
 
--- a/testing/calls/test_dispatcher.py
+++ b/testing/calls/test_dispatcher.py
@@ -4,6 +4,7 @@
 
 from bamboolever.calls.dispatcher import (
     MAX_HOLD_S,
+    MAX_RETURN_HOLD_S,
     Assignment,
     Rejection,
     RejectReason,
@@ -183,3 +184,40 @@
     assert dispatcher.submit(make_pending(is_resumed=True), 0.0) == []
     (decision,) = dispatcher.decide(0.6)
     assert isinstance(decision, Assignment)
+
+
+def test_caller_that_came_back_waits_for_an_engine_that_loads():
+    """It was rejected at once and for good, a tenth of a second too soon."""
+    view = make_view(models=())
+    dispatcher = _dispatcher([view])
+    returning = make_pending(used_s=2.0, target_at=-1.6, timeout_at=4.0)
+    assert dispatcher.submit(returning, 0.0) == []
+    view.tell_served("model-1", 1, 0.3)
+    (decision,) = dispatcher.decide(0.3)
+    assert isinstance(decision, Assignment)
+
+
+def test_caller_that_came_back_waits_for_an_engine_only_briefly():
+    dispatcher = _dispatcher([make_view(models=())])
+    returning = make_pending(used_s=2.0, target_at=-1.6, timeout_at=4.0)
+    dispatcher.submit(returning, 0.0)
+    (decision,) = dispatcher.decide(MAX_RETURN_HOLD_S)
+    assert decision.reason is RejectReason.NO_UPSTREAM
+    assert _dispatcher([]).submit(returning, 0.0) != []
+
+
+def test_version_about_to_end_is_not_begun_behind_full_slots():
+    """A request waited half a second for a slot and began after the version's end."""
+    versions = NamedVersions(8.0)
+    versions.put("model-1", 2, 0.0)
+    nearly_full, roomy = make_view("nearly-full"), make_view("roomy")
+    _fill(nearly_full, 3)
+    _fill(roomy, 2)
+    dispatcher = _dispatcher([nearly_full], versions)
+    (early,) = dispatcher.submit(make_pending(target_at=7.6), 7.1)
+    assert isinstance(early, Assignment)
+    early.choice.upstream.end(early.call.call_id)
+    (late,) = dispatcher.submit(make_pending(target_at=7.9), 7.4)
+    assert isinstance(late, Rejection)
+    (placed,) = _dispatcher([roomy], versions).submit(make_pending(target_at=7.9), 7.4)
+    assert isinstance(placed, Assignment)
