--- a/src/bamboolever/_cli.py
+++ b/src/bamboolever/_cli.py
@@ -14,7 +14,7 @@
 from returns.result import Failure
 
 from bamboolever._clitrials import bench_app, stand_in_app
-from bamboolever.reports.cli import explain
+from bamboolever.reports.cli import explain, report
 
 EXIT_OK = 0
 EXIT_WRONG = 1
@@ -37,6 +37,7 @@
 app.add_typer(stand_in_app, name="stand-in")
 app.add_typer(bench_app, name="bench")
 app.command(epilog=EXIT_CODES)(explain)
+app.command(epilog=EXIT_CODES)(report)
 
 SettingsFile = Annotated[Path, typer.Option("--settings", help="TOML settings file.")]
 PlatformUrl = Annotated[
--- a/src/bamboolever/reports/cli.py
+++ b/src/bamboolever/reports/cli.py
@@ -1,4 +1,4 @@
-"""Commands that read logs."""
+"""Commands that read logs and journals."""
 
 import dataclasses
 import json
@@ -6,10 +6,14 @@
 from typing import Annotated
 
 import typer
+from returns.result import Failure
 
 from bamboolever.reports.explain import find_walk, format_walk, read_lines
+from bamboolever.reports.journal import DayWorth, list_rounds, read_entry
+from bamboolever.reports.plots import PlotError, draw_worth
 
 EXIT_NOT_FOUND = 1
+EXIT_BAD_INPUT = 2
 
 
 def explain(
@@ -33,3 +37,60 @@
             err=True,
         )
         raise typer.Exit(EXIT_NOT_FOUND)
+
+
+def report(
+    entries: Annotated[list[Path], typer.Argument(help="Journal entries.")],
+    plot: Annotated[
+        Path | None, typer.Option(help="Draw worth by run into this file.")
+    ] = None,
+    as_json: Annotated[
+        bool, typer.Option("--json", help="Print one JSON object.")
+    ] = False,
+) -> None:
+    """Show the worth of the days in journal entries, by run."""
+    days, faults = _read_entries(entries)
+    for fault in faults:
+        typer.echo(f"bamboolever: {fault}", err=True)
+    if faults:
+        raise typer.Exit(EXIT_BAD_INPUT)
+    if as_json:
+        typer.echo(json.dumps({"days": [dataclasses.asdict(day) for day in days]}))
+    else:
+        for line in _format_days(days):
+            typer.echo(line)
+    if plot is not None:
+        _draw(days, plot)
+
+
+def _read_entries(entries: list[Path]) -> tuple[list[DayWorth], list[str]]:
+    days: list[DayWorth] = []
+    faults: list[str] = []
+    for path in entries:
+        read = read_entry(path)
+        if isinstance(read, Failure):
+            faults.append(read.failure())
+        else:
+            days += read.unwrap()
+    return days, faults
+
+
+def _format_days(days: list[DayWorth]) -> list[str]:
+    lines = []
+    for (site, day), runs in list_rounds(days).items():
+        lines.append(f"{site} {day}")
+        for run in runs:
+            broken = f"  BROKEN: {', '.join(run.broken_rules)}"
+            lines.append(
+                f"  {run.began_at} {run.commit} {run.worth:6.3f}  "
+                f"dearest: {run.dearest_price}{broken if run.broken_rules else ''}"
+            )
+    return lines
+
+
+def _draw(days: list[DayWorth], path: Path) -> None:
+    try:
+        draw_worth(days, path)
+    except PlotError as error:
+        typer.echo(f"bamboolever: {error}", err=True)
+        raise typer.Exit(EXIT_NOT_FOUND) from error
