One timer that is armed anew, and the server's interface in a module of its own

RearmableTimer does that once for server connections, fetches and relays; limits and the handler's interface are in net.handlers, which the configuration can import without the server. No behaviour changed; the timer has its tests.

--- a/src/bamboolever/_callerhttp.py
+++ b/src/bamboolever/_callerhttp.py
@@ -12,13 +12,9 @@
 
 from bamboolever._task import IoTask
 from bamboolever.net.addresses import Address
+from bamboolever.net.handlers import HttpLimits, RequestHandler
 from bamboolever.net.messages import Header, Request
-from bamboolever.net.server import (
-    HttpLimits,
-    HttpServer,
-    RequestHandler,
-    ServerConnection,
-)
+from bamboolever.net.server import HttpServer, ServerConnection
 
 LIMITS = HttpLimits(
     max_header_bytes=16 * 1024,
--- a/src/bamboolever/config/model.py
+++ b/src/bamboolever/config/model.py
@@ -5,7 +5,7 @@
 from enum import Enum
 
 from bamboolever.net.addresses import Address
-from bamboolever.net.server import HttpLimits
+from bamboolever.net.handlers import HttpLimits
 
 
 class RouteKind(Enum):
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -26,7 +26,8 @@
 from bamboolever.net.client import ConnectionPool
 from bamboolever.net.datagrams import DatagramPort
 from bamboolever.net.fetch import Fetch, FetchResult, Response
-from bamboolever.net.server import HttpLimits, HttpServer
+from bamboolever.net.handlers import HttpLimits
+from bamboolever.net.server import HttpServer
 from bamboolever.platform import names
 from bamboolever.platform import weights as wire
 from bamboolever.platform.errors import AdapterError
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -36,13 +36,9 @@
 from bamboolever.fleet.records import NamedVersion
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
+from bamboolever.net.handlers import HttpLimits, RequestHandler
 from bamboolever.net.messages import Request
-from bamboolever.net.server import (
-    HttpLimits,
-    HttpServer,
-    RequestHandler,
-    ServerConnection,
-)
+from bamboolever.net.server import HttpServer, ServerConnection
 from bamboolever.platform import calls as wire
 from bamboolever.platform import names
 
--- a/src/bamboolever/daemons/pieceport.py
+++ b/src/bamboolever/daemons/pieceport.py
@@ -14,8 +14,9 @@
 
 from bamboolever._task import IoTask
 from bamboolever.net.addresses import Address
+from bamboolever.net.handlers import RequestHandler
 from bamboolever.net.messages import Request
-from bamboolever.net.server import RequestHandler, ServerConnection
+from bamboolever.net.server import ServerConnection
 
 logger = logging.getLogger(__name__)
 
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -2,7 +2,6 @@
 
 from typing import final
 
-from bamboolever._task import Timer
 from bamboolever.calls.dispatcher import Rejection, RejectReason
 from bamboolever.calls.events import EventSplitter
 from bamboolever.calls.placement import Choice, PendingCall
@@ -18,6 +17,7 @@
 )
 from bamboolever.net.messages import Header, Request, ResponseHead
 from bamboolever.net.server import ServerConnection
+from bamboolever.net.timers import RearmableTimer
 from bamboolever.platform import calls as wire
 from bamboolever.platform.calls import CallFacts, Dispatch
 
@@ -80,7 +80,7 @@
         self._timeout = self._task.call_later(
             self._timeout_at - self.arrived_at, self._on_timeout
         )
-        self._stall: Timer | None = None
+        self._stall = RearmableTimer(self._task)
 
     # Placement.
 
@@ -275,7 +275,7 @@
         self._respond_with_answer()
 
     def _attempt_failed(self, outcome: AttemptOutcome, detail: str) -> None:
-        self._disarm_stall()
+        self._stall.disarm()
         now = self._task.now()
         view = self._upstream
         if view is not None:
@@ -362,7 +362,7 @@
         self.record.outcome = outcome
         self.record.detail = detail
         self._timeout.cancel()
-        self._disarm_stall()
+        self._stall.disarm()
         if self._upstream is not None:
             self._upstream.end(self.call_id)
         self._owner.withdraw(self)
@@ -377,7 +377,7 @@
     # Silence.
 
     def _arm_stall(self) -> None:
-        self._disarm_stall()
+        self._stall.disarm()
         if not self.route.may_repeat:
             return
         limit_s = STALL_S
@@ -385,12 +385,7 @@
             limit_s = max(STALL_S, (self.route.target_gap_s or 0.0) * STALL_GAPS)
         elif self.route.target_latency_s > 0:
             limit_s = min(STALL_S, self.route.target_latency_s)
-        self._stall = self._task.call_later(limit_s, self._on_stall)
-
-    def _disarm_stall(self) -> None:
-        if self._stall is not None:
-            self._stall.cancel()
-            self._stall = None
+        self._stall.arm(limit_s, self._on_stall)
 
     def _on_stall(self) -> None:
         if self._is_done or self._exchange is None:
--- a/src/bamboolever/daemons/statusport.py
+++ b/src/bamboolever/daemons/statusport.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 from typing import final
 
+from bamboolever.net.handlers import RequestHandler
 from bamboolever.net.messages import Request
-from bamboolever.net.server import RequestHandler, ServerConnection
+from bamboolever.net.server import ServerConnection
 
 METRICS_PATH = b"/metrics"
 
--- a/src/bamboolever/net/fetch.py
+++ b/src/bamboolever/net/fetch.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import final
 
-from bamboolever._task import IoTask, Timer
+from bamboolever._task import IoTask
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import (
     ClientConnection,
@@ -14,6 +14,7 @@
     ResponseHandler,
 )
 from bamboolever.net.messages import Request, ResponseHead
+from bamboolever.net.timers import RearmableTimer
 
 
 @dataclass(frozen=True)
@@ -50,7 +51,7 @@
         self._sent_at = task.now()
         self._connection: ClientConnection | None = None
         self._timer = task.call_later(timeout_s, self._on_timeout)
-        self._stall_timer: Timer | None = None
+        self._stall_timer = RearmableTimer(task)
         self._is_done = False
         self._restart_stall_timer()
 
@@ -125,16 +126,12 @@
         self._on_result(result)
 
     def _restart_stall_timer(self) -> None:
-        if self._stall_s is None:
-            return
-        if self._stall_timer is not None:
-            self._stall_timer.cancel()
-        self._stall_timer = self._task.call_later(self._stall_s, self._on_timeout)
+        if self._stall_s is not None:
+            self._stall_timer.arm(self._stall_s, self._on_timeout)
 
     def _release(self) -> None:
         self._timer.cancel()
-        if self._stall_timer is not None:
-            self._stall_timer.cancel()
+        self._stall_timer.disarm()
         if self._connection is not None:
             self._connection.cancel()
             self._connection = None
--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -2,17 +2,22 @@
 
 import logging
 import socket
-from abc import ABC, abstractmethod
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from collections.abc import Sequence
 from typing import Any
 
 import h11
 
-from bamboolever._task import READ, WRITE, IoTask, Timer
+from bamboolever._task import READ, WRITE, IoTask
 from bamboolever.net.addresses import Address
+from bamboolever.net.handlers import (
+    HttpLimits,
+    MakeRejection,
+    RequestHandler,
+    make_plain_rejection,
+)
 from bamboolever.net.messages import Header, Request
 from bamboolever.net.sockets import open_listener, set_options
+from bamboolever.net.timers import RearmableTimer
 
 logger = logging.getLogger(__name__)
 
@@ -23,32 +28,6 @@
 LINGER_S = 1.0
 
 
-@dataclass
-class HttpLimits:
-    """What a caller may send and how long it may take; changes apply at once."""
-
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 2**20
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
-class RequestHandler(ABC):
-    """Receives what happens on a server's connections, on its task."""
-
-    @abstractmethod
-    def on_request(self, connection: "ServerConnection", request: Request) -> None:
-        """A whole request arrived; exactly one response is due."""
-
-    @abstractmethod
-    def on_caller_gone(self, connection: "ServerConnection") -> None:
-        """The caller closed while its response was due."""
-
-    @abstractmethod
-    def on_rejected(self, status: int, reason: str) -> None:
-        """A request was rejected before it was whole."""
-
-
 class ServerConnection:
     """One accepted connection; its requests are served one at a time."""
 
@@ -66,7 +45,7 @@
         self._is_closing = False
         self._is_due = False
         self._has_started = False
-        self._timer: Timer | None = None
+        self._timer = RearmableTimer(self._task)
         sock.setblocking(False)
         set_options(sock, SILENCE_LIMIT_S)
         self._task.register(sock, READ, self._on_ready)
@@ -135,7 +114,7 @@
         if self._is_closed:
             return
         self._is_closed = True
-        self._disarm()
+        self._timer.disarm()
         self._task.unregister(self._sock)
         self._sock.close()
         self._server.forget(self)
@@ -246,7 +225,7 @@
         self._arm(self._server.limits.idle_timeout_s)
 
     def _finish_request(self, request: h11.Request) -> None:
-        self._disarm()
+        self._timer.disarm()
         whole = Request(
             bytes(request.method),
             bytes(request.target),
@@ -296,8 +275,8 @@
         except OSError as error:
             logger.debug("shutdown failed: %s", error)
         self._set_events(READ)
-        self._disarm()
-        self._timer = self._task.call_later(LINGER_S, self.close)
+        self._timer.disarm()
+        self._timer.arm(LINGER_S, self.close)
 
     def _set_events(self, events: int) -> None:
         if events != self._events and not self._is_closed:
@@ -309,13 +288,7 @@
             self._arm(self._server.limits.header_timeout_s)
 
     def _arm(self, delay_s: float) -> None:
-        self._disarm()
-        self._timer = self._task.call_later(delay_s, self._on_timeout)
-
-    def _disarm(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._timer.arm(delay_s, self._on_timeout)
 
     def _on_timeout(self) -> None:
         if self._is_due or self._is_closed:
@@ -326,15 +299,6 @@
         self.close()
 
 
-# Returns headers and body of the answer to a request that was not whole.
-MakeRejection = Callable[[int, str], tuple[list[Header], bytes]]
-
-
-def make_plain_rejection(_status: int, reason: str) -> tuple[list[Header], bytes]:
-    """Return the reason as the body."""
-    return [], reason.encode()
-
-
 class HttpServer:
     """Listens on one address and owns the accepted connections."""
 
--- a/src/bamboolever/platform/documents.py
+++ b/src/bamboolever/platform/documents.py
@@ -22,7 +22,7 @@
     UpstreamRecord,
 )
 from bamboolever.net.addresses import parse_address
-from bamboolever.net.server import HttpLimits
+from bamboolever.net.handlers import HttpLimits
 from bamboolever.platform.errors import AdapterError
 
 _KINDS = {
--- a/src/bamboolever/platform/standins/store.py
+++ b/src/bamboolever/platform/standins/store.py
@@ -8,13 +8,9 @@
 
 from bamboolever._task import IoTask
 from bamboolever.net.addresses import Address
+from bamboolever.net.handlers import HttpLimits, RequestHandler
 from bamboolever.net.messages import Request
-from bamboolever.net.server import (
-    HttpLimits,
-    HttpServer,
-    RequestHandler,
-    ServerConnection,
-)
+from bamboolever.net.server import HttpServer, ServerConnection
 from bamboolever.platform.names import OBJECTS_PATH
 
 _JSON = (b"Content-Type", b"application/json")
--- a/testing/net/test_server.py
+++ b/testing/net/test_server.py
@@ -9,7 +9,8 @@
 
 from bamboolever._task import IoTask
 from bamboolever.net.addresses import Address
-from bamboolever.net.server import HttpLimits, HttpServer, RequestHandler
+from bamboolever.net.handlers import HttpLimits, RequestHandler
+from bamboolever.net.server import HttpServer
 
 WAIT_S = 30.0
 
--- /dev/null
+++ b/testing/net/test_timers.py
@@ -0,0 +1,55 @@
+"""A timer that is armed anew again and again."""
+
+import pytest
+from sitebuilders import wait_for
+
+from bamboolever._task import IoTask
+from bamboolever.net.timers import RearmableTimer
+
+
+@pytest.fixture
+def task():
+    task = IoTask("test")
+    task.start()
+    yield task
+    task.stop()
+
+
+def _run(task, steps):
+    """Carry steps out on the task and return what the timer called."""
+    called = []
+    timer = RearmableTimer(task)
+    task.send(lambda: steps(timer, called))
+    done = []
+    task.send(lambda: task.call_later(0.05, lambda: done.append(True)))
+    wait_for(lambda: done)
+    return called
+
+
+def test_only_the_last_action_is_called(task):
+    def steps(timer, called):
+        timer.arm(0.01, lambda: called.append("first"))
+        timer.arm(0.02, lambda: called.append("second"))
+
+    assert _run(task, steps) == ["second"]
+
+
+def test_disarmed_timer_calls_nothing(task):
+    def steps(timer, called):
+        timer.arm(0.01, lambda: called.append("first"))
+        timer.disarm()
+        timer.disarm()
+
+    assert _run(task, steps) == []
+
+
+def test_timer_can_be_armed_by_its_own_action(task):
+    def steps(timer, called):
+        def again():
+            called.append("again")
+            if len(called) < 3:
+                timer.arm(0.001, again)
+
+        timer.arm(0.001, again)
+
+    assert _run(task, steps) == ["again"] * 3
