--- a/testing/daemons/conftest.py
+++ b/testing/daemons/conftest.py
@@ -35,3 +35,16 @@
     yield start
     for agent in running:
         agent.stop()
+
+
+@pytest.fixture
+def plain(site):
+    return [site.add_plain("plain-1"), site.add_plain("plain-2")]
+
+
+@pytest.fixture
+def engines(site):
+    return [
+        site.add_engine("engine-1", "127.0.0.2"),
+        site.add_engine("engine-2", "127.0.0.3"),
+    ]
--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -1,22 +1,22 @@
 """The entry against stand-ins: answers, failures of upstreams, bad input."""
 
-import json
 import socket
-import threading
 
 import pytest
-from sitebuilders import make_headers, make_stream_headers, read_answer, wait_for
+from sitebuilders import (
+    make_headers,
+    make_stream_headers,
+    read_answer,
+    views_of,
+    wait_for,
+)
 
 from bamboolever.calls.poison import request_digest
-from bamboolever.platform.documents import decode_configuration
 from bamboolever.platform.standins.site import (
     API_KEY,
-    ENGINE_SERVICE,
     HOST,
-    PLAIN_SERVICE,
     WORKSPACE,
 )
-from bamboolever.platform.standins.store import StoreTrouble
 from bamboolever.platform.standins.upstream import EVENTS, Behaviour
 
 ALL_EVENTS = b"".join(
@@ -25,19 +25,6 @@
 )
 
 
-@pytest.fixture
-def plain(site):
-    return [site.add_plain("plain-1"), site.add_plain("plain-2")]
-
-
-@pytest.fixture
-def engines(site):
-    return [
-        site.add_engine("engine-1", "127.0.0.2"),
-        site.add_engine("engine-2", "127.0.0.3"),
-    ]
-
-
 def _sent_headers(upstream):
     return dict(upstream.seen[-1].request.headers)
 
@@ -190,74 +177,6 @@
     wait_for(lambda: any(item.is_cancelled for up in engines for item in up.seen))
 
 
-def test_draining_upstream_gets_no_new_requests(site, plain, start_entry):
-    entry = start_entry().wait_ready(2)
-    site.list_upstream(plain[0], PLAIN_SERVICE, state="draining")
-    wait_for(lambda: views_of(entry)["plain-1"].record.is_draining)
-    for _ in range(4):
-        assert entry.call("/lookup/1").status == 200
-    assert not plain[0].seen
-
-
-def views_of(entry):
-    return entry.entry.fleet._views
-
-
-def test_unreadable_upstream_entry_is_ignored(site, plain, start_entry):
-    entry = start_entry().wait_ready(2)
-    site.store.put("servers", "broken-1", {"service": 7})
-    site.store.put("servers", "broken-2", "text")
-    site.list_upstream(plain[0], PLAIN_SERVICE, state="dancing")
-    wait_for(lambda: "plain-1" not in views_of(entry))
-    assert entry.call("/lookup/1").status == 200
-    assert set(views_of(entry)) == {"plain-2"}
-
-
-def test_reused_address_is_never_sent_a_request_to_run(site, plain, start_entry):
-    entry = start_entry().wait_ready(2)
-    plain[0].instance_id = "another"
-    plain[1].instance_id = "another"
-    answer = entry.call("/orders/1")
-    assert answer.status == 503
-    assert not _runs(plain)
-
-
-def test_older_configuration_never_comes_back(site, plain, start_entry):
-    entry = start_entry().wait_ready(2)
-    old = decode_configuration(dict(site.configuration))
-    site.apply_configuration(routes=[])
-    wait_for(lambda: entry.entry._configuration.version == 2)
-    is_applied = threading.Event()
-
-    def apply_old():
-        entry.entry._apply_configuration(old)
-        is_applied.set()
-
-    entry.entry.task.send(apply_old)
-    assert is_applied.wait(30)
-    assert entry.entry._configuration.version == 2
-    assert entry.call("/orders/1").status == 404
-
-
-def test_keyed_requests_stop_when_the_store_is_silent_too_long(
-    site, plain, start_entry
-):
-    entry = start_entry(revocationMs=1500).wait_ready(2)
-    site.store.trouble = StoreTrouble.SILENT
-    wait_for(lambda: not entry.entry.is_ready())
-    answer = entry.call("/orders/1")
-    assert answer.status == 503
-    assert "Retry-After" in answer.headers
-    assert not _runs(plain)
-
-
-def test_forgotten_history_is_listed_anew(site, plain, start_entry):
-    entry = start_entry().wait_ready(2)
-    site.store.forget_history()
-    site.add_plain("plain-3")
-    wait_for(lambda: "plain-3" in views_of(entry))
-
-
 def test_stop_finishes_what_is_under_way(engines, start_entry):
     entry = start_entry().wait_ready(2)
     connection = entry.connect()
@@ -280,21 +199,6 @@
     assert _runs(engines) == 0
 
 
-def test_engine_with_an_old_version_gets_nothing_once_its_time_is_up(
-    site, engines, start_entry
-):
-    entry = start_entry(version_ms=500).wait_ready(2)
-    site.name_version(2)
-    fleet = entry.entry.fleet
-    now = entry.entry.task.now
-    wait_for(lambda: fleet.versions.required("model-1", now()) == 2)
-    assert entry.call("/stream/1", **make_stream_headers()).status == 503
-    engines[0].engine.version = 2
-    site.list_upstream(engines[0], ENGINE_SERVICE)
-    wait_for(lambda: views_of(entry)["engine-1"].version_of("model-1", now()) == 2)
-    assert entry.call("/stream/1", **make_stream_headers()).status == 200
-
-
 def test_conflicting_lengths_are_rejected(plain, start_entry):
     entry = start_entry().wait_ready(2)
     with socket.create_connection(entry.settings.caller_address, 30) as sock:
@@ -338,14 +242,6 @@
     wait_for(lambda: second.entry.fleet.peers.addresses(now()))
 
 
-def test_configuration_that_does_not_decode_is_ignored(site, plain, start_entry):
-    entry = start_entry().wait_ready(2)
-    site.store.put("config", "main", json.loads('{"version": "nine"}'))
-    site.add_plain("plain-3")
-    wait_for(lambda: "plain-3" in views_of(entry))
-    assert entry.call("/lookup/1").status == 200
-
-
 def test_request_that_crashes_upstreams_is_blocked_at_every_entry(
     site, engines, start_entry, start_agent
 ):
@@ -390,37 +286,6 @@
     assert _runs(plain) == 10 + 2
 
 
-def test_entry_learns_from_the_agent_that_an_engine_serves(
-    site, start_entry, start_agent
-):
-    full = site.add_engine("engine-1", "127.0.0.2")
-    empty = site.add_engine("engine-2", "127.0.0.3", version=None)
-    for number, engine in enumerate((full, empty)):
-        start_agent(engine, f"agent-{number}")
-    entry = start_entry(host="127.0.0.8").wait_ready(2)
-    view = views_of(entry)["engine-2"]
-    now = entry.entry.task.now
-    wait_for(lambda: view.version_of("model-1", now()) == 1)
-    assert not view.record.models
-
-
-def test_entry_without_the_store_sends_callers_to_ready_peers_at_once(
-    site, plain, start_entry
-):
-    entry = start_entry(revocationMs=1500).wait_ready(2)
-    site.store.trouble = StoreTrouble.SILENT
-    wait_for(lambda: not entry.entry.is_ready())
-    delays = []
-    for is_ready in (True, False, None):
-        entry.entry.fleet.peers.is_ready_elsewhere = lambda _now, it=is_ready: it
-        answer = entry.call("/orders/1")
-        assert answer.status == 503
-        delays.append(float(answer.headers["Retry-After"]))
-    assert delays[0] < 0.1
-    assert delays[1] >= 0.5
-    assert delays[2] < 0.1
-
-
 def test_negative_and_positive_prediction_errors_are_recorded(
     engines, start_entry, caplog
 ):
--- /dev/null
+++ b/testing/daemons/test_entryfleet.py
@@ -0,0 +1,141 @@
+"""The entry against stand-ins: what the store, agents and peers tell it."""
+
+import json
+import threading
+
+from sitebuilders import make_stream_headers, views_of, wait_for
+
+from bamboolever.platform.documents import decode_configuration
+from bamboolever.platform.standins.site import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
+)
+from bamboolever.platform.standins.store import StoreTrouble
+from bamboolever.platform.standins.upstream import EVENTS
+
+ALL_EVENTS = b"".join(
+    f"id: {number}\ndata: token {number}\n\n".encode()
+    for number in range(1, EVENTS + 1)
+)
+
+
+def _runs(upstreams):
+    return sum(len(upstream.ran()) for upstream in upstreams)
+
+
+def test_draining_upstream_gets_no_new_requests(site, plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    site.list_upstream(plain[0], PLAIN_SERVICE, state="draining")
+    wait_for(lambda: views_of(entry)["plain-1"].record.is_draining)
+    for _ in range(4):
+        assert entry.call("/lookup/1").status == 200
+    assert not plain[0].seen
+
+
+def test_unreadable_upstream_entry_is_ignored(site, plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    site.store.put("servers", "broken-1", {"service": 7})
+    site.store.put("servers", "broken-2", "text")
+    site.list_upstream(plain[0], PLAIN_SERVICE, state="dancing")
+    wait_for(lambda: "plain-1" not in views_of(entry))
+    assert entry.call("/lookup/1").status == 200
+    assert set(views_of(entry)) == {"plain-2"}
+
+
+def test_reused_address_is_never_sent_a_request_to_run(site, plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    plain[0].instance_id = "another"
+    plain[1].instance_id = "another"
+    answer = entry.call("/orders/1")
+    assert answer.status == 503
+    assert not _runs(plain)
+
+
+def test_older_configuration_never_comes_back(site, plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    old = decode_configuration(dict(site.configuration))
+    site.apply_configuration(routes=[])
+    wait_for(lambda: entry.entry._configuration.version == 2)
+    is_applied = threading.Event()
+
+    def apply_old():
+        entry.entry._apply_configuration(old)
+        is_applied.set()
+
+    entry.entry.task.send(apply_old)
+    assert is_applied.wait(30)
+    assert entry.entry._configuration.version == 2
+    assert entry.call("/orders/1").status == 404
+
+
+def test_keyed_requests_stop_when_the_store_is_silent_too_long(
+    site, plain, start_entry
+):
+    entry = start_entry(revocationMs=1500).wait_ready(2)
+    site.store.trouble = StoreTrouble.SILENT
+    wait_for(lambda: not entry.entry.is_ready())
+    answer = entry.call("/orders/1")
+    assert answer.status == 503
+    assert "Retry-After" in answer.headers
+    assert not _runs(plain)
+
+
+def test_forgotten_history_is_listed_anew(site, plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    site.store.forget_history()
+    site.add_plain("plain-3")
+    wait_for(lambda: "plain-3" in views_of(entry))
+
+
+def test_engine_with_an_old_version_gets_nothing_once_its_time_is_up(
+    site, engines, start_entry
+):
+    entry = start_entry(version_ms=500).wait_ready(2)
+    site.name_version(2)
+    fleet = entry.entry.fleet
+    now = entry.entry.task.now
+    wait_for(lambda: fleet.versions.required("model-1", now()) == 2)
+    assert entry.call("/stream/1", **make_stream_headers()).status == 503
+    engines[0].engine.version = 2
+    site.list_upstream(engines[0], ENGINE_SERVICE)
+    wait_for(lambda: views_of(entry)["engine-1"].version_of("model-1", now()) == 2)
+    assert entry.call("/stream/1", **make_stream_headers()).status == 200
+
+
+def test_configuration_that_does_not_decode_is_ignored(site, plain, start_entry):
+    entry = start_entry().wait_ready(2)
+    site.store.put("config", "main", json.loads('{"version": "nine"}'))
+    site.add_plain("plain-3")
+    wait_for(lambda: "plain-3" in views_of(entry))
+    assert entry.call("/lookup/1").status == 200
+
+
+def test_entry_learns_from_the_agent_that_an_engine_serves(
+    site, start_entry, start_agent
+):
+    full = site.add_engine("engine-1", "127.0.0.2")
+    empty = site.add_engine("engine-2", "127.0.0.3", version=None)
+    for number, engine in enumerate((full, empty)):
+        start_agent(engine, f"agent-{number}")
+    entry = start_entry(host="127.0.0.8").wait_ready(2)
+    view = views_of(entry)["engine-2"]
+    now = entry.entry.task.now
+    wait_for(lambda: view.version_of("model-1", now()) == 1)
+    assert not view.record.models
+
+
+def test_entry_without_the_store_sends_callers_to_ready_peers_at_once(
+    site, plain, start_entry
+):
+    entry = start_entry(revocationMs=1500).wait_ready(2)
+    site.store.trouble = StoreTrouble.SILENT
+    wait_for(lambda: not entry.entry.is_ready())
+    delays = []
+    for is_ready in (True, False, None):
+        entry.entry.fleet.peers.is_ready_elsewhere = lambda _now, it=is_ready: it
+        answer = entry.call("/orders/1")
+        assert answer.status == 503
+        delays.append(float(answer.headers["Retry-After"]))
+    assert delays[0] < 0.1
+    assert delays[1] >= 0.5
+    assert delays[2] < 0.1
--- a/testing/sitebuilders.py
+++ b/testing/sitebuilders.py
@@ -188,3 +188,7 @@
     while not condition():
         assert time.monotonic() < deadline, "the condition did not come true"
         gate.wait(POLL_S)
+
+
+def views_of(entry):
+    return entry.entry.fleet._views
