--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -1,10 +1,7 @@
 """A watch of the store, driven by hand: no socket, no clock."""
 
-import heapq
-import itertools
-import json
-
 import pytest
+from manualtask import ManualPool, ManualTask
 
 from bamboolever.config.watch import (
     ANSWER_SLACK_S,
@@ -18,69 +15,10 @@
     WatchTiming,
 )
 from bamboolever.net.addresses import Address
-from bamboolever.net.messages import ResponseHead
 
 WAIT_S = 2.0
 
 
-class ManualTimer:
-    def __init__(self):
-        self.is_cancelled = False
-
-    def cancel(self):
-        self.is_cancelled = True
-
-
-class ManualTask:
-    def __init__(self):
-        self._now = 100.0
-        self._order = itertools.count()
-        self._due = []
-
-    def now(self):
-        return self._now
-
-    def call_later(self, delay_s, action):
-        timer = ManualTimer()
-        entry = (self._now + delay_s, next(self._order), timer, action)
-        heapq.heappush(self._due, entry)
-        return timer
-
-    def advance(self, seconds):
-        end = self._now + seconds
-        while self._due and self._due[0][0] <= end:
-            self._now, _, timer, action = heapq.heappop(self._due)
-            if not timer.is_cancelled:
-                action()
-        self._now = end
-
-
-class ManualPool:
-    def __init__(self, task):
-        self.task = task
-        self.sent = []
-
-    def send(self, address, request, handler):
-        self.sent.append((request.target.decode(), handler))
-        return ManualConnection()
-
-    def answer(self, index, **content):
-        body = json.dumps({"at": 1, **content}).encode()
-        handler = self.sent[index][1]
-        handler.on_head(ResponseHead(200, ()))
-        handler.on_data(body)
-        handler.on_end()
-
-    @property
-    def targets(self):
-        return [target for target, _ in self.sent]
-
-
-class ManualConnection:
-    def cancel(self):
-        pass
-
-
 class Recorder(KindObserver):
     def __init__(self):
         self.contacts = []
