--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -234,23 +234,14 @@
 def test_two_entries_learn_of_each_other_through_an_agent(
     site, engines, start_entry, start_agent
 ):
-    start_agent(engines[0])
-    first = start_entry(name="entry-1", host="127.0.0.8").wait_ready(2)
-    second = start_entry(name="entry-2", host="127.0.0.9").wait_ready(2)
-    now = first.entry.task.now
-    wait_for(lambda: first.entry.fleet.peers.addresses(now()))
-    wait_for(lambda: second.entry.fleet.peers.addresses(now()))
+    _start_peers(engines, start_entry, start_agent)
 
 
 def test_request_that_crashes_upstreams_is_blocked_at_every_entry(
     site, engines, start_entry, start_agent
 ):
-    start_agent(engines[0])
-    first = start_entry(name="entry-1", host="127.0.0.8").wait_ready(2)
-    second = start_entry(name="entry-2", host="127.0.0.9").wait_ready(2)
+    first, second = _start_peers(engines, start_entry, start_agent)
     now = first.entry.task.now
-    wait_for(lambda: first.entry.fleet.peers.addresses(now()))
-    wait_for(lambda: second.entry.fleet.peers.addresses(now()))
     relay = _crash_three_times(first, engines)
     wait_for(lambda: second.entry.exchange.crashes.is_blocked(relay, now()))
     answer = second.call("/stream/bad", **make_stream_headers())
@@ -259,6 +250,17 @@
     assert second.call("/stream/good", **make_stream_headers()).status == 200
 
 
+def _start_peers(engines, start_entry, start_agent):
+    """Return two entries that have heard of each other through an agent."""
+    start_agent(engines[0])
+    first = start_entry(name="entry-1", host="127.0.0.8").wait_ready(2)
+    second = start_entry(name="entry-2", host="127.0.0.9").wait_ready(2)
+    now = first.entry.task.now
+    wait_for(lambda: first.entry.fleet.peers.addresses(now()))
+    wait_for(lambda: second.entry.fleet.peers.addresses(now()))
+    return first, second
+
+
 def _crash_three_times(running, engines):
     entry = running.entry
     digest = request_digest(b"POST", b"/stream/bad", API_KEY, b"body")
--- a/testing/sitebuilders.py
+++ b/testing/sitebuilders.py
@@ -182,12 +182,14 @@
     return Answer(response.status, dict(response.getheaders()), body, is_whole)
 
 
-def wait_for(condition):
-    deadline = time.monotonic() + WAIT_S
+def wait_for(condition, *, limit_s=WAIT_S):
+    """Return what ``condition`` found; polls, as other processes tell nothing."""
+    deadline = time.monotonic() + limit_s
     gate = threading.Event()
-    while not condition():
+    while not (found := condition()):
         assert time.monotonic() < deadline, "the condition did not come true"
         gate.wait(POLL_S)
+    return found
 
 
 def views_of(entry):
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -13,6 +13,7 @@
 import urllib.parse
 
 import pytest
+import sitebuilders
 from builders import make_claim, make_contract, make_record, make_service
 
 from bamboolever._claims import find_claim_shard
@@ -88,13 +89,7 @@
 
 
 def wait_for(condition):
-    deadline = time.monotonic() + WAIT_S
-    while time.monotonic() < deadline:
-        found = condition()
-        if found:
-            return found
-        time.sleep(0.05)
-    raise AssertionError("the condition did not come true")
+    return sitebuilders.wait_for(condition, limit_s=WAIT_S)
 
 
 class Deployment:
