--- a/src/bamboolever/_feed.py
+++ b/src/bamboolever/_feed.py
@@ -137,6 +137,10 @@
         """
         if from_revision > self._revision:
             return None
+        if from_revision == 0 and revision >= self._revision:
+            # All changes ever made name every object that exists. A process that
+            # started from a snapshot has no tombstones of the objects deleted before.
+            return self.apply_snapshot(revision, objects)
         changed = self._apply_objects(objects)
         self._revision = max(self._revision, revision)
         return changed
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -43,6 +43,8 @@
 REPORT_TIMEOUT_S = 0.5
 LIST_REFRESH_INTERVAL_S = 2.0
 SUBSCRIBER_TIMEOUT_S = 4.0
+# A transfer starts without the list of agents if the store has not sent it by then.
+PEER_LIST_TIMEOUT_S = 3.0
 
 
 @final
@@ -71,6 +73,7 @@
             make_piece_policy(settings.piece_policy),
         )
         self._subscribers: dict[Address, float] = {}
+        self._started_at = self.task.now()
         self._refreshed_at = 0.0
         self._is_stopping = False
         self._open_ports()
@@ -207,6 +210,11 @@
         ]
         return [peer for peer in found if peer.address != self._own_address]
 
+    def can_plan_transfer(self) -> bool:
+        """Return whether the list of other agents is known, or is overdue."""
+        waited_s = self.task.now() - self._started_at
+        return self._upstreams.is_known or waited_s >= PEER_LIST_TIMEOUT_S
+
     def region_of(self, availability_zone: str) -> str:
         """Return the region of an availability zone."""
         return self._settings.region_of(availability_zone)
--- a/src/bamboolever/daemons/loadercontext.py
+++ b/src/bamboolever/daemons/loadercontext.py
@@ -35,6 +35,14 @@
     def peers(self) -> list[Peer]:
         """Return the other agents of the service."""
 
+    @abstractmethod
+    def can_plan_transfer(self) -> bool:
+        """Return whether the list of other agents is known, or is overdue.
+
+        An agent that does not know the others would read from the origin what they
+        read as well.
+        """
+
     @abstractmethod
     def region_of(self, availability_zone: str) -> str:
         """Return the region of an availability zone."""
--- a/src/bamboolever/daemons/transfer.py
+++ b/src/bamboolever/daemons/transfer.py
@@ -80,9 +80,12 @@
     ) -> None:
         """Start the transfer of a version; None means the origin's newest.
 
-        Ignored if a transfer has started or the origin is unknown. ``on_version`` is
-        called with the manifest's version; the transfer continues if it returns True.
+        Ignored if a transfer has started, or while the origin or the other agents are
+        unknown. ``on_version`` is called with the manifest's version; the transfer
+        continues if it returns True.
         """
+        if not self._context.can_plan_transfer():
+            return
         origin = self._context.origin()
         if origin is None or self._is_fetching_manifest or self._swarm is not None:
             return
@@ -134,9 +137,11 @@
         self._staging.verify(pieces, list(range(pieces.count)), on_piece, on_done)
 
     def update_peers(self) -> None:
-        """Apply a changed list of agents to the transfer in progress."""
+        """Apply a changed list of agents; a transfer that waits for it may start."""
         if self._swarm is not None:
             self._swarm.view.peers = self._context.peers()
+        else:
+            self._on_changed()
 
     def apply_piece_map(self, sender: Address, piece_map: PieceMap) -> None:
         """Record which pieces a peer has; send it a piece map if it asks for one."""
--- a/testing/daemons/test_loader.py
+++ b/testing/daemons/test_loader.py
@@ -36,6 +36,9 @@
     def peers(self):
         return []
 
+    def can_plan_transfer(self):
+        return True
+
     def region_of(self, availability_zone):
         return "region-1"
 
--- a/testing/daemons/test_transfer.py
+++ b/testing/daemons/test_transfer.py
@@ -5,6 +5,7 @@
 import pytest
 from manualtask import ManualPool, ManualTask
 
+from bamboolever.config.model import WeightOrigin
 from bamboolever.daemons.staging import StagingClient
 from bamboolever.daemons.transfer import Transfer
 from bamboolever.fleet.exchange import PieceMap
@@ -83,3 +84,25 @@
     staging.put("m", 3, b"data", lambda is_accepted: None)
     assert sent_counts == [0]
     assert len(pool.sent) == 1
+
+
+@pytest.mark.parametrize("is_list_known", [False, True])
+def test_transfer_starts_once_the_other_agents_are_known(is_list_known):
+    """Guards against pieces that were read from the origin by several agents.
+
+    An agent that learned of the version before it had the list of upstreams took
+    itself for the only agent, and read all pieces.
+    """
+    task = ManualTask()
+    pool = ManualPool(task)
+    context = SimpleNamespace(
+        pool=pool,
+        task=task,
+        origin=lambda: WeightOrigin(Address("127.0.0.1", 9100), "zone-a", 1e6, 8),
+        can_plan_transfer=lambda: is_list_known,
+    )
+    engine = Address("127.0.0.1", 9000)
+    policy = make_piece_policy("region-chain")
+    transfer = Transfer(context, engine, policy, lambda: None)
+    transfer.start("m", 2, lambda model_version: True)
+    assert len(pool.sent) == int(is_list_known)
