Spread the switches of a rollout; read missed store updates; list changes every 0.6 s

An update of a store watch that was lost went unnoticed until the next change. Each change of an upstream cost a call. Change: switches follow a hash's order, spread until the older version expires; the estimate counts the fleet's transfer and the switch. Loads name the revision of the last known change, so a peer that missed it reads the store.

--- a/protocol/exchange.thrift
+++ b/protocol/exchange.thrift
@@ -43,6 +43,10 @@
   7: list<i32> leaving
   // Set by an entry of another cell, which wants the summary of this cell in return.
   8: string summary_cell
+  // How often the store was restored, and its revision at the last change that the
+  // entry knows of each kind that it watches, in the order of kinds that all use.
+  9: i64 store_era
+  10: list<i64> store_revisions
 }
 
 // The load of one upstream from all entries but the receiver, and what it serves.
--- a/src/bamboolever/_exchange_protocol/ttypes.py
+++ b/src/bamboolever/_exchange_protocol/ttypes.py
@@ -336,6 +336,8 @@
      - cell
      - leaving
      - summary_cell
+     - store_era
+     - store_revisions
 
     """
 
@@ -348,10 +350,12 @@
         'cell',
         'leaving',
         'summary_cell',
+        'store_era',
+        'store_revisions',
     )
 
 
-    def __init__(self, instance_id=None, started_ms=None, sequence=None, uses=None, is_ready=None, cell=None, leaving=None, summary_cell=None,):
+    def __init__(self, instance_id=None, started_ms=None, sequence=None, uses=None, is_ready=None, cell=None, leaving=None, summary_cell=None, store_era=None, store_revisions=None,):
         self.instance_id = instance_id
         self.started_ms = started_ms
         self.sequence = sequence
@@ -360,6 +364,8 @@
         self.cell = cell
         self.leaving = leaving
         self.summary_cell = summary_cell
+        self.store_era = store_era
+        self.store_revisions = store_revisions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -421,6 +427,21 @@
                     self.summary_cell = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.store_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.store_revisions = []
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = iprot.readI64()
+                        self.store_revisions.append(_elem24)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -446,8 +467,8 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter19 in self.uses:
-                iter19.write(oprot)
+            for iter25 in self.uses:
+                iter25.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_ready is not None:
@@ -461,14 +482,25 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 7)
             oprot.writeListBegin(TType.I32, len(self.leaving))
-            for iter20 in self.leaving:
-                oprot.writeI32(iter20)
+            for iter26 in self.leaving:
+                oprot.writeI32(iter26)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.summary_cell is not None:
             oprot.writeFieldBegin('summary_cell', TType.STRING, 8)
             oprot.writeString(self.summary_cell.encode('utf-8') if sys.version_info[0] == 2 else self.summary_cell)
             oprot.writeFieldEnd()
+        if self.store_era is not None:
+            oprot.writeFieldBegin('store_era', TType.I64, 9)
+            oprot.writeI64(self.store_era)
+            oprot.writeFieldEnd()
+        if self.store_revisions is not None:
+            oprot.writeFieldBegin('store_revisions', TType.LIST, 10)
+            oprot.writeListBegin(TType.I64, len(self.store_revisions))
+            for iter27 in self.store_revisions:
+                oprot.writeI64(iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -681,11 +713,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = UpstreamSummary()
-                        _elem26.read(iprot)
-                        self.upstreams.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = UpstreamSummary()
+                        _elem33.read(iprot)
+                        self.upstreams.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -706,8 +738,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter27 in self.upstreams:
-                iter27.write(oprot)
+            for iter34 in self.upstreams:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -994,21 +1026,21 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.entries.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.entries.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.rollouts = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = RolloutAge()
-                        _elem39.read(iprot)
-                        self.rollouts.append(_elem39)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = RolloutAge()
+                        _elem46.read(iprot)
+                        self.rollouts.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1056,15 +1088,15 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.entries))
-            for iter40 in self.entries:
-                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            for iter47 in self.entries:
+                oprot.writeString(iter47.encode('utf-8') if sys.version_info[0] == 2 else iter47)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollouts is not None:
             oprot.writeFieldBegin('rollouts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.rollouts))
-            for iter41 in self.rollouts:
-                iter41.write(oprot)
+            for iter48 in self.rollouts:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.model is not None:
@@ -1247,10 +1279,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readI64()
-                        self.digests.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readI64()
+                        self.digests.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1267,8 +1299,8 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.digests))
-            for iter48 in self.digests:
-                oprot.writeI64(iter48)
+            for iter55 in self.digests:
+                oprot.writeI64(iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1403,11 +1435,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.rejected = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Rejected()
-                        _elem54.read(iprot)
-                        self.rejected.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Rejected()
+                        _elem61.read(iprot)
+                        self.rejected.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1424,8 +1456,8 @@
         if self.rejected is not None:
             oprot.writeFieldBegin('rejected', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.rejected))
-            for iter55 in self.rejected:
-                iter55.write(oprot)
+            for iter62 in self.rejected:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1645,6 +1677,8 @@
     (6, TType.STRING, 'cell', 'UTF8', None, ),  # 6
     (7, TType.LIST, 'leaving', (TType.I32, None, False), None, ),  # 7
     (8, TType.STRING, 'summary_cell', 'UTF8', None, ),  # 8
+    (9, TType.I64, 'store_era', None, None, ),  # 9
+    (10, TType.LIST, 'store_revisions', (TType.I64, None, False), None, ),  # 10
 )
 all_structs.append(UpstreamSummary)
 UpstreamSummary.thrift_spec = (
--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -120,6 +120,8 @@
         # Whether the call in flight is made for others too.
         self._is_shared_call = False
         self._requested_revision = 0
+        # Revision of the store at the last change that was watched, not listed.
+        self.changed_revision = 0
         group.add(self)
         self._retry_delay_s = MIN_RETRY_DELAY_S
         self._probe_timeout_s = MIN_PROBE_TIMEOUT_S
@@ -131,6 +133,11 @@
         self._timer: Timer | None = None
         self._random = random.Random()
 
+    @property
+    def era(self) -> int:
+        """How often the store was restored, as far as this watch knows."""
+        return self._era or 0
+
     def start(self) -> None:
         """Send the first listing; call on the task's thread."""
         self._list("")
@@ -191,12 +198,26 @@
                 return False
         self._revision = result.revision
         if documents:
+            self.changed_revision = result.revision
             self._observer.on_changes(documents)
         return True
 
+    def catch_up_to(self, era: int, revision: int) -> None:
+        """Call the store if another process knows of a change that is unknown here.
+
+        The update that told of it was lost.
+        """
+        if era != self._era or self._revision is None:
+            return
+        if revision > self._revision:
+            self._catch_up()
+
     def _catch_up(self) -> None:
+        now = self._task.now()
         if self._fetch is not None or self._revision is None:
             return
+        if now - self._sent_at < MIN_RETRY_DELAY_S:
+            return
         self._is_shared_call = False
         self._send_watch(self._revision, 0.0, LIST_TIMEOUT_S)
 
@@ -207,6 +228,7 @@
         logger.warning("store restored", extra={"kind": self._kind, "era": era})
         self._era = era
         self._revision = None
+        self.changed_revision = 0
         if self._fetch is not None:
             self._fetch.cancel()
             self._fetch = None
@@ -321,6 +343,9 @@
         if listing.has_more and listing.documents:
             self._list(listing.documents[-1].name)
             return
+        if self.changed_revision:
+            # A later listing may hold changes that others missed too.
+            self.changed_revision = listing.revision
         self._revision = listing.revision
         self._is_stale_ok = False
         documents, self._listed = tuple(self._listed), []
@@ -342,6 +367,7 @@
         self._revision = changes.revision
         is_after_outage = self._on_reachable()
         if changes.documents:
+            self.changed_revision = changes.revision
             self._observer.on_changes(changes.documents)
         as_of = self._as_of(response, changes)
         self._observer.on_confirmed(as_of)
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -65,7 +65,7 @@
 # trusted only while responses confirm the configuration, so its watch waits less.
 CONFIGURATION_WAIT_S = 2.0
 LIST_WAIT_S = 20.0
-LIST_BATCH_DELAY_S = 0.25
+LIST_BATCH_DELAY_S = 0.6
 TIMER_MARGIN_S = 0.05
 # File descriptors kept for other uses than calls. A call takes two: one for its
 # caller and one for its upstream.
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -160,7 +160,12 @@
         self._is_load_scheduled = False
         now = self._task.now()
         self._load_sent_at = now
-        self._send_to_peers(self._fleet.build_load_report(is_ready=self._is_ready()))
+        report = self._fleet.build_load_report(
+            is_ready=self._is_ready(),
+            store_era=self.store_relay.era,
+            store_revisions=self.store_relay.changed_revisions(),
+        )
+        self._send_to_peers(report)
         is_busy = self._fleet.needs_neighbors(now)
         if is_busy and now - self._summaries_asked_at >= MIN_SUMMARY_INTERVAL_S:
             self._ask_for_summaries()
@@ -219,6 +224,9 @@
         now = self._task.now()
         if isinstance(message, EntryLoad):
             self._fleet.apply_peer_load(sender, message, now)
+            self.store_relay.on_peer_revisions(
+                message.store_era, message.store_revisions
+            )
             if message.summary_cell == self._fleet.own_cell:
                 self._send(self._fleet.build_summary(sender, now), sender)
         elif isinstance(message, AgentState):
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -10,6 +10,7 @@
 """
 
 import logging
+from dataclasses import replace
 
 from bamboolever.calls.dispatcher import ServiceDispatcher
 from bamboolever.calls.engine import EngineLoad, add_loads, subtract_load
@@ -198,10 +199,13 @@
 
     # Loads of other entries.
 
-    def build_load_report(self, *, is_ready: bool) -> EntryLoad:
+    def build_load_report(
+        self, *, is_ready: bool, store_era: int, store_revisions: tuple[int, ...]
+    ) -> EntryLoad:
         """Return the next datagram for the peers.
 
-        It holds this entry's calls and those of its guests at each upstream.
+        It holds this entry's calls and those of its guests at each upstream, and the
+        revisions that it knows of the store.
         """
         loads = {
             key: view.own_load
@@ -213,7 +217,13 @@
         leaving = tuple(
             key for key, view in self._views_by_key.items() if view.is_leaving
         )
-        return self._make_load(loads, is_ready=is_ready, leaving=leaving)
+        report = self._make_load(loads, is_ready=is_ready)
+        return replace(
+            report,
+            leaving=leaving,
+            store_era=store_era,
+            store_revisions=store_revisions,
+        )
 
     def build_guest_report(self, cell: str, *, is_ready: bool) -> EntryLoad:
         """Return a datagram with this entry's calls in another cell.
@@ -232,7 +242,6 @@
         loads: dict[int, EngineLoad],
         *,
         is_ready: bool,
-        leaving: tuple[int, ...] = (),
         summary_cell: str = "",
     ) -> EntryLoad:
         self._sequence += 1
@@ -243,8 +252,7 @@
             loads,
             is_ready,
             self.own_cell,
-            leaving,
-            summary_cell,
+            summary_cell=summary_cell,
         )
 
     def apply_peer_load(self, sender: Address, load: EntryLoad, now: float) -> None:
--- a/src/bamboolever/daemons/loader.py
+++ b/src/bamboolever/daemons/loader.py
@@ -32,6 +32,7 @@
     drain_starts_at,
     is_drain_finished,
     is_second_half,
+    switch_turn,
 )
 
 logger = logging.getLogger(__name__)
@@ -229,7 +230,7 @@
         elapsed_s = now - self._target_started_at
         return should_finish_transfer(
             RolloutOverlap(elapsed_s, transfer_s, self._rollouts.effective_timeout_s),
-            is_second_half=self._is_second_half(newest),
+            is_second_half=is_second_half(self._switch_turn(newest)),
         )
 
     def _is_target_expiring(self, state: LoadState) -> bool:
@@ -241,10 +242,10 @@
             self._task.now(), expires_at
         )
 
-    def _is_second_half(self, model_version: ModelVersion) -> bool:
+    def _switch_turn(self, model_version: ModelVersion) -> float:
         own_address = str(self._context.own_peer().address)
         members = [own_address, *(str(peer.address) for peer in self._context.peers())]
-        return is_second_half(own_address, members, model_version.version)
+        return switch_turn(own_address, members, model_version.version)
 
     def _adopt_newest(self) -> None:
         if self._newest is None or self._newest == self._target:
@@ -305,7 +306,7 @@
             SwitchInput(
                 staged_at=now if staged_at is None else staged_at,
                 older_expires_at=now if expires_at is None else expires_at,
-                is_second_half=self._is_second_half(target),
+                turn=self._switch_turn(target),
                 is_superseded=self._newest != target,
                 serves_older=report is not None and bool(report.models),
             )
--- a/src/bamboolever/daemons/storerelay.py
+++ b/src/bamboolever/daemons/storerelay.py
@@ -64,6 +64,20 @@
         """Add a watch that takes over what peers find."""
         self._watches[watch.kind] = watch
 
+    @property
+    def era(self) -> int:
+        """How often the store was restored, as far as this entry knows."""
+        return max((watch.era for watch in self._watches.values()), default=0)
+
+    def changed_revisions(self) -> tuple[int, ...]:
+        """Return the store's revision at the last known change of each kind."""
+        return tuple(watch.changed_revision for watch in self._watches.values())
+
+    def on_peer_revisions(self, era: int, revisions: tuple[int, ...]) -> None:
+        """Call the store for changes that a peer knows and this entry missed."""
+        for watch, revision in zip(self._watches.values(), revisions, strict=False):
+            watch.catch_up_to(era, revision)
+
     def on_load_sent(self, sequence: int, now: float) -> None:
         """Record when a load was sent to the peers."""
         self._load_sent_at[sequence] = now
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -95,6 +95,8 @@
         message.cell,
         list(message.leaving),
         message.summary_cell,
+        message.store_era,
+        list(message.store_revisions),
     )
 
 
@@ -211,6 +213,8 @@
         wire.cell or "",
         tuple(wire.leaving or ()),
         wire.summary_cell or "",
+        wire.store_era or 0,
+        tuple(wire.store_revisions or ()),
     )
 
 
--- a/src/bamboolever/fleet/messages.py
+++ b/src/bamboolever/fleet/messages.py
@@ -46,6 +46,9 @@
     ``leaving`` are the keys of upstreams that told it that they are shutting down.
     ``summary_cell`` is set by an entry of another cell: it asks the receiver for the
     summary of this cell, and ``loads`` are those at the cell's upstreams.
+    ``store_revisions`` are the store's revisions, within ``store_era``, at the last
+    change that the entry knows of each kind that it watches: a peer with a lower
+    revision has missed an update.
     """
 
     instance_id: str
@@ -56,6 +59,8 @@
     cell: str = ""
     leaving: tuple[int, ...] = ()
     summary_cell: str = ""
+    store_era: int = 0
+    store_revisions: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/weights/loading.py
+++ b/src/bamboolever/weights/loading.py
@@ -83,6 +83,9 @@
 
 # How long an engine serves nothing while it switches to another version.
 SWITCH_DURATION_S = 1.5
+# A whole fleet takes longer to transfer a version than one link does: agents wait for
+# pieces that others still import.
+FLEET_TRANSFER_FACTOR = 1.35
 # A shorter time without any serving engine does not justify transferring a second
 # version to half of the engines.
 MIN_SERVICE_GAP_S = 0.5
@@ -115,7 +118,10 @@
     that all agents share, so that they agree on the halves.
     """
     transfer_s, elapsed_s = overlap.transfer_s, overlap.elapsed_s
-    gap_s = transfer_s - (overlap.timeout_s - elapsed_s)
+    newest_serves_at = (
+        elapsed_s + transfer_s * FLEET_TRANSFER_FACTOR + SWITCH_DURATION_S
+    )
+    gap_s = newest_serves_at - overlap.timeout_s
     if gap_s < MIN_SERVICE_GAP_S or is_second_half:
         return False
     serves_in_s = max(0.0, transfer_s - elapsed_s) + SWITCH_DURATION_S
--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -205,6 +205,7 @@
         pool, "a", WAIT_S, WatchGroup(), sharing=FollowingShare(delay_s=60.0)
     )
     recorder.confirmed_at = None
+    task.advance(1.0)
     recorder.watch.apply_shared(_result(**result))
     assert recorder.changed_names == []
     assert recorder.confirmed_at is None
@@ -267,3 +268,21 @@
     assert recorder.changed_names == []
     assert recorder.restores == 1
     assert pool.targets[1:] == ["/-/objects/a"]
+
+
+def test_change_whose_update_was_lost_is_read_from_the_store(task, pool):
+    recorder = _start(
+        pool, "a", WAIT_S, WatchGroup(), sharing=FollowingShare(delay_s=60.0)
+    )
+    task.advance(1.0)
+    recorder.watch.catch_up_to(1, 5)
+    recorder.watch.catch_up_to(0, 1)
+    assert len(pool.sent) == 1
+    recorder.watch.catch_up_to(0, 5)
+    recorder.watch.catch_up_to(0, 5)
+    assert pool.targets[1:] == ["/-/objects/a?watch=1&waitMs=0"]
+    pool.respond(-1, events=[_event("x", 5)], at=5)
+    recorder.watch.catch_up_to(0, 5)
+    assert recorder.changed_names == ["x"]
+    assert recorder.watch.changed_revision == 5
+    assert len(pool.sent) == 2
