--- a/src/bamboolever/daemons/piecehandler.py
+++ b/src/bamboolever/daemons/piecehandler.py
@@ -28,7 +28,7 @@
 URGENT_QUERY = "?urgent"
 SLICE_BYTES = 4096
 # Share of the link that pieces may use while the engine serves responses.
-PIECE_LINK_SHARE = 0.85
+PIECE_LINK_SHARE = 0.88
 
 ReadPiece = Callable[[str, int, int, Callable[[bytes | None], None]], None]
 
