Read the origin with few fetches at once; keep agents that left a version out of its import

Change: about eight origin fetches at once by all; a silent peer stays inactive until it is heard; pieces that are left of an earlier version are announced as such. Tests fail without each.

--- a/protocol/exchange.thrift
+++ b/protocol/exchange.thrift
@@ -111,6 +111,8 @@
   3: binary bitmap
   4: bool is_reply_wanted
   5: i32 uploads
+  // The pieces are left from an earlier transfer: the agent fetches no more of them.
+  6: bool is_retained
 }
 
 // Digests of the requests that an entry suspects of crashing an upstream.
--- a/src/bamboolever/_exchange_protocol/ttypes.py
+++ b/src/bamboolever/_exchange_protocol/ttypes.py
@@ -1144,6 +1144,7 @@
      - bitmap
      - is_reply_wanted
      - uploads
+     - is_retained
 
     """
 
@@ -1153,15 +1154,17 @@
         'bitmap',
         'is_reply_wanted',
         'uploads',
+        'is_retained',
     )
 
 
-    def __init__(self, model=None, version=None, bitmap=None, is_reply_wanted=None, uploads=None,):
+    def __init__(self, model=None, version=None, bitmap=None, is_reply_wanted=None, uploads=None, is_retained=None,):
         self.model = model
         self.version = version
         self.bitmap = bitmap
         self.is_reply_wanted = is_reply_wanted
         self.uploads = uploads
+        self.is_retained = is_retained
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1197,6 +1200,11 @@
                     self.uploads = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.is_retained = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1227,6 +1235,10 @@
             oprot.writeFieldBegin('uploads', TType.I32, 5)
             oprot.writeI32(self.uploads)
             oprot.writeFieldEnd()
+        if self.is_retained is not None:
+            oprot.writeFieldBegin('is_retained', TType.BOOL, 6)
+            oprot.writeBool(self.is_retained)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1734,6 +1746,7 @@
     (3, TType.STRING, 'bitmap', 'BINARY', None, ),  # 3
     (4, TType.BOOL, 'is_reply_wanted', None, None, ),  # 4
     (5, TType.I32, 'uploads', None, None, ),  # 5
+    (6, TType.BOOL, 'is_retained', None, None, ),  # 6
 )
 all_structs.append(CrashReport)
 CrashReport.thrift_spec = (
--- a/src/bamboolever/daemons/swarm.py
+++ b/src/bamboolever/daemons/swarm.py
@@ -81,7 +81,7 @@
         """Replace the list of agents, in which this agent's group may have changed."""
         self.view.own = own
         self.view.peers = peers
-        self.view.watched = find_watched(self.view, self._task.now())
+        self.view.watch(find_watched(self.view, self._task.now()), self._task.now())
 
     def start(self) -> None:
         """Ask the peers for their piece maps and start fetching."""
@@ -105,6 +105,8 @@
         is_changed = piece_map.bitmap != self.view.peer_bitmaps.get(sender)
         uploads = piece_map.uploads
         self.view.update_peer(sender, piece_map.bitmap, now, uploads=uploads)
+        if piece_map.is_retained:
+            self.view.mark_inactive(sender)
         if is_changed:
             self._plan()
 
@@ -246,7 +248,7 @@
         now = self._task.now()
         self._announced_at = now
         if is_reply_wanted:
-            self.view.watched = find_watched(self.view, now)
+            self.view.watch(find_watched(self.view, now), now)
         piece_map = self.make_piece_map(is_reply_wanted=is_reply_wanted)
         self._announce_pieces(piece_map, self._recipients(now))
 
--- a/src/bamboolever/daemons/transfer.py
+++ b/src/bamboolever/daemons/transfer.py
@@ -152,22 +152,20 @@
                 swarm.apply_piece_map(sender, piece_map)
                 if piece_map.is_reply_wanted:
                     self._context.announce_pieces(swarm.make_piece_map(), [sender])
-            else:
-                swarm.view.mark_inactive(sender)
-            return
-        if (
-            piece_map.is_reply_wanted
-            and self._retained_version == model_version
-            and self._retained_pieces
-        ):
-            uploads = self._context.upload_count()
-            reply = PieceMap(
-                model_version.model,
-                model_version.version,
-                self._retained_pieces,
-                uploads=uploads,
-            )
-            self._context.announce_pieces(reply, [sender])
+                return
+            swarm.view.mark_inactive(sender)
+        if piece_map.is_reply_wanted and self._retained_version == model_version:
+            self._announce_retained(model_version, sender)
+
+    def _announce_retained(self, model_version: ModelVersion, to: Address) -> None:
+        reply = PieceMap(
+            model_version.model,
+            model_version.version,
+            self._retained_pieces,
+            uploads=self._context.upload_count(),
+            is_retained=True,
+        )
+        self._context.announce_pieces(reply, [to])
 
     def read_piece(
         self,
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -167,6 +167,7 @@
         message.bitmap.to_bytes(size, "big"),
         message.is_reply_wanted,
         message.uploads,
+        message.is_retained,
     )
 
 
@@ -250,6 +251,7 @@
         int.from_bytes(wire.bitmap, "big"),
         bool(wire.is_reply_wanted),
         wire.uploads or 0,
+        bool(wire.is_retained),
     )
 
 
--- a/src/bamboolever/fleet/messages.py
+++ b/src/bamboolever/fleet/messages.py
@@ -138,7 +138,8 @@
 
     Bit N of ``bitmap`` stands for piece N. ``uploads`` is the number of pieces that
     the agent is sending or has queued. ``is_reply_wanted`` asks the receiver for its
-    own piece map.
+    own piece map. ``is_retained`` means that the pieces are left from an earlier
+    transfer, so that the agent imports no more of them.
     """
 
     model: str
@@ -146,6 +147,7 @@
     bitmap: int
     is_reply_wanted: bool = False
     uploads: int = 0
+    is_retained: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/weights/plan.py
+++ b/src/bamboolever/weights/plan.py
@@ -37,6 +37,9 @@
 # Most of an agent's fetches may go to the origin: it may become unreachable before
 # every piece was read once, while peers keep the pieces they have.
 MAX_ORIGIN_FETCHES = 3
+# Fetches from the origin at once by all agents that read from it, about: with more, the
+# first pieces arrive late, as all share its link.
+ORIGIN_CONCURRENCY = 8
 # Agents of a region that form one group, at most on average.
 MAX_GROUP_AGENTS = 24
 # An agent that was silent for longer is not selected to import pieces.
@@ -126,6 +129,23 @@
         """
         self.last_heard_at[address] = -math.inf
 
+    def watch(self, watched: frozenset[Address], now: float) -> None:
+        """Replace the watched peers.
+
+        One that was silent until now stays inactive until it is heard.
+        """
+        for peer in self.peers:
+            if peer.address in watched or peer.address not in (self.watched or ()):
+                continue
+            if not self.is_active(peer, now):
+                self.mark_inactive(peer.address)
+        for address in watched - (self.watched or frozenset()):
+            heard_at = self.last_heard_at.get(address, self.started_at)
+            if heard_at > -math.inf:
+                # It was not asked before, so its silence meant nothing.
+                self.last_heard_at[address] = now
+        self.watched = watched
+
     def active_members(self, now: float) -> list[Peer]:
         """Return this agent and the peers that are not known to be silent."""
         return [self.own, *(peer for peer in self.peers if self.is_active(peer, now))]
@@ -240,6 +260,12 @@
     local_bitmap: int
     membership: Membership
 
+    @property
+    def max_origin_fetches(self) -> int:
+        """Fetches from the origin that this agent may have in flight."""
+        readers = len(self.membership.members[self.own_group])
+        return min(MAX_ORIGIN_FETCHES, math.ceil(ORIGIN_CONCURRENCY / readers))
+
     @classmethod
     def from_view(cls, view: SwarmView, now: float) -> "_PlanInputs":
         own_group = Group.of(view.own)
@@ -374,7 +400,7 @@
             if local:
                 return self._fetch_from_peer(view, local, number, source_load)
         if inputs.now - view.started_at > ORIGIN_FALLBACK_S:
-            return self._fetch_from_origin(view, number, source_load, inputs.now)
+            return self._fetch_from_origin(view, number, source_load, inputs)
         local_members = inputs.membership.members[inputs.own_group]
         if select_importer(number, local_members) != str(view.own.address):
             return None
@@ -390,7 +416,7 @@
         groups = inputs.membership.groups
         source = import_source(number, inputs.own_group, groups, view.origin_region)
         if source is None:
-            return self._fetch_from_origin(view, number, source_load, inputs.now)
+            return self._fetch_from_origin(view, number, source_load, inputs)
         previous = [peer for peer in view.peers if Group.of(peer) == source]
         holders = self._holders(view, number, inputs.now, previous)
         if not holders and self._is_chain_stalled(view, number, inputs.now):
@@ -431,9 +457,15 @@
         return PieceFetch(number, best)
 
     def _fetch_from_origin(
-        self, view: SwarmView, number: int, source_load: Counter, now: float
+        self,
+        view: SwarmView,
+        number: int,
+        source_load: Counter,
+        inputs: "_PlanInputs",
     ) -> PieceFetch | None:
-        if source_load[None] >= MAX_ORIGIN_FETCHES or not view.is_available(None, now):
+        if source_load[None] >= inputs.max_origin_fetches:
+            return None
+        if not view.is_available(None, inputs.now):
             return None
         return PieceFetch(number, None)
 
--- a/testing/fleet/test_exchange.py
+++ b/testing/fleet/test_exchange.py
@@ -45,6 +45,7 @@
     ),
     exchange.PieceMap("model", 2, (1 << 95) | 5, True),
     exchange.PieceMap("model", 2, 0),
+    exchange.PieceMap("model", 2, 5, False, 3, True),
     exchange.CrashReport((-1, 5)),
     exchange.Rejections({-9: 1.25, 3: 0.0}),
 ]
--- a/testing/weights/test_plan.py
+++ b/testing/weights/test_plan.py
@@ -247,7 +247,7 @@
         if now - self.watched_at >= WATCH_INTERVAL_S:
             self.watched_at = now
             for view in self.views.values():
-                view.watched = find_watched(view, now)
+                view.watch(find_watched(view, now), now)
         for address, view in self.views.items():
             for source in view.watched - self.silent:
                 self.messages[address] += 1
@@ -290,3 +290,47 @@
     simulation = BoundedSimulation("region-chain", (7,) * 5, silent=silent)
     assert simulation.run() < ORIGIN_FALLBACK_S
     assert simulation.is_done()
+
+
+class SharedOriginSimulation(BoundedSimulation):
+    """The origin sends all pieces that are asked for at once, each at its share."""
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self.origin_fetches = {}
+
+    def _send(self, now):
+        queue = self.uplink_queues[None]
+        while queue:
+            _, _, address, number = heapq.heappop(queue)
+            self.origin_fetches[address, number] = 1.0
+        shares = self.origin_fetches
+        for fetch in list(shares):
+            shares[fetch] -= STEP_S / ORIGIN_PIECE_S / len(shares)
+        for address, number in [fetch for fetch, left in shares.items() if left <= 0]:
+            del shares[address, number]
+            due = (now, next(self.order), address, number)
+            heapq.heappush(self.events, due)
+        super()._send(now)
+
+
+def test_first_pieces_arrive_early_where_many_agents_read_the_origin():
+    """Guards against a slow start: the fetches of all agents share the origin's link.
+
+    With 30 fetches at once, no piece arrived before all 30 had.
+    """
+    simulation = SharedOriginSimulation("region-chain", (10, 10, 10))
+    simulation.run(limit_s=25 * ORIGIN_PIECE_S)
+    held = sum(simulation.is_held(number) for number in range(PIECE_COUNT))
+    assert held >= 10
+
+
+def test_agents_that_went_on_to_another_version_import_no_pieces():
+    """Guards against a transfer that stalled at its last piece.
+
+    Half of each group had gone on to the next version; the others waited for imports by
+    agents of another group that they did not hear from.
+    """
+    simulation = BoundedSimulation("region-chain", (8, 8, 8), silent=range(0, 24, 2))
+    assert simulation.run() < ORIGIN_FALLBACK_S
+    assert simulation.is_done()
