Leave a freed slot to the entry whose request freed it; replay loads over several entries

Change: the last two free slots belong to the entry whose request freed them, and after 0.1 to 0.3 s to the others. testing/loadreplay.py plays arrivals over the dispatchers of several entries and an engine model.

--- a/src/bamboolever/calls/placement.py
+++ b/src/bamboolever/calls/placement.py
@@ -191,7 +191,7 @@
         for view in upstreams:
             load = view.load
             slots = min(view.record.slots, self._profile.slots)
-            if load.active >= slots * slot_share:
+            if load.active >= slots * slot_share or not view.can_claim_slot(slots, now):
                 continue
             predicted_s = predict_first_event_s(self._profile, load, call.prompt_tokens)
             if not is_late and now + predicted_s > call.target_at:
--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -24,6 +24,11 @@
 MAX_RETRY_AFTER_S = 30.0
 # Added to an upstream's Retry-After, for the delay of the response that stated it.
 RETRY_AFTER_MARGIN_S = 0.05
+# The last free slots of an engine are left to the entry whose request freed them, until
+# a delay that differs between entries.
+CONTENDED_SLOTS = 2
+MIN_CLAIM_DELAY_S = 0.1
+CLAIM_DELAY_SPREAD_S = 0.2
 # Agents send their state once a second, in response to a hello.
 AGENT_STATE_MAX_AGE_S = 2.5
 
@@ -53,6 +58,7 @@
     ``response_version`` is the weight version of its last response that stated one.
     ``is_leaving`` is set once it said that it is shutting down; until ``closed_until``
     it wants no requests of this entry.
+    Until ``contended_until`` a slot that another entry freed is left to that entry.
     ``is_home`` is set for an upstream whose load this entry knows in detail; it is
     unset for an engine of another cell.
     ``slowdown`` is the factor by which it is slower than its profile. ``layers`` is the
@@ -68,6 +74,7 @@
     switching_until: float = 0.0
     closed_until: float = 0.0
     is_home: bool = True
+    contended_until: float = 0.0
     is_leaving: bool = False
     response_version: int | None = None
     slowdown: float = 1.0
@@ -77,6 +84,7 @@
     _next_ejection_s: float = MIN_EJECTION_S
     _unstarted_calls: int = 0
     _unstarted_tokens: int = 0
+    _freed_slots: int = 0
 
     @property
     def instance_id(self) -> str:
@@ -176,6 +184,7 @@
     def add_call(self, call_id: int, prompt_tokens: int) -> None:
         """Count a request as in flight; call when it is assigned to the upstream."""
         self.remove_call(call_id)
+        self._freed_slots = max(0, self._freed_slots - 1)
         self.calls[call_id] = InFlightCall(prompt_tokens)
         self._unstarted_calls += 1
         self._unstarted_tokens += prompt_tokens
@@ -193,9 +202,38 @@
     def remove_call(self, call_id: int) -> None:
         """Stop counting a request; call when its attempt ends. Idempotent."""
         call = self.calls.pop(call_id, None)
-        if call is not None and not call.has_first_event:
+        if call is None:
+            return
+        self._freed_slots += 1
+        if not call.has_first_event:
             self._on_started(call)
 
+    def update_peer_load(self, load: EngineLoad, now: float, jitter: float) -> None:
+        """Replace the load of the other entries.
+
+        If it fell, the entry whose request ended there may use the slot first. The
+        others may after a delay, which ``jitter``, from 0 to 1, spreads over them.
+        """
+        if load.active < self.peer_load.active:
+            delay_s = MIN_CLAIM_DELAY_S + jitter * CLAIM_DELAY_SPREAD_S
+            self.contended_until = now + delay_s
+        self.peer_load = load
+        self.peer_load_at = now
+
+    def can_claim_slot(self, slots: int, now: float) -> bool:
+        """Return whether this entry may take one of the last free slots of ``slots``.
+
+        Load pattern: more requests than slots. When a slot is freed, every entry with
+        a waiting request sees it, and all would send one.
+        """
+        free = slots - self.active
+        if free <= 0:
+            return False
+        if free > CONTENDED_SLOTS or not self.peer_load.active:
+            return True
+        self._freed_slots = min(self._freed_slots, free)
+        return self._freed_slots > 0 or now >= self.contended_until
+
     def _on_started(self, call: InFlightCall) -> None:
         self._unstarted_calls -= 1
         self._unstarted_tokens -= call.prompt_tokens
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -10,6 +10,7 @@
 """
 
 import logging
+import random
 from dataclasses import replace
 
 from bamboolever.calls.dispatcher import ServiceDispatcher
@@ -65,6 +66,7 @@
         self._views_by_cell: dict[str, list[UpstreamView]] = {}
         self._cells = CellMap()
         self._sequence = 0
+        self._random = random.Random(settings.name)
         self.own_cell = self._find_own_cell()
         self.neighbors: dict[str, NeighborCell] = {}
         self.upstreams = UpstreamList()
@@ -124,7 +126,7 @@
             if cell not in (None, self.own_cell, *self.neighbors):
                 continue
             view = self._refresh_view(known.get(record.instance_id), record, cell)
-            self._add_view(view, cell)
+            self._add_view(view, cell, now)
             by_service.setdefault(record.service, []).append(view)
         for service in {*by_service, *self._dispatchers}:
             self.dispatcher(service).set_upstreams(by_service.get(service, []))
@@ -166,12 +168,12 @@
         view.is_home = cell is None or cell == self.own_cell
         return view
 
-    def _add_view(self, view: UpstreamView, cell: str | None) -> None:
+    def _add_view(self, view: UpstreamView, cell: str | None, now: float) -> None:
         self._views[view.instance_id] = view
         key = view.key
         self._views_by_key[key] = view
         if view.is_home:
-            self._update_peer_load(key)
+            self._update_peer_load(key, now)
         if cell is not None:
             self._engines_by_address[view.record.address] = view
             self._views_by_cell.setdefault(cell, []).append(view)
@@ -269,7 +271,7 @@
         else:
             return
         for key in changed:
-            self._update_peer_load(key)
+            self._update_peer_load(key, now)
         for key in load.leaving:
             if key in self._views_by_key:
                 self._views_by_key[key].is_leaving = True
@@ -277,7 +279,7 @@
     def expire_peers(self, now: float) -> None:
         """Take silent entries out of the upstreams' loads; call periodically."""
         for key in self.peers.expire(now) | self.guests.expire(now):
-            self._update_peer_load(key)
+            self._update_peer_load(key, now)
 
     def build_summary(self, recipient: Address, now: float) -> CellSummary:
         """Return the summary of this entry's cell for one guest."""
@@ -346,12 +348,12 @@
             view.peer_load = EngineLoad(writing=others)
             view.peer_load_at = now
 
-    def _update_peer_load(self, key: int) -> None:
+    def _update_peer_load(self, key: int, now: float) -> None:
         view = self._views_by_key.get(key)
-        if view is not None:
-            view.peer_load = add_loads(
-                self.peers.total_load(key), self.guests.total_load(key)
-            )
+        if view is None:
+            return
+        total = add_loads(self.peers.total_load(key), self.guests.total_load(key))
+        view.update_peer_load(total, now, self._random.random())
 
     def _has_engine(self, record: UpstreamRecord) -> bool:
         service = self._configuration.services.get(record.service)
--- /dev/null
+++ b/testing/calls/test_loadreplay.py
@@ -0,0 +1,35 @@
+"""Loads replayed over several entries that share engines."""
+
+import pytest
+from loadreplay import LoadReplay, make_arrivals
+
+from bamboolever.calls import upstream
+
+PROFILE = {
+    "slots": 8,
+    "step_s": 0.0111,
+    "step_per_sequence_s": 0.000058,
+    "step_per_context_token_s": 3.05e-8,
+    "prefill_tokens_per_s": 21300.0,
+}
+
+
+def _replay(per_s):
+    arrivals = make_arrivals(per_s=per_s, duration_s=5.0, entries=7)
+    return LoadReplay(entries=7, engines=12, arrivals=arrivals, **PROFILE).run()
+
+
+@pytest.mark.parametrize("per_s", [60, 90])
+def test_freed_slot_is_not_claimed_by_all_entries_with_a_waiting_request(
+    per_s, monkeypatch
+):
+    """Guards against engines that got up to 14 requests for 8 slots.
+
+    Every entry with a waiting request saw a freed slot at once and sent one, so that a
+    fifth of all requests was late.
+    """
+    replay = _replay(per_s)
+    monkeypatch.setattr(upstream, "CONTENDED_SLOTS", 0)
+    without_claims = _replay(per_s)
+    assert replay.late < without_claims.late / 2
+    assert replay.on_time > without_claims.on_time
--- a/testing/calls/test_upstream.py
+++ b/testing/calls/test_upstream.py
@@ -5,7 +5,9 @@
 from bamboolever.calls.engine import EngineLoad
 from bamboolever.calls.upstream import (
     AGENT_STATE_MAX_AGE_S,
+    CLAIM_DELAY_SPREAD_S,
     FAILURES_TO_EJECT,
+    MIN_CLAIM_DELAY_S,
     MIN_EJECTION_S,
 )
 
@@ -88,3 +90,23 @@
     view.remove_call(2)
     view.remove_call(2)
     assert view.own_load == EngineLoad()
+
+
+def test_slot_belongs_first_to_the_entry_whose_request_freed_it():
+    view = make_view(slots=4)
+    view.add_call(1, 100)
+    view.update_peer_load(EngineLoad(writing=3), 0.0, 0.5)
+    assert not view.can_claim_slot(4, 0.0)
+    view.remove_call(1)
+    assert view.can_claim_slot(4, 0.0)
+    view.add_call(2, 100)
+    view.update_peer_load(EngineLoad(writing=2), 1.0, 0.5)
+    assert not view.can_claim_slot(4, 1.0)
+    assert view.can_claim_slot(4, 1.0 + MIN_CLAIM_DELAY_S + CLAIM_DELAY_SPREAD_S)
+
+
+def test_slots_of_an_engine_with_room_are_not_contended():
+    view = make_view(slots=8)
+    view.update_peer_load(EngineLoad(writing=6), 0.0, 0.5)
+    view.update_peer_load(EngineLoad(writing=4), 1.0, 0.5)
+    assert view.can_claim_slot(8, 1.0)
--- /dev/null
+++ b/testing/loadreplay.py
@@ -0,0 +1,249 @@
+"""Replays arrivals over the dispatchers of several entries and a model of engines.
+
+No sockets and no real clock: the entries tell each other their loads with a delay, and
+each engine prefills and decodes in passes, as its profile says.
+"""
+
+import heapq
+import itertools
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from sitebuilders import make_pending, make_profile, make_record
+
+from bamboolever.calls.dispatcher import Assignment, ServiceDispatcher
+from bamboolever.calls.engine import EngineLoad, add_loads, pass_duration_s
+from bamboolever.calls.placement import PredictedLatencyPolicy
+from bamboolever.calls.upstream import UpstreamView
+from bamboolever.fleet.versions import VersionRollouts
+
+LOAD_INTERVAL_S = 0.04
+HOP_S = 0.003
+TARGET_S = 0.5
+TIMEOUT_S = 6.0
+
+
+@dataclass
+class ReplayedCall:
+    """One request, by whom it was taken and when its first event came."""
+
+    call_id: int
+    entry: int
+    arrived_at: float
+    prompt_tokens: int
+    output_tokens: int
+    first_event_at: float | None = None
+    left_tokens: int = 0
+    unread_tokens: int = 0
+    is_rejected: bool = False
+
+    @property
+    def is_on_time(self):
+        first_at = self.first_event_at
+        return first_at is not None and first_at - self.arrived_at <= TARGET_S
+
+
+@dataclass
+class ReplayedEngine:
+    """An engine that serves up to its profile's slots and queues the rest."""
+
+    profile: object
+    running: list = field(default_factory=list)
+    queue: deque = field(default_factory=deque)
+    is_busy: bool = False
+    most_at_once: int = 0
+
+    def add(self, call):
+        self.queue.append(call)
+        self.most_at_once = max(self.most_at_once, len(self.queue) + len(self.running))
+
+    def begin_pass(self):
+        """Return the duration of the next pass and the calls that get an event."""
+        while self.queue and len(self.running) < self.profile.slots:
+            self.running.append(self.queue.popleft())
+        chunk = self.profile.chunk_tokens
+        read = 0
+        for call in self.running:
+            part = min(call.unread_tokens, chunk - read)
+            call.unread_tokens -= part
+            read += part
+        writers = [call for call in self.running if not call.unread_tokens]
+        duration_s = read / self.profile.prefill_tokens_per_s
+        if writers:
+            duration_s += pass_duration_s(self.profile, len(writers))
+        return duration_s, writers
+
+
+class LoadReplay:
+    """Entries that share engines; ``arrivals`` are calls in the order of their time."""
+
+    def __init__(self, *, entries, engines, arrivals, seed=0, **profile):
+        self.profile = make_profile(**profile)
+        self.engines = [ReplayedEngine(self.profile) for _ in range(engines)]
+        self.random = random.Random(seed)
+        self.arrivals = arrivals
+        self.calls = {call.call_id: call for call in arrivals}
+        self.views = [self._make_views() for _ in range(entries)]
+        self.dispatchers = [
+            self._make_dispatcher(number, views)
+            for number, views in enumerate(self.views)
+        ]
+        self.told = [dict() for _ in range(entries)]
+        self.events = []
+        self.order = itertools.count()
+        self.is_load_due = [False] * entries
+        self.load_sent_at = [-1.0] * entries
+        self.expiry_at = [-1.0] * entries
+
+    def _make_views(self):
+        return [
+            UpstreamView(make_record(f"engine-{number}", slots=self.profile.slots))
+            for number in range(len(self.engines))
+        ]
+
+    def _make_dispatcher(self, number, views):
+        policy = PredictedLatencyPolicy(self.profile, lambda _view: 0.0)
+        dispatcher = ServiceDispatcher(policy, VersionRollouts(8.0), seed=number)
+        dispatcher.set_upstreams(views)
+        return dispatcher
+
+    def at(self, time, action, *arguments):
+        heapq.heappush(self.events, (time, next(self.order), action, arguments))
+
+    def run(self):
+        for call in self.arrivals:
+            self.at(call.arrived_at, self._arrive, call)
+        while self.events:
+            now, _, action, arguments = heapq.heappop(self.events)
+            action(now, *arguments)
+        return self
+
+    @property
+    def on_time(self):
+        return sum(call.is_on_time for call in self.calls.values()) / len(self.calls)
+
+    @property
+    def late(self):
+        served = [c for c in self.calls.values() if c.first_event_at is not None]
+        return sum(not call.is_on_time for call in served) / len(self.calls)
+
+    @property
+    def most_at_once(self):
+        return max(engine.most_at_once for engine in self.engines)
+
+    # Entries.
+
+    def _arrive(self, now, call):
+        pending = make_pending(
+            call.call_id,
+            arrived_at=now,
+            target_at=now + TARGET_S,
+            timeout_at=now + TIMEOUT_S,
+            prompt_tokens=call.prompt_tokens,
+        )
+        self._apply(now, call.entry, self.dispatchers[call.entry].submit(pending, now))
+
+    def _place(self, now, entry):
+        self._apply(now, entry, self.dispatchers[entry].place_waiting(now))
+
+    def _apply(self, now, entry, decisions):
+        for decision in decisions:
+            call = self.calls[decision.call.call_id]
+            if not isinstance(decision, Assignment):
+                call.is_rejected = True
+                continue
+            number = self.views[entry].index(decision.placement.upstream)
+            self.at(now + HOP_S, self._reach, number, call)
+            self._schedule_load(now, entry)
+        self._schedule_expiry(now, entry)
+
+    def _schedule_expiry(self, now, entry):
+        expiry_at = self.dispatchers[entry].next_expiry_at()
+        if expiry_at is None or now < self.expiry_at[entry] <= expiry_at + 1e-4:
+            return
+        self.expiry_at[entry] = max(now, expiry_at) + 1e-4
+        self.at(self.expiry_at[entry], self._place, entry)
+
+    def _schedule_load(self, now, entry):
+        if self.is_load_due[entry]:
+            return
+        self.is_load_due[entry] = True
+        due_at = max(now, self.load_sent_at[entry] + LOAD_INTERVAL_S)
+        self.at(due_at, self._send_load, entry)
+
+    def _send_load(self, now, entry):
+        self.is_load_due[entry] = False
+        self.load_sent_at[entry] = now
+        loads = [view.own_load for view in self.views[entry]]
+        for other in range(len(self.views)):
+            if other != entry:
+                hop_s = HOP_S * self.random.uniform(0.5, 1.5)
+                self.at(now + hop_s, self._hear_load, other, entry, loads)
+
+    def _hear_load(self, now, entry, sender, loads):
+        self.told[entry][sender] = loads
+        for number, view in enumerate(self.views[entry]):
+            total = EngineLoad()
+            for each in self.told[entry].values():
+                total = add_loads(total, each[number])
+            view.update_peer_load(total, now, self.random.random())
+        if self.dispatchers[entry].queue_length:
+            self._place(now, entry)
+
+    # Engines.
+
+    def _reach(self, now, number, call):
+        call.left_tokens = call.output_tokens
+        call.unread_tokens = call.prompt_tokens
+        engine = self.engines[number]
+        engine.add(call)
+        if not engine.is_busy:
+            engine.is_busy = True
+            self._run_pass(now, number)
+
+    def _run_pass(self, now, number):
+        engine = self.engines[number]
+        duration_s, writers = engine.begin_pass()
+        if not engine.running:
+            engine.is_busy = False
+            return
+        self.at(now + duration_s, self._end_pass, number, writers)
+
+    def _end_pass(self, now, number, writers):
+        engine = self.engines[number]
+        for call in writers:
+            view = self.views[call.entry][number]
+            if call.first_event_at is None:
+                call.first_event_at = now + HOP_S
+                view.on_first_event(call.call_id)
+            call.left_tokens -= self.profile.steps_per_pass
+            if call.left_tokens <= 0:
+                engine.running.remove(call)
+                self.at(now + HOP_S, self._finish, number, call)
+        self._run_pass(now, number)
+
+    def _finish(self, now, number, call):
+        self.views[call.entry][number].remove_call(call.call_id)
+        self._schedule_load(now, call.entry)
+        self._place(now, call.entry)
+
+
+def make_arrivals(*, per_s, duration_s, entries, seed=0):
+    """Return calls at random times with short and long prompts."""
+    source = random.Random(seed)
+    calls, now = [], 0.0
+    for call_id in itertools.count(1):
+        now += source.expovariate(per_s)
+        if now >= duration_s:
+            return calls
+        prompt = source.choice((240, 500, 900, 1300, 2000, 3800))
+        calls.append(
+            ReplayedCall(
+                call_id,
+                entry=source.randrange(entries),
+                arrived_at=now,
+                prompt_tokens=prompt,
+                output_tokens=source.choice((40, 72, 90, 130)),
+            )
+        )
