Take over the store watch within the time in which a configuration must be in force

Change: the waits are shares of the contract's time for a change (half of it at the store, 0.7 to 0.88 of silence), and an entry that lost the store says so in its load, so that the next in rank takes over at once.

--- a/protocol/exchange.thrift
+++ b/protocol/exchange.thrift
@@ -47,6 +47,7 @@
   // entry knows of each kind that it watches, in the order of kinds that all use.
   9: i64 store_era
   10: list<i64> store_revisions
+  11: bool has_lost_store
 }
 
 // The load of one upstream from all entries but the receiver, and what it serves.
--- a/src/bamboolever/_exchange_protocol/ttypes.py
+++ b/src/bamboolever/_exchange_protocol/ttypes.py
@@ -338,6 +338,7 @@
      - summary_cell
      - store_era
      - store_revisions
+     - has_lost_store
 
     """
 
@@ -352,10 +353,11 @@
         'summary_cell',
         'store_era',
         'store_revisions',
+        'has_lost_store',
     )
 
 
-    def __init__(self, instance_id=None, started_ms=None, sequence=None, uses=None, is_ready=None, cell=None, leaving=None, summary_cell=None, store_era=None, store_revisions=None,):
+    def __init__(self, instance_id=None, started_ms=None, sequence=None, uses=None, is_ready=None, cell=None, leaving=None, summary_cell=None, store_era=None, store_revisions=None, has_lost_store=None,):
         self.instance_id = instance_id
         self.started_ms = started_ms
         self.sequence = sequence
@@ -366,6 +368,7 @@
         self.summary_cell = summary_cell
         self.store_era = store_era
         self.store_revisions = store_revisions
+        self.has_lost_store = has_lost_store
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -442,6 +445,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.has_lost_store = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -501,6 +509,10 @@
                 oprot.writeI64(iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.has_lost_store is not None:
+            oprot.writeFieldBegin('has_lost_store', TType.BOOL, 11)
+            oprot.writeBool(self.has_lost_store)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1691,6 +1703,7 @@
     (8, TType.STRING, 'summary_cell', 'UTF8', None, ),  # 8
     (9, TType.I64, 'store_era', None, None, ),  # 9
     (10, TType.LIST, 'store_revisions', (TType.I64, None, False), None, ),  # 10
+    (11, TType.BOOL, 'has_lost_store', None, None, ),  # 11
 )
 all_structs.append(UpstreamSummary)
 UpstreamSummary.thrift_spec = (
--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -138,6 +138,11 @@
         """How often the store was restored, as far as this watch knows."""
         return self._era or 0
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the store responded to the last call."""
+        return self._is_reachable
+
     def start(self) -> None:
         """Send the first listing; call on the task's thread."""
         self._list("")
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -49,6 +49,7 @@
 from bamboolever.daemons.relay import CallRelay
 from bamboolever.daemons.settings import InstanceSettings
 from bamboolever.daemons.statushandler import StatusHandler
+from bamboolever.daemons.storerelay import WATCH_WAIT_SHARE
 from bamboolever.fleet.records import ModelVersion
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
@@ -61,9 +62,8 @@
 logger = logging.getLogger(__name__)
 
 MAX_STORE_IDLE_S = 10.0
-# How long the store holds a watch request that has no changes to return. API keys are
-# trusted only while responses confirm the configuration, so its watch waits less.
-CONFIGURATION_WAIT_S = 2.0
+# How long the store holds a watch request that has no changes to return. The watch of
+# the configuration waits less, as its responses confirm the API keys.
 LIST_WAIT_S = 20.0
 LIST_BATCH_DELAY_S = 0.6
 TIMER_MARGIN_S = 0.05
@@ -163,6 +163,7 @@
             self.telemetry,
             lambda: self.calls.dispatch_waiting(),
             self.is_ready,
+            settings.bounds.configuration_timeout_s,
         )
         self.calls = InFlightCalls(
             self.task, self.telemetry, self.fleet, self.exchange, settings.bounds
@@ -194,7 +195,7 @@
                     self._on_confirmed,
                     self._on_store_restored,
                 ),
-                CONFIGURATION_WAIT_S,
+                WATCH_WAIT_SHARE * self._settings.bounds.configuration_timeout_s,
                 0.0,
             ),
             watch(
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -70,6 +70,7 @@
         telemetry: Telemetry,
         on_state_changed: Callable[[], None],
         is_ready: Callable[[], bool],
+        configuration_timeout_s: float = 2.0,
     ):
         self._task = task
         self._name = name
@@ -85,7 +86,12 @@
         self._hello_count = 0
         self._unsent_rejections: dict[int, float] = {}
         self.store_relay = StoreRelay(
-            task.now, address, fleet, names.CONFIGURATION_KIND, self._send
+            task.now,
+            address,
+            fleet,
+            names.CONFIGURATION_KIND,
+            self._send,
+            configuration_timeout_s,
         )
         self.rejection_history = RejectionHistory()
         self.crash_tracker = CrashTracker()
@@ -164,6 +170,7 @@
             is_ready=self._is_ready(),
             store_era=self.store_relay.era,
             store_revisions=self.store_relay.changed_revisions(),
+            has_lost_store=self.store_relay.has_lost_store,
         )
         self._send_to_peers(report)
         is_busy = self._fleet.needs_neighbors(now)
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -202,7 +202,12 @@
     # Loads of other entries.
 
     def build_load_report(
-        self, *, is_ready: bool, store_era: int, store_revisions: tuple[int, ...]
+        self,
+        *,
+        is_ready: bool,
+        store_era: int = 0,
+        store_revisions: tuple[int, ...] = (),
+        has_lost_store: bool = False,
     ) -> EntryLoad:
         """Return the next datagram for the peers.
 
@@ -225,6 +230,7 @@
             leaving=leaving,
             store_era=store_era,
             store_revisions=store_revisions,
+            has_lost_store=has_lost_store,
         )
 
     def build_guest_report(self, cell: str, *, is_ready: bool) -> EntryLoad:
--- a/src/bamboolever/daemons/settings.py
+++ b/src/bamboolever/daemons/settings.py
@@ -12,8 +12,9 @@
 
     ``grace_period_s`` lasts from a stop request until the platform ends the process,
     and ``version_timeout_s`` from a rollout's start until no request may start on an
-    older version. ``key_max_age_s`` is how long API keys stay valid without a
-    confirmation from the store; None sets no limit.
+    older version. A changed configuration must be in force everywhere within
+    ``configuration_timeout_s``. ``key_max_age_s`` is how long API keys stay valid
+    without a confirmation from the store; None sets no limit.
 
     The retries of a service, across all entries, may be ``retry_ratio`` of its first
     attempts plus ``retry_slack``. ``retry_window_s`` and ``drain_timeout_s`` are
@@ -27,6 +28,7 @@
     retry_window_s: float = 10.0
     retry_slack: float = 0.0
     version_timeout_s: float = 8.0
+    configuration_timeout_s: float = 2.0
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/daemons/storerelay.py
+++ b/src/bamboolever/daemons/storerelay.py
@@ -25,12 +25,13 @@
 from bamboolever.fleet.messages import Message, StoreUpdate
 from bamboolever.net.addresses import Address
 
-# A confirmation arrives at least this often while the watching entry reaches the
-# store: the wait of its watch, with a margin for one lost datagram.
-SILENCE_TIMEOUT_S = 2.6
-# Added for each rank, so that one entry takes over and not all at once.
-TAKE_OVER_STEP_S = 0.25
-MAX_TAKE_OVER_STEPS = 4
+# Shares of the time in which a changed configuration must be in force: how long a watch
+# waits at the store, after which silence another entry takes over, and what each rank
+# adds to it, so that not all do at once.
+WATCH_WAIT_SHARE = 0.5
+SILENCE_SHARE = 0.7
+TAKE_OVER_SHARE = 0.06
+MAX_TAKE_OVER_STEPS = 3
 MAX_REMEMBERED_LOADS = 128
 
 
@@ -40,7 +41,7 @@
 
     ``now`` returns seconds of the entry's clock; ``send`` sends one message. The kind
     ``confirmed_kind`` is confirmed most often: its silence shows that a peer no longer
-    reaches the store.
+    reaches the store. A change must be in force within ``configuration_timeout_s``.
     """
 
     def __init__(
@@ -50,12 +51,14 @@
         fleet: EntryFleet,
         confirmed_kind: str,
         send: Callable[[Message, Address], None],
+        configuration_timeout_s: float,
     ):
         self._now = now
         self._own_address = own_address
         self._fleet = fleet
         self._confirmed_kind = confirmed_kind
         self._send = send
+        self._configuration_timeout_s = configuration_timeout_s
         self._watches: dict[str, KindWatch] = {}
         self._heard_at = now()
         self._load_sent_at: OrderedDict[int, float] = OrderedDict()
@@ -69,6 +72,11 @@
         """How often the store was restored, as far as this entry knows."""
         return max((watch.era for watch in self._watches.values()), default=0)
 
+    @property
+    def has_lost_store(self) -> bool:
+        """Whether the store does not respond to a watch of this entry."""
+        return any(not watch.is_reachable for watch in self._watches.values())
+
     def changed_revisions(self) -> tuple[int, ...]:
         """Return the store's revision at the last known change of each kind."""
         return tuple(watch.changed_revision for watch in self._watches.values())
@@ -86,15 +94,15 @@
 
     def call_delay_s(self, now: float) -> float:
         """Return after how many seconds to call the store, if nothing is heard."""
-        peers = self._fleet.peers.live_addresses(now)
+        peers = self._fleet.peers.store_watchers(now)
         own = str(self._own_address)
         members = [own, *map(str, peers)]
         rank = rank_members(f"store\0{self._fleet.own_cell}", members).index(own)
         if rank == 0:
             return 0.0
         steps = min(rank, MAX_TAKE_OVER_STEPS)
-        due_at = self._heard_at + SILENCE_TIMEOUT_S + steps * TAKE_OVER_STEP_S
-        return max(0.0, due_at - now)
+        share = SILENCE_SHARE + steps * TAKE_OVER_SHARE
+        return max(0.0, self._heard_at + share * self._configuration_timeout_s - now)
 
     def publish(self, result: WatchResult) -> None:
         """Send the peers what a call of this entry returned."""
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -97,6 +97,7 @@
         message.summary_cell,
         message.store_era,
         list(message.store_revisions),
+        message.has_lost_store,
     )
 
 
@@ -216,6 +217,7 @@
         wire.summary_cell or "",
         wire.store_era or 0,
         tuple(wire.store_revisions or ()),
+        bool(wire.has_lost_store),
     )
 
 
--- a/src/bamboolever/fleet/messages.py
+++ b/src/bamboolever/fleet/messages.py
@@ -48,7 +48,8 @@
     summary of this cell, and ``loads`` are those at the cell's upstreams.
     ``store_revisions`` are the store's revisions, within ``store_era``, at the last
     change that the entry knows of each kind that it watches: a peer with a lower
-    revision has missed an update.
+    revision has missed an update. ``has_lost_store`` means that the entry cannot watch
+    the store for others now.
     """
 
     instance_id: str
@@ -61,6 +62,7 @@
     summary_cell: str = ""
     store_era: int = 0
     store_revisions: tuple[int, ...] = ()
+    has_lost_store: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/fleet/peers.py
+++ b/src/bamboolever/fleet/peers.py
@@ -148,6 +148,18 @@
             if peer.load is not None and now - peer.last_heard_at <= PEER_TIMEOUT_S
         ]
 
+    def store_watchers(self, now: float) -> list[Address]:
+        """Return the live peers that have not lost the store."""
+        return [
+            address
+            for address in self.live_addresses(now)
+            if not self._has_lost_store(address)
+        ]
+
+    def _has_lost_store(self, address: Address) -> bool:
+        load = self._peers[address].load
+        return load is not None and load.has_lost_store
+
     def has_ready_peer(self, now: float) -> bool | None:
         """Return whether another entry is ready.
 
--- a/src/bamboolever/platform/nodefile.py
+++ b/src/bamboolever/platform/nodefile.py
@@ -28,6 +28,7 @@
     # In the platform's documentation, this is the only duration whose name has no
     # unit; it is in milliseconds too.
     version_ms: float = 8000
+    configuration_apply_ms: float = Field(2000, alias="configurationApplyMs")
 
 
 class _Store(_Document):
@@ -148,6 +149,7 @@
             retry_window_s=bounds.retry_window_s,
             retry_slack=bounds.retry_slack,
             version_timeout_s=bounds.version_ms / 1000,
+            configuration_timeout_s=bounds.configuration_apply_ms / 1000,
         ),
     )
 
--- a/testing/daemons/test_storerelay.py
+++ b/testing/daemons/test_storerelay.py
@@ -5,11 +5,12 @@
 import pytest
 
 from bamboolever.config.sharing import WatchResult
-from bamboolever.daemons.storerelay import SILENCE_TIMEOUT_S, StoreRelay
+from bamboolever.daemons.storerelay import StoreRelay
 from bamboolever.fleet.messages import EntryLoad
 from bamboolever.fleet.peers import PeerLoads
 from bamboolever.net.addresses import Address
 
+CONFIGURATION_TIMEOUT_S = 2.0
 ADDRESSES = [Address(f"10.0.0.{number}", 7000) for number in range(1, 6)]
 
 
@@ -19,6 +20,7 @@
     def __init__(self, address):
         self.address = address
         self.now = 100.0
+        self.has_lost_store = False
         self.sent = []
         self.applied = []
         peers = PeerLoads(address)
@@ -29,13 +31,23 @@
             self.fleet,
             "config",
             lambda message, to: self.sent.append((message, to)),
+            CONFIGURATION_TIMEOUT_S,
+        )
+        watch = SimpleNamespace(
+            kind="config", apply_shared=self.applied.append, is_reachable=True
         )
-        watch = SimpleNamespace(kind="config", apply_shared=self.applied.append)
         self.relay.add_watch(watch)
 
     def hear(self, *members, sequence=1):
         for member in members:
-            load = EntryLoad(str(member.address), 7, sequence, {}, cell="zone/0")
+            load = EntryLoad(
+                str(member.address),
+                7,
+                sequence,
+                {},
+                cell="zone/0",
+                has_lost_store=member.has_lost_store,
+            )
             self.fleet.peers.apply(member.address, load, self.now)
             member.relay.on_load_sent(sequence, member.now)
 
@@ -68,15 +80,32 @@
     assert member.relay.call_delay_s(member.now) == 0.0
 
 
-def test_next_in_rank_takes_over_from_a_silent_entry(members):
+def test_others_take_over_in_time_from_an_entry_that_fell_silent(members):
+    """Guards against a changed configuration that came too late.
+
+    The store refused the watching entry just before a change was acknowledged; the next
+    entry called it 2.8 s later, and the change had to be in force after 2 s.
+    """
     (watching,) = _callers(members)
     others = [member for member in members if member is not watching]
+    delays = [member.relay.call_delay_s(member.now) for member in others]
+    assert len(set(delays)) > 1
+    assert max(delays) <= 0.9 * CONFIGURATION_TIMEOUT_S
     for member in others:
-        member.now += SILENCE_TIMEOUT_S + 0.3
+        member.now += min(delays) + 0.01
         member.hear(*[other for other in members if other is not member], sequence=2)
     assert len(_callers(others)) == 1
 
 
+def test_entry_that_lost_the_store_is_passed_over_at_once(members):
+    (watching,) = _callers(members)
+    watching.has_lost_store = True
+    others = [member for member in members if member is not watching]
+    for member in others:
+        member.hear(watching, sequence=2)
+    assert len(_callers(others)) == 1
+
+
 def test_confirmation_from_a_peer_puts_the_call_off(members):
     (watching,) = _callers(members)
     follower = next(member for member in members if member is not watching)
--- a/testing/fleet/test_exchange.py
+++ b/testing/fleet/test_exchange.py
@@ -18,7 +18,7 @@
         (exchange.RolloutAge("m", 2, 1.5), exchange.RolloutAge("m", 3, None)),
     ),
     exchange.EntryLoad(
-        "entry-1", 1, 3, {}, True, "zone-a/0", (4, -4), "zone-b/0", 2, (5, 6)
+        "entry-1", 1, 3, {}, True, "zone-a/0", (4, -4), "zone-b/0", 2, (5, 6), True
     ),
     exchange.CellSummary(
         "zone-b/0",
