Dispatch waiting calls and plan pieces once for many datagrams

Each datagram placed all waiting requests again, each over all engines of all cells that an entry uses; each piece map made a plan. Change: one dispatch for the changes of 15 ms, one plan for those of 20 ms; the engines of the own cell are looked at once for all waiting requests of a model, those of other cells in a sample of 12. Tests count the looks.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -40,6 +40,8 @@
 # Number of engines of other cells, chosen at random, that a request chooses from, so
 # that entries with the same summary do not all choose the same engine.
 NEIGHBOR_CHOICES = 4
+# How many engines of other cells are looked at to find these.
+NEIGHBOR_SAMPLE = 12
 # Engines of other cells count as needed for this long after a request lacked room.
 NEIGHBOR_NEED_S = 2.0
 
@@ -153,8 +155,9 @@
         """
         decisions: list[Decision] = []
         still_queued: list[PendingCall] = []
+        home: dict[str | None, Sequence[UpstreamView]] = {}
         for call in self._queue:
-            placement = self._choose(call, now)
+            placement = self._choose(call, self._home_for(call, home, now), now)
             if placement is not None:
                 placement.upstream.add_call(call.call_id, call.prompt_tokens)
                 decisions.append(Assignment(call, placement))
@@ -175,19 +178,35 @@
         # A caller retries only once, and an engine may load the model meanwhile.
         return call.is_resumed or (call.is_caller_retry and bool(self._upstreams))
 
-    def _choose(self, call: PendingCall, now: float) -> Placement | None:
-        placement = self.policy.choose(call, self._eligible(call, self._home, now), now)
+    def _home_for(
+        self,
+        call: PendingCall,
+        known: dict[str | None, Sequence[UpstreamView]],
+        now: float,
+    ) -> Sequence[UpstreamView]:
+        if call.tried:
+            return self._eligible(call, self._home, now)
+        # Without earlier attempts the answer is the same for all calls of a model.
+        if call.model not in known:
+            known[call.model] = self._eligible(call, self._home, now)
+        return known[call.model]
+
+    def _choose(
+        self, call: PendingCall, home: Sequence[UpstreamView], now: float
+    ) -> Placement | None:
+        placement = self.policy.choose(call, home, now)
         if placement is not None or not self._neighbors:
             return placement
         self._neighbors_needed_until = now + NEIGHBOR_NEED_S
+        sample = self._neighbors
+        if len(sample) > NEIGHBOR_SAMPLE:
+            sample = self._random.sample(sample, NEIGHBOR_SAMPLE)
         free = [
             view
-            for view in self._eligible(call, self._neighbors, now)
+            for view in self._eligible(call, sample, now)
             if view.active < NEIGHBOR_SLOT_SHARE * view.record.slots
         ]
-        if len(free) > NEIGHBOR_CHOICES:
-            free = self._random.sample(free, NEIGHBOR_CHOICES)
-        return self.policy.choose(call, free, now)
+        return self.policy.choose(call, free[:NEIGHBOR_CHOICES], now)
 
     def _has_eligible(self, call: PendingCall, now: float) -> bool:
         return bool(self._eligible(call, self._home, now)) or bool(
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -161,7 +161,7 @@
             own_address,
             self.fleet,
             self.telemetry,
-            lambda: self.calls.dispatch_waiting(),
+            self._on_fleet_changed,
             self.is_ready,
             settings.bounds.configuration_timeout_s,
         )
@@ -241,6 +241,10 @@
     def _on_confirmed(self, as_of: float) -> None:
         self._freshness.confirm(as_of)
 
+    def _on_fleet_changed(self) -> None:
+        if self.fleet.has_waiting_calls:
+            self.calls.on_fleet_changed()
+
     def _on_store_restored(self) -> None:
         self._freshness.on_store_restored(self.task.now())
 
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -79,6 +79,11 @@
         """Whether at least one upstream is listed."""
         return bool(self._views)
 
+    @property
+    def has_waiting_calls(self) -> bool:
+        """Whether a request waits for an upstream of any service."""
+        return any(each.queue_length for each in self._dispatchers.values())
+
     def needs_neighbors(self, now: float) -> bool:
         """Return whether engines of other cells are in use or may soon be."""
         return any(
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -33,6 +33,8 @@
 
 CONNECT_TIMEOUT_S = 0.4
 MAX_UPSTREAM_IDLE_S = 3.0
+# Changes of the fleet within this time cause one dispatch of the waiting calls.
+DISPATCH_DELAY_S = 0.015
 # The part of a service's retry ratio and slack that one of several entries may spend.
 ENTRY_RETRY_SHARE = 0.6
 ENTRY_RESERVE_SHARE = 0.1
@@ -69,6 +71,7 @@
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._expiry_timer: Timer | None = None
         self._next_expiry_at: float | None = None
+        self._is_dispatch_scheduled = False
 
     @property
     def in_flight(self) -> int:
@@ -236,8 +239,23 @@
         self.dispatch_waiting()
         self._arm_expiry_timer()
 
+    def on_fleet_changed(self) -> None:
+        """Dispatch the waiting calls of all services soon.
+
+        Called for each datagram. Many arrive while calls wait, and one dispatch serves
+        those of `DISPATCH_DELAY_S`.
+        """
+        if self._is_dispatch_scheduled:
+            return
+        self._is_dispatch_scheduled = True
+        self.task.call_later(DISPATCH_DELAY_S, self._on_dispatch_due)
+
+    def _on_dispatch_due(self) -> None:
+        self._is_dispatch_scheduled = False
+        self.dispatch_waiting()
+
     def dispatch_waiting(self) -> None:
-        """Dispatch the waiting calls of all services; called when the fleet changed."""
+        """Dispatch the waiting calls of all services now."""
         for service in self._fleet.services():
             if self._fleet.dispatcher(service).queue_length:
                 self._dispatch_service(service)
--- a/src/bamboolever/daemons/swarm.py
+++ b/src/bamboolever/daemons/swarm.py
@@ -32,6 +32,8 @@
 FETCH_TIMEOUT_S = 6.0
 FETCH_STALL_TIMEOUT_S = 1.5
 PLAN_INTERVAL_S = 0.1
+# Piece maps that arrive within this time cause one plan.
+PLAN_DELAY_S = 0.02
 ANNOUNCE_DELAY_S = 0.1
 ANNOUNCE_HEARTBEAT_S = 1.0
 # A peer that asked for this agent's pieces longer ago is not told of new ones.
@@ -71,6 +73,7 @@
         self._is_stopped = False
         self._announced_at = 0.0
         self._is_announcement_scheduled = False
+        self._is_plan_scheduled = False
         # Peers that asked for this agent's pieces, and when.
         self._asked_at: dict[Address, float] = {}
         self._timer: Timer | None = None
@@ -108,7 +111,7 @@
         if piece_map.is_retained:
             self.view.mark_inactive(sender)
         if is_changed:
-            self._plan()
+            self._schedule_plan()
 
     def make_piece_map(self, *, is_reply_wanted: bool = False) -> PieceMap:
         """Return this agent's verified pieces as a message to its peers."""
@@ -130,6 +133,16 @@
         self._plan()
         self._timer = self._task.call_later(PLAN_INTERVAL_S, self._tick)
 
+    def _schedule_plan(self) -> None:
+        if self._is_plan_scheduled:
+            return
+        self._is_plan_scheduled = True
+        self._task.call_later(PLAN_DELAY_S, self._on_plan_due)
+
+    def _on_plan_due(self) -> None:
+        self._is_plan_scheduled = False
+        self._plan()
+
     def _plan(self) -> None:
         if self._is_stopped or self.view.pieces.is_complete:
             return
--- a/testing/calls/test_dispatcher.py
+++ b/testing/calls/test_dispatcher.py
@@ -5,6 +5,7 @@
 from bamboolever.calls.dispatcher import (
     MAX_QUEUE_WAIT_S,
     MAX_RETRY_QUEUE_WAIT_S,
+    NEIGHBOR_SAMPLE,
     Assignment,
     Rejection,
     RejectReason,
@@ -229,3 +230,50 @@
     assert isinstance(late, Rejection)
     (placed,) = _dispatcher([roomy], versions).submit(make_pending(target_at=7.9), 7.4)
     assert isinstance(placed, Assignment)
+
+
+def test_cost_of_a_dispatch_does_not_grow_with_waiting_calls_times_engines(monkeypatch):
+    """Guards against days that were too slow: each waiting call looked at each engine
+    of all cells, at each datagram.
+    """
+    home = [make_view(f"home-{number}") for number in range(20)]
+    away = [make_view(f"away-{number}") for number in range(100)]
+    for view in (*home, *away):
+        _fill(view, 4)
+    for view in away:
+        view.is_home = False
+    dispatcher = _dispatcher([*home, *away])
+    for _ in range(10):
+        dispatcher.submit(make_pending(target_at=2.0), 0.0)
+    looks = []
+    serves = ServiceDispatcher._serves
+
+    def count_looks(self, view, model, now):
+        looks.append(view)
+        return serves(self, view, model, now)
+
+    monkeypatch.setattr(ServiceDispatcher, "_serves", count_looks)
+    assert dispatcher.place_waiting(0.01) == []
+    assert len(looks) <= 20 + 10 * NEIGHBOR_SAMPLE
+
+
+def test_engine_of_another_cell_is_used_only_without_room_at_home():
+    home, away = make_view("home"), make_view("away")
+    away.is_home = False
+    _fill(home, 2)
+    dispatcher = _dispatcher([home, away])
+    (decision,) = dispatcher.submit(make_pending(), 0.0)
+    assert decision.placement.upstream is home
+    _fill(home, 4)
+    (decision,) = dispatcher.submit(make_pending(), 0.0)
+    assert decision.placement.upstream is away
+    assert dispatcher.uses_neighbors(0.1)
+
+
+def test_engine_of_another_cell_is_filled_only_in_part():
+    home, away = make_view("home"), make_view("away")
+    away.is_home = False
+    _fill(home, 4)
+    _fill(away, 3)
+    dispatcher = _dispatcher([home, away])
+    assert dispatcher.submit(make_pending(), 0.0) == []
