--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -16,6 +16,7 @@
 from bamboolever._task import IoTask, Timer
 from bamboolever.config.observer import KindObserver
 from bamboolever.config.sharing import NoSharing, WatchResult, WatchSharing
+from bamboolever.config.watchgroup import WatchGroup
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool, ExchangeFailure
 from bamboolever.net.fetch import Fetch, FetchResult, Response
@@ -56,32 +57,6 @@
     wait_s: float | None
 
 
-class WatchGroup:
-    """The watches of one process.
-
-    Load pattern: a store that responds again after an outage. It never responds to
-    calls sent during the outage, so a response to one watch makes the others send
-    their hung calls again at once.
-    """
-
-    def __init__(self) -> None:
-        self._watches: list[KindWatch] = []
-
-    def add(self, watch: "KindWatch") -> None:
-        """Add a watch to the group."""
-        self._watches.append(watch)
-
-    def on_restored(self, era: int) -> None:
-        """Tell all watches the era of a store that was restored from a copy."""
-        for watch in self._watches:
-            watch.follow_era(era)
-
-    def on_response(self) -> None:
-        """Retry the hung calls of all watches; called after each valid response."""
-        for watch in self._watches:
-            watch.retry_if_hung()
-
-
 class KindWatch:
     """Lists and watches one kind of object and passes what it finds to an observer.
 
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -8,7 +8,8 @@
 from bamboolever._telemetry import Telemetry
 from bamboolever.config.model import Configuration, EngineProfile, WeightOrigin
 from bamboolever.config.sharing import WatchSharing
-from bamboolever.config.watch import KindWatch, WatchGroup, WatchTiming
+from bamboolever.config.watch import KindWatch, WatchTiming
+from bamboolever.config.watchgroup import WatchGroup
 from bamboolever.daemons.clock import boottime_clock
 from bamboolever.daemons.loader import EngineLoader
 from bamboolever.daemons.loadercontext import LoaderContext
@@ -35,7 +36,9 @@
 from bamboolever.platform import names
 from bamboolever.platform import weights as wire
 from bamboolever.platform.errors import AdapterError
-from bamboolever.weights.plan import Peer, group_number, make_piece_policy
+from bamboolever.weights.groups import group_number
+from bamboolever.weights.plan import make_piece_policy
+from bamboolever.weights.view import Peer
 
 logger = logging.getLogger(__name__)
 
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -36,7 +36,8 @@
 from bamboolever.config.freshness import Freshness
 from bamboolever.config.model import Configuration
 from bamboolever.config.routes import RouteTable
-from bamboolever.config.watch import KindWatch, WatchGroup, WatchTiming
+from bamboolever.config.watch import KindWatch, WatchTiming
+from bamboolever.config.watchgroup import WatchGroup
 from bamboolever.daemons.clock import boottime_clock
 from bamboolever.daemons.entryexchange import EntryExchange
 from bamboolever.daemons.entryfleet import EntryFleet
--- a/src/bamboolever/daemons/loadercontext.py
+++ b/src/bamboolever/daemons/loadercontext.py
@@ -7,7 +7,7 @@
 from bamboolever.fleet.messages import PieceMap
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
-from bamboolever.weights.plan import Peer
+from bamboolever.weights.view import Peer
 
 
 class LoaderContext(ABC):
--- a/src/bamboolever/daemons/swarm.py
+++ b/src/bamboolever/daemons/swarm.py
@@ -17,15 +17,14 @@
 from bamboolever.net.fetch import Fetch, FetchResult
 from bamboolever.net.messages import Request
 from bamboolever.platform import weights as wire
+from bamboolever.weights.groups import find_watched
 from bamboolever.weights.plan import (
     ORIGIN_BACKOFF_S,
     PEER_BACKOFF_S,
-    Peer,
     PieceFetch,
     PiecePolicy,
-    SwarmView,
-    find_watched,
 )
+from bamboolever.weights.view import Peer, SwarmView
 
 logger = logging.getLogger(__name__)
 
--- a/src/bamboolever/daemons/transfer.py
+++ b/src/bamboolever/daemons/transfer.py
@@ -19,7 +19,8 @@
 from bamboolever.platform import weights as wire
 from bamboolever.platform.errors import AdapterError
 from bamboolever.weights.pieces import PieceSet
-from bamboolever.weights.plan import PiecePolicy, SwarmView
+from bamboolever.weights.plan import PiecePolicy
+from bamboolever.weights.view import SwarmView
 
 logger = logging.getLogger(__name__)
 
--- a/src/bamboolever/weights/plan.py
+++ b/src/bamboolever/weights/plan.py
@@ -13,21 +13,20 @@
 other agents fetch the piece within their group. If the selected agent is silent, the
 next in rank takes over after a delay.
 
-An agent hears only from its group and from the agents that it imports pieces from, so
-that the messages of one agent do not grow with the fleet.
+`weights.groups` has the groups and the order in them.
 """
 
-import functools
 import math
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from typing import final
 
-from bamboolever._subset import rank_members, score_member
+from bamboolever._subset import score_member
 from bamboolever.net.addresses import Address
-from bamboolever.weights.pieces import PieceSet
+from bamboolever.weights.groups import Group, Membership, import_source, select_importer
+from bamboolever.weights.view import Peer, SwarmView
 
 MAX_FETCHES = 8
 # While an agent imports a piece, fetches within its group leave it a part of the link:
@@ -40,10 +39,6 @@
 # Fetches from the origin at once by all agents that read from it, about: with more, the
 # first pieces arrive late, as all share its link.
 ORIGIN_CONCURRENCY = 8
-# Agents of a region that form one group, at most on average.
-MAX_GROUP_AGENTS = 24
-# An agent that was silent for longer is not selected to import pieces.
-PEER_TIMEOUT_S = 1.6
 # After this time since any peer first had a piece, the importer no longer waits for
 # the group that it imports from and fetches the piece from any peer.
 CHAIN_TIMEOUT_S = 3.0
@@ -53,17 +48,6 @@
 # Pause after a failed fetch before the same source is used again.
 PEER_BACKOFF_S = 1.0
 ORIGIN_BACKOFF_S = 0.3
-# Enough for all pieces of a version with a few different lists of members.
-MAX_CACHED_CHOICES = 4096
-
-
-@dataclass(frozen=True)
-class Peer:
-    """Address and region of an agent, and its group within the region."""
-
-    address: Address
-    region: str
-    group: int = 0
 
 
 @dataclass(frozen=True)
@@ -79,93 +63,6 @@
     is_import: bool = False
 
 
-@dataclass
-class SwarmView:
-    """One agent's view of the transfer of a version.
-
-    Times are seconds of the agent's clock. A source is the address of a peer, or None
-    for the origin. ``peer_bitmaps`` maps peers to their verified pieces, ``in_flight``
-    pieces to the source they are fetched from, ``backoff_until`` failed sources to
-    when they may be used again, ``first_offered_at`` pieces to when any peer first had
-    them, ``last_heard_at`` peers to when their pieces were last received, and
-    ``uploads`` peers to the number of pieces that they are sending or have queued.
-    ``watched`` are the peers that are asked for their pieces, so that their silence
-    means something; None stands for all.
-    """
-
-    own: Peer
-    peers: list[Peer]
-    origin_region: str
-    pieces: PieceSet
-    started_at: float
-    peer_bitmaps: dict[Address, int] = field(default_factory=dict)
-    in_flight: dict[int, Address | None] = field(default_factory=dict)
-    backoff_until: dict[Address | None, float] = field(default_factory=dict)
-    first_offered_at: dict[int, float] = field(default_factory=dict)
-    last_heard_at: dict[Address, float] = field(default_factory=dict)
-    uploads: dict[Address, int] = field(default_factory=dict)
-    watched: frozenset[Address] | None = None
-
-    def update_peer(
-        self, address: Address, bitmap: int, now: float, *, uploads: int = 0
-    ) -> None:
-        """Record a peer's verified pieces and its number of pending uploads."""
-        self.last_heard_at[address] = now
-        self.uploads[address] = uploads
-        new = bitmap & ~self.peer_bitmaps.get(address, 0)
-        self.peer_bitmaps[address] = bitmap
-        number = 0
-        while new:
-            if new & 1:
-                self.first_offered_at.setdefault(number, now)
-            new >>= 1
-            number += 1
-
-    def mark_inactive(self, address: Address) -> None:
-        """Stop selecting a peer as importer, since it transfers another version.
-
-        Pieces of this version that it still has may be fetched from it until they
-        are overwritten.
-        """
-        self.last_heard_at[address] = -math.inf
-
-    def watch(self, watched: frozenset[Address], now: float) -> None:
-        """Replace the watched peers.
-
-        One that was silent until now stays inactive until it is heard.
-        """
-        for peer in self.peers:
-            if peer.address in watched or peer.address not in (self.watched or ()):
-                continue
-            if not self.is_active(peer, now):
-                self.mark_inactive(peer.address)
-        for address in watched - (self.watched or frozenset()):
-            heard_at = self.last_heard_at.get(address, self.started_at)
-            if heard_at > -math.inf:
-                # It was not asked before, so its silence meant nothing.
-                self.last_heard_at[address] = now
-        self.watched = watched
-
-    def active_members(self, now: float) -> list[Peer]:
-        """Return this agent and the peers that are not known to be silent."""
-        return [self.own, *(peer for peer in self.peers if self.is_active(peer, now))]
-
-    def is_active(self, peer: Peer, now: float) -> bool:
-        """Return whether a peer was heard within `PEER_TIMEOUT_S`.
-
-        One that is not watched is taken to be active, unless it is known to transfer
-        another version.
-        """
-        heard_at = self.last_heard_at.get(peer.address, self.started_at)
-        if self.watched is not None and peer.address not in self.watched:
-            return heard_at > -math.inf
-        return now - heard_at < PEER_TIMEOUT_S
-
-    def is_available(self, source: Address | None, now: float) -> bool:
-        """Return whether a source is not in backoff after a failed fetch."""
-        return now >= self.backoff_until.get(source, 0.0)
-
-
 class PiecePolicy(ABC):
     """Decides the next fetches of one agent."""
 
@@ -187,65 +84,6 @@
         return [PieceFetch(number, None) for number in wanted[:free_slots]]
 
 
-@dataclass(frozen=True, order=True)
-class Group:
-    """A group of agents: a region, or one of the parts of a large region."""
-
-    region: str
-    number: int
-
-    @classmethod
-    def of(cls, peer: Peer) -> "Group":
-        """Return the group of an agent."""
-        return cls(peer.region, peer.group)
-
-
-def group_number(member: str, agents_in_region: int) -> int:
-    """Return the group within its region of the agent with this address."""
-    count = math.ceil(agents_in_region / MAX_GROUP_AGENTS)
-    if count <= 1:
-        return 0
-    return int(rank_members(member, map(str, range(count)))[0])
-
-
-@dataclass(frozen=True)
-class Membership:
-    """The active agents of one plan by group, as addresses in a fixed order."""
-
-    members: dict[Group, tuple[str, ...]]
-
-    @classmethod
-    def from_view(cls, view: SwarmView, now: float) -> "Membership":
-        """Return the agents that are not known to be silent.
-
-        A group of which every watched agent is silent is left out.
-        """
-        by_group: dict[Group, list[str]] = {}
-        silent: set[Group] = set()
-        heard: set[Group] = {Group.of(view.own)}
-        for peer in view.active_members(now):
-            group = Group.of(peer)
-            by_group.setdefault(group, []).append(str(peer.address))
-            if view.watched is None or peer.address in view.watched:
-                heard.add(group)
-        if view.watched is not None:
-            silent = {
-                Group.of(peer) for peer in view.peers if peer.address in view.watched
-            }
-        return cls(
-            {
-                group: tuple(sorted(names))
-                for group, names in by_group.items()
-                if group in heard or group not in silent
-            }
-        )
-
-    @property
-    def groups(self) -> tuple[Group, ...]:
-        """The groups with active agents, in a fixed order."""
-        return tuple(sorted(self.members))
-
-
 @dataclass(frozen=True)
 class _PlanInputs:
     """Values that are the same for all pieces of one plan.
@@ -277,74 +115,6 @@
         return cls(now, own_group, local_peers, local_bitmap, membership)
 
 
-@functools.lru_cache(maxsize=MAX_CACHED_CHOICES)
-def rank_importers(number: int, members: tuple[str, ...]) -> list[str]:
-    """Return a group's ``members`` in the order in which they import a piece."""
-    return rank_members(f"piece\0{number}", members)
-
-
-def select_importer(number: int, members: tuple[str, ...]) -> str:
-    """Return the agent, out of a group's ``members``, that imports a piece."""
-    return rank_importers(number, members)[0]
-
-
-@functools.lru_cache(maxsize=MAX_CACHED_CHOICES)
-def import_source(
-    number: int, own: Group, groups: tuple[Group, ...], origin_region: str
-) -> Group | None:
-    """Return the group that the group ``own`` imports a piece from.
-
-    Returns None for the group that reads it from the origin.
-    """
-    in_region = sorted(group for group in groups if group.region == own.region)
-    ranked = _rank_groups(number, in_region)
-    position = ranked.index(own)
-    if position > 0:
-        return ranked[(position - 1) // 2]
-    regions = _rank_regions(number, groups, origin_region)
-    region_position = regions.index(own.region)
-    if region_position == 0:
-        return None
-    previous = regions[region_position - 1]
-    return _rank_groups(number, [g for g in groups if g.region == previous])[0]
-
-
-def _rank_groups(number: int, groups: list[Group]) -> list[Group]:
-    by_name = {str(group.number): group for group in groups}
-    return [by_name[name] for name in rank_members(f"group\0{number}", by_name)]
-
-
-def _rank_regions(
-    number: int, groups: tuple[Group, ...], origin_region: str
-) -> list[str]:
-    ranked = rank_members(f"region\0{number}", {group.region for group in groups})
-    if origin_region in ranked:
-        ranked.remove(origin_region)
-        ranked.insert(0, origin_region)
-    return ranked
-
-
-def find_watched(view: SwarmView, now: float) -> frozenset[Address]:
-    """Return the peers that an agent has to hear from.
-
-    These are the agents of its group, and for each piece that it imports the first
-    agents of the group that it imports from.
-    """
-    membership = Membership.from_view(view, now)
-    own_group, own = Group.of(view.own), str(view.own.address)
-    watched = {str(peer.address) for peer in view.peers if Group.of(peer) == own_group}
-    local = membership.members[own_group]
-    for number in view.pieces.missing():
-        if select_importer(number, local) != own:
-            continue
-        source = import_source(number, own_group, membership.groups, view.origin_region)
-        if source is not None:
-            watched.update(rank_importers(number, membership.members[source])[:2])
-    return frozenset(
-        peer.address for peer in view.peers if str(peer.address) in watched
-    )
-
-
 @final
 class RegionChainPolicy(PiecePolicy):
     """Reads one copy from the origin and imports one into each other group.
--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -15,9 +15,9 @@
     MIN_PROBE_TIMEOUT_S,
     RESPONSE_MARGIN_S,
     KindWatch,
-    WatchGroup,
     WatchTiming,
 )
+from bamboolever.config.watchgroup import WatchGroup
 from bamboolever.net.addresses import Address
 
 WAIT_S = 2.0
--- a/testing/weights/test_plan.py
+++ b/testing/weights/test_plan.py
@@ -10,16 +10,10 @@
 from bamboolever.net.addresses import Address
 from bamboolever.platform.weights import PieceDigests
 from bamboolever.weights import plan
+from bamboolever.weights.groups import MAX_GROUP_AGENTS, find_watched, group_number
 from bamboolever.weights.pieces import PieceSet
-from bamboolever.weights.plan import (
-    MAX_GROUP_AGENTS,
-    ORIGIN_FALLBACK_S,
-    Peer,
-    SwarmView,
-    find_watched,
-    group_number,
-    make_piece_policy,
-)
+from bamboolever.weights.plan import ORIGIN_FALLBACK_S, make_piece_policy
+from bamboolever.weights.view import Peer, SwarmView
 
 PIECE_COUNT = 96
 LINK_PIECE_S = 24576 / (3.65e6 / 8)
