--- a/testing/weights/test_plan.py
+++ b/testing/weights/test_plan.py
@@ -328,3 +328,13 @@
     simulation = BoundedSimulation("region-chain", (8, 8, 8), silent=range(0, 24, 2))
     assert simulation.run() < ORIGIN_FALLBACK_S
     assert simulation.is_done()
+
+
+def test_peer_that_was_silent_stays_inactive_when_it_is_no_longer_watched():
+    simulation = BoundedSimulation("region-chain", (2, 0, 0))
+    view, other = simulation.views.values()
+    view.watch(frozenset({other.own.address}), 0.0)
+    view.watch(frozenset(), 5.0)
+    assert view.active_members(5.0) == [view.own]
+    view.update_peer(other.own.address, 0b1, 6.0)
+    assert other.own in view.active_members(6.0)
