Show that large and late responses of the store are given up before they are complete

Five entries whose calls the store refused from 2.5 s to 11.5 s then read 0.5 to 0.9 MB/s each for 12 to 18 s, and three stayed on versions 18 or 43 until 23.7 s, 25.8 s and 29.1 s. The response to a watch holds each version since the last that is known, so it took longer than the timeout of 1 to 2 s and began anew, until the store had dropped the history and a listing was read.

--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -4,7 +4,7 @@
 from itertools import pairwise
 
 import pytest
-from manualtask import ManualPool, ManualTask
+from manualtask import ManualPool, ManualTask, SlowStore
 
 from bamboolever.config.observer import KindObserver
 from bamboolever.config.sharing import WatchResult, WatchSharing
@@ -286,3 +286,70 @@
     assert recorder.changed_names == ["x"]
     assert recorder.watch.changed_revision == 5
     assert len(pool.sent) == 2
+
+
+# A configuration of 1,600 routes, and a link between regions that others use too.
+LARGE_BYTES = 310_000
+LINK_BYTES_PER_S = 800_000
+
+
+def _watch_at(store, kind="a", group=None):
+    recorder = Recorder()
+    watch = KindWatch(
+        store.task,
+        store,
+        lambda: Address("127.0.0.1", 7000),
+        kind,
+        recorder,
+        WatchTiming(WAIT_S),
+        group=group or WatchGroup(),
+    )
+    recorder.watch = watch
+    watch.start()
+    return recorder
+
+
+def test_watch_that_fell_behind_catches_up_while_the_history_grows(task):
+    """Guards against an entry that stayed on an old configuration for 18 seconds.
+
+    The response to its watch held each version since, and with each one took longer
+    than the timeout, after which it began anew.
+    """
+    store = SlowStore(task, response_s=0.02, bytes_per_s=LINK_BYTES_PER_S)
+    recorder = _watch_at(store)
+    store.put("main", LARGE_BYTES)
+    task.advance(5.0)
+    store.is_cut = True
+    for _ in range(7):
+        store.put("main", LARGE_BYTES)
+        task.advance(1.3)
+    store.is_cut = False
+    for _ in range(5):
+        task.advance(1.3)
+        store.put("main", LARGE_BYTES)
+    task.advance(3.0)
+    assert recorder.watch.changed_revision == store.revision
+
+
+def test_large_response_that_keeps_arriving_is_not_given_up(task):
+    """Guards against a listing that no entry ever got whole over a narrow link."""
+    store = SlowStore(task, response_s=0.02, bytes_per_s=LARGE_BYTES / 4)
+    store.put("main", LARGE_BYTES)
+    recorder = _watch_at(store)
+    task.advance(5.0)
+    assert recorder.listings == 1
+    assert not store.cancelled
+
+
+@pytest.mark.parametrize("response_s", [1.34, 3.0])
+def test_slow_store_is_followed(task, response_s):
+    """Guards against calls that were cancelled although they would be answered."""
+    store = SlowStore(task, response_s=0.02)
+    group = WatchGroup()
+    recorder, *_ = [_watch_at(store, kind, group) for kind in ("a", "b", "c")]
+    task.advance(5.0)
+    store.response_s = response_s
+    task.advance(3 * response_s)
+    store.put("x")
+    task.advance(4 * response_s)
+    assert "x" in recorder.changed_names
--- a/testing/manualtask.py
+++ b/testing/manualtask.py
@@ -3,9 +3,13 @@
 import heapq
 import itertools
 import json
+from urllib.parse import parse_qs, urlsplit
 
 from bamboolever.net.messages import ResponseHead
 
+# Size of the parts in which a `SlowStore` sends a body.
+PART_BYTES = 16384
+
 
 class ManualTimer:
     def __init__(self):
@@ -68,3 +72,119 @@
 class ManualConnection:
     def cancel(self):
         pass
+
+
+class StoreCall:
+    """One call to a `SlowStore`, until its response is complete or it is cancelled."""
+
+    def __init__(self, target, handler):
+        self.target = target
+        self.handler = handler
+        self.is_cancelled = False
+        self.is_answered = False
+
+    def cancel(self):
+        self.is_cancelled = not self.is_answered
+
+
+class SlowStore:
+    """A pool and the store behind it, which answers late and over a narrow link.
+
+    The store answers as it is when a call arrives, or when what a watch waits for
+    happens. The head of the response arrives ``response_s`` later, and its body in
+    parts at ``bytes_per_s``, shared by the responses in flight. While ``is_cut``, calls
+    get no response.
+    """
+
+    def __init__(self, task, *, response_s, bytes_per_s=1e9):
+        self.task = task
+        self.response_s = response_s
+        self.bytes_per_s = bytes_per_s
+        self.is_cut = False
+        self.revision = 1
+        self.calls = []
+        self._link_free_at = 0.0
+        self._events = []
+        self._waiting = []
+
+    def put(self, name, size=0):
+        """Write an object of about ``size`` bytes; the history keeps each version."""
+        self.revision += 1
+        metadata = {"name": name, "revision": self.revision}
+        value = {"metadata": metadata, "specification": {"text": "x" * size}}
+        self._events.append({"object": value, "deleted": False})
+        waiting, self._waiting = self._waiting, []
+        for call, after in waiting:
+            self._answer_watch(call, after)
+
+    def send(self, address, request, handler):
+        target = request.target.decode()
+        call = StoreCall(target, handler)
+        self.calls.append(call)
+        if self.is_cut:
+            return call
+        query = parse_qs(urlsplit(target).query)
+        if "watch" not in query:
+            newest = {each["object"]["metadata"]["name"]: each for each in self._events}
+            items = [event["object"] for event in newest.values()]
+            self._answer(call, {"items": items, "at": self.revision})
+            return call
+        after = int(query["watch"][0])
+        if after < self.revision:
+            self._answer_watch(call, after)
+            return call
+        self._waiting.append((call, after))
+        wait_s = int(query["waitMs"][0]) / 1000
+        self.task.call_later(wait_s, lambda: self._end_wait(call, after))
+        return call
+
+    @property
+    def cancelled(self):
+        """The calls that were given up before their responses were complete."""
+        return [call for call in self.calls if call.is_cancelled]
+
+    def _end_wait(self, call, after):
+        if (call, after) in self._waiting:
+            self._waiting.remove((call, after))
+            self._answer_watch(call, after)
+
+    def _answer_watch(self, call, after):
+        events = [
+            event
+            for event in self._events
+            if event["object"]["metadata"]["revision"] > after
+        ]
+        self._answer(call, {"events": events, "at": self.revision})
+
+    def _answer(self, call, content):
+        body = json.dumps(content).encode()
+        parts = [
+            body[start : start + PART_BYTES]
+            for start in range(0, len(body), PART_BYTES)
+        ]
+        length = str(len(body)).encode()
+
+        def pass_on(part):
+            if call.is_cancelled or self.is_cut:
+                return
+            if part == 0:
+                head = ResponseHead(200, ((b"content-length", length),))
+                call.handler.on_head(head)
+            if call.is_cancelled:
+                return
+            call.handler.on_data(parts[part])
+            if part + 1 < len(parts):
+                self._send_part(len(parts[part + 1]), lambda: pass_on(part + 1))
+            elif not call.is_cancelled:
+                call.is_answered = True
+                call.handler.on_end()
+
+        def start():
+            self._send_part(len(parts[0]), lambda: pass_on(0))
+
+        self.task.call_later(self.response_s, start)
+
+    def _send_part(self, size, action):
+        now = self.task.now()
+        self._link_free_at = max(now, self._link_free_at) + size / self.bytes_per_s
+        self.task.call_later(self._link_free_at - now, action)
