Keep calls to the store whose responses are late or still arriving

A call is now overdue only when nothing arrives for longer than the store usually takes (net.responsetimes), and a further one goes beside it, at most three in flight; only one that stalls makes room. The first useful response wins. What arrives later is merged by era and revision, so that it changes nothing; a confirmation counts from the sending of its own call. Three rather than two, since with two a response that takes 3 s is given up after 2.8 s.

Found on the way: a listing of several pages went on from the revision of its last page, so a change to an object of an earlier page was missed.

Tests named constants of cancelled calls; they name those of overdue calls now and state the same bounds. test_entryfleet asks the watch whether it is calling, in place of reading a private field.

--- a/src/bamboolever/config/sharing.py
+++ b/src/bamboolever/config/sharing.py
@@ -6,9 +6,16 @@
 """
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
 from typing import final
 
+from bamboolever.platform import store
+
+# Size of the parts in which changes are passed on. JSON of this size fits into one
+# datagram when it is compressed.
+MAX_PART_BYTES = 3000
+
 
 @dataclass(frozen=True)
 class WatchResult:
@@ -29,6 +36,31 @@
     is_after_outage: bool = False
 
 
+def split_result(result: WatchResult) -> Iterator[WatchResult]:
+    """Split a result with changes into parts that fit into a datagram, oldest first.
+
+    Only the last part is a confirmation. Yields one result without the changes if a
+    single change is too large.
+    """
+    if not result.changes:
+        yield result
+        return
+    parts = store.split_changes(result.changes, MAX_PART_BYTES)
+    if not parts:
+        yield replace(result, changes=None)
+        return
+    from_revision = result.from_revision
+    for revision, changes in parts:
+        yield replace(
+            result,
+            from_revision=from_revision,
+            revision=revision,
+            changes=changes,
+            as_of=result.as_of if revision == result.revision else None,
+        )
+        from_revision = revision
+
+
 class WatchSharing(ABC):
     """Decides whether a process calls the store itself, and passes on what it finds."""
 
--- a/src/bamboolever/config/watchgroup.py
+++ b/src/bamboolever/config/watchgroup.py
@@ -2,6 +2,8 @@
 
 from typing import TYPE_CHECKING
 
+from bamboolever.net.responsetimes import ResponseTimes
+
 if TYPE_CHECKING:
     from bamboolever.config.watch import KindWatch
 
@@ -11,10 +13,13 @@
 
     Load pattern: a store that responds again after an outage. It never responds to
     calls sent during the outage, so a response to one watch makes the others send
-    their hung calls again at once.
+    further calls beside their hung ones at once.
+
+    ``response_times`` are those of the store, as all watches of the process see them.
     """
 
     def __init__(self) -> None:
+        self.response_times = ResponseTimes()
         self._watches: list[KindWatch] = []
 
     def add(self, watch: "KindWatch") -> None:
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -6,6 +6,7 @@
 
 from bamboolever._task import IoTask
 from bamboolever._telemetry import Telemetry
+from bamboolever.config import storecalls
 from bamboolever.config.model import Configuration, EngineProfile, WeightOrigin
 from bamboolever.config.sharing import WatchSharing
 from bamboolever.config.watch import KindWatch, WatchTiming
@@ -67,6 +68,11 @@
         self.pool = ConnectionPool(
             self.task, connect_timeout_s=CONNECT_TIMEOUT_S, max_idle_s=MAX_IDLE_S
         )
+        self._store_pool = ConnectionPool(
+            self.task,
+            connect_timeout_s=storecalls.CONNECT_TIMEOUT_S,
+            max_idle_s=MAX_IDLE_S,
+        )
         self._own_address = Address(settings.host, settings.internal_port)
         self._configuration: Configuration | None = None
         self._upstreams = UpstreamList()
@@ -155,7 +161,7 @@
         ) -> KindWatch:
             return KindWatch(
                 self.task,
-                self.pool,
+                self._store_pool,
                 lambda: self._settings.store_address,
                 kind,
                 observer,
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -33,6 +33,7 @@
 )
 from bamboolever.calls.dispatcher import RejectReason
 from bamboolever.calls.poison import request_digest
+from bamboolever.config import storecalls
 from bamboolever.config.freshness import Freshness
 from bamboolever.config.model import Configuration
 from bamboolever.config.routes import RouteTable
@@ -41,7 +42,7 @@
 from bamboolever.daemons.clock import boottime_clock
 from bamboolever.daemons.entryexchange import EntryExchange
 from bamboolever.daemons.entryfleet import EntryFleet
-from bamboolever.daemons.inflightcalls import CONNECT_TIMEOUT_S, InFlightCalls
+from bamboolever.daemons.inflightcalls import InFlightCalls
 from bamboolever.daemons.observers import (
     ConfigurationObserver,
     UpstreamObserver,
@@ -101,7 +102,9 @@
         self.task = IoTask("entry", clock=boottime_clock)
         self.telemetry = Telemetry("entry")
         self._store_pool = ConnectionPool(
-            self.task, connect_timeout_s=CONNECT_TIMEOUT_S, max_idle_s=MAX_STORE_IDLE_S
+            self.task,
+            connect_timeout_s=storecalls.CONNECT_TIMEOUT_S,
+            max_idle_s=MAX_STORE_IDLE_S,
         )
         self._freshness = Freshness(settings.bounds.key_max_age_s)
         self._configuration: Configuration | None = None
--- a/src/bamboolever/net/fetch.py
+++ b/src/bamboolever/net/fetch.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import final
 
-from bamboolever._task import IoTask
+from bamboolever._task import IoTask, Timer
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ClientConnection, ConnectionPool
 from bamboolever.net.exchange import ExchangeFailure, FailureKind, ResponseHandler
@@ -16,12 +16,14 @@
 class Response:
     """A complete response.
 
-    ``sent_at`` is the task's time in seconds when its request was sent.
+    ``sent_at`` is the task's time in seconds when its request was sent, ``head_at``
+    when its head arrived.
     """
 
     head: ResponseHead
     body: bytes
     sent_at: float
+    head_at: float = 0.0
 
 
 FetchResult = Response | ExchangeFailure
@@ -37,7 +39,7 @@
         on_result: Callable[[FetchResult], None],
         *,
         max_bytes: int,
-        timeout_s: float,
+        timeout_s: float | None,
         stall_timeout_s: float | None,
     ):
         self._task = task
@@ -48,7 +50,10 @@
         self._body = bytearray()
         self._sent_at = task.now()
         self._connection: ClientConnection | None = None
-        self._timer = task.call_later(timeout_s, self._on_timeout)
+        self._head_at = 0.0
+        self._timer: Timer | None = None
+        if timeout_s is not None:
+            self._timer = task.call_later(timeout_s, self._on_timeout)
         self._stall_timer = RearmableTimer(task)
         self._is_done = False
         self._restart_stall_timer()
@@ -61,15 +66,15 @@
         request: Request,
         on_result: Callable[[FetchResult], None],
         *,
-        timeout_s: float,
+        timeout_s: float | None,
         stall_timeout_s: float | None = None,
         max_bytes: int = 16 * 2**20,
     ) -> "Fetch":
         """Send ``request`` and call ``on_result`` once with a response or failure.
 
         ``timeout_s`` bounds the entire exchange, ``stall_timeout_s`` every period
-        without body data (None: no bound). After a timeout, and for a body over
-        ``max_bytes``, the failure states that the request was sent.
+        without body data (None: no bound; the caller cancels). After a timeout, and for
+        a body over ``max_bytes``, the failure states that the request was sent.
         """
         fetch = cls(
             pool.task,
@@ -81,6 +86,11 @@
         fetch._connection = pool.send(address, request, fetch)
         return fetch
 
+    @property
+    def received_bytes(self) -> int:
+        """How many bytes of the body have arrived."""
+        return len(self._body)
+
     def cancel(self) -> None:
         """Abort the exchange; ``on_result`` is not called."""
         if self._is_done:
@@ -91,9 +101,12 @@
     def on_head(self, head: ResponseHead) -> None:
         """Store the head until the response is complete."""
         self._head = head
+        self._head_at = self._task.now()
 
     def on_data(self, data: bytes) -> None:
         """Append to the body; fail when it is over the limit."""
+        if self._is_done:
+            return
         self._body += data
         self._restart_stall_timer()
         if len(self._body) > self._max_bytes:
@@ -104,7 +117,9 @@
         if self._is_done or self._head is None:
             return
         self._connection = None
-        self._finish(Response(self._head, bytes(self._body), self._sent_at))
+        self._finish(
+            Response(self._head, bytes(self._body), self._sent_at, self._head_at)
+        )
 
     def on_failure(self, failure: ExchangeFailure) -> None:
         """Pass the failure to ``on_result``."""
@@ -130,7 +145,8 @@
             self._stall_timer.arm(self._stall_timeout_s, self._on_timeout)
 
     def _release(self) -> None:
-        self._timer.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         self._stall_timer.disarm()
         if self._connection is not None:
             self._connection.cancel()
--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -8,17 +8,17 @@
 
 from bamboolever.config.observer import KindObserver
 from bamboolever.config.sharing import WatchResult, WatchSharing
-from bamboolever.config.watch import (
+from bamboolever.config.storecalls import (
     HUNG_CALL_S,
-    MAX_PROBE_TIMEOUT_S,
-    MAX_RETRY_DELAY_S,
-    MIN_PROBE_TIMEOUT_S,
+    MAX_PROBE_OVERDUE_S,
+    MIN_PROBE_OVERDUE_S,
+    MIN_PROGRESS_BYTES,
     RESPONSE_MARGIN_S,
-    KindWatch,
-    WatchTiming,
 )
+from bamboolever.config.watch import MAX_RETRY_DELAY_S, KindWatch, WatchTiming
 from bamboolever.config.watchgroup import WatchGroup
 from bamboolever.net.addresses import Address
+from bamboolever.net.messages import ResponseHead
 
 WAIT_S = 2.0
 
@@ -28,11 +28,13 @@
         self.reachability = []
         self.restores = 0
         self.listings = 0
+        self.listed_names = []
         self.changed_names = []
         self.confirmed_at = None
 
     def on_listing(self, documents):
         self.listings += 1
+        self.listed_names = [document.name for document in documents]
 
     def on_changes(self, documents):
         self.changed_names += [document.name for document in documents]
@@ -122,8 +124,8 @@
     sent_before = len(pool.sent)
     task.advance(20.0)
     probes = len(pool.sent) - sent_before
-    longest_s = MAX_PROBE_TIMEOUT_S + MAX_RETRY_DELAY_S
-    shortest_s = MIN_PROBE_TIMEOUT_S
+    longest_s = MAX_PROBE_OVERDUE_S + MAX_RETRY_DELAY_S
+    shortest_s = MIN_PROBE_OVERDUE_S
     assert 20.0 / longest_s - 1 <= probes <= 20.0 / shortest_s
 
 
@@ -353,3 +355,118 @@
     store.put("x")
     task.advance(4 * response_s)
     assert "x" in recorder.changed_names
+
+
+def test_silent_store_is_used_again_soon_after_it_is_back(task):
+    """Calls that were sent while it was silent never get a response."""
+    store = SlowStore(task, response_s=0.02)
+    recorder = _watch_at(store)
+    task.advance(5.0)
+    store.is_cut = True
+    task.advance(30.0)
+    assert recorder.reachability == [True, False]
+    assert len(store.in_flight) <= 3
+    store.is_cut = False
+    store.put("x")
+    task.advance(MAX_PROBE_OVERDUE_S + MAX_RETRY_DELAY_S)
+    assert recorder.changed_names == ["x"]
+    assert recorder.reachability == [True, False, True]
+    assert len(store.in_flight) == 1
+
+
+def test_store_that_is_slow_as_a_rule_is_not_called_more_often(task):
+    store = SlowStore(task, response_s=3.0)
+    recorder = _watch_at(store)
+    task.advance(20.0)
+    changes, calls = len(recorder.reachability), len(store.calls)
+    task.advance(20.0)
+    assert len(recorder.reachability) == changes
+    assert len(store.calls) - calls <= 20.0 / (WAIT_S + 3.0) + 1
+    assert recorder.confirmed_at >= task.now() - WAIT_S - 2 * 3.0
+
+
+def test_lost_response_is_asked_for_again_beside_the_call(task):
+    store = SlowStore(task, response_s=0.02)
+    recorder = _watch_at(store)
+    task.advance(0.5)
+    store.is_cut = True
+    task.advance(WAIT_S)
+    store.is_cut = False
+    store.put("x")
+    task.advance(RESPONSE_MARGIN_S + MAX_RETRY_DELAY_S)
+    assert recorder.changed_names == ["x"]
+
+
+def test_response_that_brings_a_byte_now_and_then_holds_nothing_up(task, pool):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    handler = pool.sent[-1][1]
+    handler.on_head(ResponseHead(200, ()))
+    for _ in range(100):
+        handler.on_data(b" ")
+        task.advance(0.1)
+    assert recorder.reachability == [True, False]
+    pool.respond(-1, events=[_event("x", 3)], at=3)
+    assert recorder.changed_names == ["x"]
+
+
+def test_older_response_after_a_newer_one_changes_nothing(task, pool):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    late = pool.sent[-1][1]
+    _advance_to_probe(task, pool)
+    late.on_head(ResponseHead(200, ()))
+    late.on_data(b" " * MIN_PROGRESS_BYTES)
+    pool.respond(-1, events=[_event("x", 3), _event("y", 5)], at=5)
+    confirmed_at = recorder.confirmed_at
+    assert confirmed_at > task.now() - 0.1
+    late.on_data(json.dumps({"events": [_event("x", 3)], "at": 3}).encode())
+    late.on_end()
+    assert recorder.changed_names == ["x", "y"]
+    changes = json.dumps({"events": [_event("z", 6)], "at": 6}).encode()
+    recorder.watch.apply_shared(_result(from_revision=5, revision=6, changes=changes))
+    assert recorder.changed_names == ["x", "y", "z"]
+
+
+def test_changes_that_are_known_already_are_not_applied_again(task, pool):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    recorder.watch.apply_shared(_result())
+    pool.respond(-1, events=[_event("x", 3), _event("y", 4)], at=4)
+    assert recorder.changed_names == ["x", "y"]
+
+
+def _item(name, revision):
+    return _event(name, revision)["object"]
+
+
+def test_page_that_arrives_twice_is_listed_once(task, pool):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    pool.respond(-1, status=410)
+    late = pool.sent[-1][1]
+    task.advance(MIN_PROBE_OVERDUE_S + MAX_RETRY_DELAY_S)
+    late.on_head(ResponseHead(200, ()))
+    late.on_data(b" " * MIN_PROGRESS_BYTES)
+    page = {"items": [_item("m", 2)], "hasMore": True, "at": 4}
+    pool.respond(-1, **page)
+    late.on_data(json.dumps(page).encode())
+    late.on_end()
+    pool.respond(-1, items=[_item("n", 3)], at=4)
+    assert recorder.listed_names == ["m", "n"]
+
+
+def test_listing_that_is_older_than_a_peers_update_changes_nothing(task, pool):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    pool.respond(-1, status=410)
+    recorder.watch.apply_shared(_result())
+    pool.respond(-1, items=[], at=2)
+    assert recorder.changed_names == ["x"]
+    assert recorder.listings == 1
+    assert pool.targets[-1] == "/-/objects/a?watch=3&waitMs=2000"
+
+
+def test_change_between_two_pages_of_a_listing_is_not_missed(task, pool):
+    """The watch went on from the revision of the last page."""
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    pool.respond(-1, status=410)
+    pool.respond(-1, items=[_item("m", 2)], hasMore=True, at=10)
+    pool.respond(-1, items=[], at=12)
+    assert recorder.listings == 2
+    assert pool.targets[-1] == "/-/objects/a?watch=10&waitMs=2000"
--- a/testing/daemons/test_entryfleet.py
+++ b/testing/daemons/test_entryfleet.py
@@ -170,8 +170,8 @@
     entries = [each.entry for each in running]
     wait_for(lambda: all(len(each.fleet.peers.recipients()) == 2 for each in entries))
     watches = [watch for each in entries for watch in each._watches]
-    wait_for(lambda: sum(watch._fetch is not None for watch in watches) == 3)
+    wait_for(lambda: sum(watch.is_calling for watch in watches) == 3)
     site.add_plain_upstream("plain-3")
     wait_for(lambda: all("plain-3" in views_of(each) for each in running))
-    wait_for(lambda: sum(watch._fetch is not None for watch in watches) == 3)
-    assert sum(each._watches[0]._fetch is not None for each in entries) == 1
+    wait_for(lambda: sum(watch.is_calling for watch in watches) == 3)
+    assert sum(each._watches[0].is_calling for each in entries) == 1
--- a/testing/manualtask.py
+++ b/testing/manualtask.py
@@ -46,7 +46,7 @@
 
 
 class ManualPool:
-    """A pool that records requests; `respond` completes one with a 200 and JSON."""
+    """A pool that records requests; `respond` completes one with JSON."""
 
     def __init__(self, task):
         self.task = task
@@ -56,11 +56,11 @@
         self.sent.append((request.target.decode(), handler))
         return ManualConnection()
 
-    def respond(self, index, *, era=None, **content):
+    def respond(self, index, *, era=None, status=200, **content):
         body = json.dumps({"at": 1, **content}).encode()
         handler = self.sent[index][1]
         headers = () if era is None else ((b"store-era", str(era).encode()),)
-        handler.on_head(ResponseHead(200, headers))
+        handler.on_head(ResponseHead(status, headers))
         handler.on_data(body)
         handler.on_end()
 
@@ -138,6 +138,15 @@
         self.task.call_later(wait_s, lambda: self._end_wait(call, after))
         return call
 
+    @property
+    def in_flight(self):
+        """The calls that were neither answered nor given up."""
+        return [
+            call
+            for call in self.calls
+            if not call.is_answered and not call.is_cancelled
+        ]
+
     @property
     def cancelled(self):
         """The calls that were given up before their responses were complete."""
