List what changed where the history is larger than the objects

The response to a watch may now be twice as large as the objects were when they were listed, at least 64 KiB. Beyond that, which its head states, it is dropped and the kind is listed. The work to catch up no longer grows with the time that was missed.

--- a/src/bamboolever/config/storecalls.py
+++ b/src/bamboolever/config/storecalls.py
@@ -53,6 +53,7 @@
     is_stale_ok: bool = False
     after: str = ""
     documents: list[StoredDocument] = field(default_factory=list)
+    size_bytes: int = 0
     revision: int | None = None
     sent_at: float = 0.0
 
--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -7,7 +7,7 @@
 watch call until something changes or the wait ends. A change therefore arrives at
 once, and without changes a process sends one call for each wait. Where objects are
 large and the link to the store is narrow, a response takes seconds to arrive: it is not
-given up while it does.
+given up while it does, and a process that missed many versions reads the newest only.
 """
 
 import logging
@@ -27,7 +27,7 @@
 from bamboolever.config.watchgroup import WatchGroup
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
-from bamboolever.net.exchange import ExchangeFailure
+from bamboolever.net.exchange import ExchangeFailure, FailureKind
 from bamboolever.net.fetch import FetchResult, Response
 from bamboolever.platform import store
 from bamboolever.platform.errors import AdapterError
@@ -35,7 +35,11 @@
 
 logger = logging.getLogger(__name__)
 
+# A watch returns each version since the last that is known. If that is larger than the
+# objects are by this factor, they are listed.
+MAX_HISTORY_FACTOR = 2
 MAX_LISTING_BYTES = 16 * 2**20
+MIN_HISTORY_BYTES = 65536
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 1.0
 RETRY_DELAY_GROWTH = 2.0
@@ -80,6 +84,8 @@
         self._batch_delay_s = batch_delay_s
         self._revision: int | None = None
         self._listing: ListingProgress | None = None
+        # Size of the objects when they were listed last.
+        self._listed_bytes = 0
         self._group = group
         self._sharing = sharing or NoSharing()
         # How often the store was restored, as its responses say; None before the first.
@@ -261,7 +267,8 @@
         call = StoreCall(
             self._task.now(), revision=revision, wait_s=wait_s, is_shared=is_shared
         )
-        self._calls.send(call, request, MAX_LISTING_BYTES)
+        max_bytes = max(MIN_HISTORY_BYTES, MAX_HISTORY_FACTOR * self._listed_bytes)
+        self._calls.send(call, request, max_bytes)
 
     def _send_page(self, listing: ListingProgress) -> None:
         request = store.list_request(
@@ -272,6 +279,9 @@
 
     def _on_result(self, call: StoreCall, result: FetchResult) -> None:
         if isinstance(result, ExchangeFailure):
+            if result.kind is FailureKind.TOO_LARGE and call.listing is None:
+                self._list_instead(call)
+                return
             self._on_failure(f"{result.kind.value}: {result.detail}")
             return
         if not self._check_era(result):
@@ -285,6 +295,14 @@
             self._listing = ListingProgress()
             self._on_failure(str(error))
 
+    def _list_instead(self, call: StoreCall) -> None:
+        logger.info(
+            "listing in place of a long history",
+            extra={"kind": self._kind, "revision": call.revision},
+        )
+        self._listing = ListingProgress()
+        self._send_next()
+
     def _check_era(self, response: Response) -> bool:
         era = store.response_era(response.head) or 0
         if self._era is None:
@@ -318,10 +336,12 @@
             listing.revision = page.revision
             listing.sent_at = response.sent_at
         listing.documents += page.documents
+        listing.size_bytes += len(response.body)
         if page.has_more and page.documents:
             listing.after = page.documents[-1].name
             return
         self._listing = None
+        self._listed_bytes = listing.size_bytes
         if self._revision is None or listing.revision >= self._revision:
             if self.changed_revision:
                 # A later listing may hold changes that others missed too.
--- a/src/bamboolever/net/exchange.py
+++ b/src/bamboolever/net/exchange.py
@@ -11,8 +11,8 @@
     """Why an exchange ended without a complete response.
 
     CONNECT: no connection was established. CLOSED: the server closed the
-    connection. MALFORMED: the response is not valid HTTP or over a size limit, or the
-    server sends too much that is no response to the request.
+    connection. MALFORMED: the response is not valid HTTP, or the server sends too much
+    that is no response to the request. TOO_LARGE: the body is over the caller's limit.
     SILENT: the server did not respond in time, did not acknowledge sent data or is
     unreachable. RESET: the socket reported any other error. CANCELLED is never
     reported.
@@ -22,6 +22,7 @@
     CLOSED = "closed"
     RESET = "reset"
     MALFORMED = "malformed"
+    TOO_LARGE = "too large"
     SILENT = "silent"
     CANCELLED = "cancelled"
 
--- a/src/bamboolever/net/fetch.py
+++ b/src/bamboolever/net/fetch.py
@@ -99,9 +99,12 @@
         self._release()
 
     def on_head(self, head: ResponseHead) -> None:
-        """Store the head until the response is complete."""
+        """Store the head until the response is complete; fail if it names too much."""
         self._head = head
         self._head_at = self._task.now()
+        length = head.get(b"content-length")
+        if length is not None and length.isdigit() and int(length) > self._max_bytes:
+            self._fail(FailureKind.TOO_LARGE, "the response is over the limit")
 
     def on_data(self, data: bytes) -> None:
         """Append to the body; fail when it is over the limit."""
@@ -110,7 +113,7 @@
         self._body += data
         self._restart_stall_timer()
         if len(self._body) > self._max_bytes:
-            self._fail(FailureKind.MALFORMED, "the response is over the limit")
+            self._fail(FailureKind.TOO_LARGE, "the response is over the limit")
 
     def on_end(self) -> None:
         """Pass the complete response to ``on_result``."""
--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -462,6 +462,22 @@
     assert pool.targets[-1] == "/-/objects/a?watch=3&waitMs=2000"
 
 
+def test_long_history_is_listed_in_its_place(task):
+    """The work to catch up must not grow with the versions that were missed."""
+    store = SlowStore(task, response_s=0.02, bytes_per_s=LARGE_BYTES)
+    store.put("main", LARGE_BYTES)
+    recorder = _watch_at(store)
+    task.advance(5.0)
+    store.is_cut = True
+    for _ in range(20):
+        store.put("main", LARGE_BYTES)
+        task.advance(1.0)
+    store.is_cut = False
+    task.advance(MAX_PROBE_OVERDUE_S + MAX_RETRY_DELAY_S + 1.5)
+    assert recorder.listings == 2
+    assert recorder.watch.is_reachable
+
+
 def test_change_between_two_pages_of_a_listing_is_not_missed(task, pool):
     """The watch went on from the revision of the last page."""
     recorder = _start(pool, "a", WAIT_S, WatchGroup())
--- a/testing/net/test_fetch.py
+++ b/testing/net/test_fetch.py
@@ -1,8 +1,10 @@
 """Fetches, with a manual clock and without sockets."""
 
+import pytest
 from manualtask import ManualPool, ManualTask
 
 from bamboolever.net.addresses import Address
+from bamboolever.net.exchange import FailureKind
 from bamboolever.net.fetch import Fetch
 from bamboolever.net.messages import Request, ResponseHead
 
@@ -17,6 +19,18 @@
     return pool.task, fetch
 
 
+@pytest.mark.parametrize("headers", [((b"Content-Length", b"101"),), ()])
+def test_body_over_the_limit_fails(headers):
+    results = []
+    _, fetch = _start(results)
+    fetch.on_head(ResponseHead(200, headers))
+    assert len(results) == len(headers)
+    fetch.on_data(b"x" * 101)
+    fetch.on_end()
+    (failure,) = results
+    assert failure.kind is FailureKind.TOO_LARGE
+
+
 def test_response_tells_when_it_was_asked_for_and_when_it_began():
     results = []
     task, fetch = _start(results)
