Tests that fail: agents wait for store and origin after a power loss

After all machines had lost power, agents with all pieces staged served nothing for 14 to 20 s. Each asks the origin for the manifest and the store for the whole configuration, gives up after a fixed time and begins anew.

--- a/src/bamboolever/platform/standins/store.py
+++ b/src/bamboolever/platform/standins/store.py
@@ -54,6 +54,7 @@
 
     `put`, `delete` and `compact_history` may be called from any thread. ``fault``
     makes requests fail; ``request_count`` counts all requests.
+    Listings of ``silent_kinds`` get no response.
     """
 
     def __init__(self, address: Address):
@@ -68,6 +69,7 @@
         self._revision = 1
         self._watches: list[_Watch] = []
         self.fault = StoreFault.NONE
+        self.silent_kinds: frozenset[str] = frozenset()
         self.request_count = 0
         self._era = 1
         self._copy: tuple[int, dict[str, dict[str, tuple[int, Any]]]] = (1, {})
@@ -120,6 +122,8 @@
             wait_s = float(query.get("waitMs", "0")) / 1000
             self._start_watch(connection, kind, int(query["watch"]), wait_s)
             return
+        if kind in self.silent_kinds:
+            return
         self._respond_with_list(connection, kind, query.get("after", ""))
 
     def on_caller_gone(self, connection: ServerConnection) -> None:
--- a/src/bamboolever/platform/standins/upstream.py
+++ b/src/bamboolever/platform/standins/upstream.py
@@ -272,7 +272,8 @@
     """Serves manifests and pieces of any version on its own task.
 
     ``pieces_to_corrupt`` is how many of the next pieces are sent corrupted.
-    ``served_pieces`` lists the version and the number of each piece sent.
+    ``served_pieces`` lists the version and the number of each piece sent. While
+    ``is_silent``, no request gets a response.
     """
 
     def __init__(self, address: Address, piece_count: int, piece_bytes: int):
@@ -286,6 +287,7 @@
         self.newest_version = 1
         self.served_pieces: list[tuple[int, int]] = []
         self.pieces_to_corrupt = 0
+        self.is_silent = False
 
     def start(self) -> None:
         """Start serving on a thread of its own."""
@@ -311,6 +313,8 @@
 
     def on_request(self, connection: ServerConnection, request: Request) -> None:
         """Respond with a manifest or a piece."""
+        if self.is_silent:
+            return
         parts = urlsplit(request.target.decode("latin-1"))
         query = parse_qs(parts.query)
         version = int(query.get("version", [str(self.newest_version)])[0])
--- a/testing/daemons/test_agent.py
+++ b/testing/daemons/test_agent.py
@@ -6,6 +6,7 @@
 from bamboolever.fleet.exchange import encode
 from bamboolever.fleet.messages import PieceMap
 from bamboolever.net.addresses import Address
+from bamboolever.platform.names import CONFIGURATION_KIND
 from bamboolever.platform.standins.site import PIECE_COUNT
 from bamboolever.platform.standins.upstream import MODEL
 
@@ -167,3 +168,33 @@
     agent.task.send(receive)
     wait_for(lambda: len(learned) == 2)
     assert learned == [None, 7]
+
+
+def test_agent_serves_staged_pieces_while_the_configuration_is_not_listed(
+    site, start_agent, start_entry
+):
+    """Guards against a fleet that served nothing after all machines had lost power.
+
+    Each agent listed the whole configuration over one link, gave up before it was
+    complete and began anew. It needs a small part, which the entries have.
+    """
+    engine = site.add_engine("engine-1", "127.0.0.11", version=None)
+    engine.engine.staged = site.origin.pieces_by_number(1)
+    start_entry(host="127.0.0.21").wait_ready()
+    site.store.silent_kinds = frozenset({CONFIGURATION_KIND})
+    start_agent(engine)
+    wait_for(lambda: _serves(engine, 1), limit_s=10.0)
+
+
+def test_agent_gets_the_manifest_from_another_while_the_origin_is_silent(
+    site, start_agent
+):
+    """Guards against agents that wait for what the agent beside them already has."""
+    engines = _engines(site, 2, None)
+    for engine in engines:
+        engine.engine.staged = site.origin.pieces_by_number(1)
+    start_agent(engines[0], "first")
+    wait_for(lambda: _serves(engines[0], 1))
+    site.origin.is_silent = True
+    start_agent(engines[1], "second")
+    wait_for(lambda: _serves(engines[1], 1), limit_s=10.0)
--- a/testing/daemons/test_transfer.py
+++ b/testing/daemons/test_transfer.py
@@ -11,9 +11,11 @@
 from bamboolever.fleet.messages import PieceMap
 from bamboolever.fleet.records import ModelVersion
 from bamboolever.net.addresses import Address
+from bamboolever.platform import names
 from bamboolever.platform.weights import PieceDigests
 from bamboolever.weights.pieces import PieceSet
 from bamboolever.weights.plan import make_piece_policy
+from bamboolever.weights.view import Peer
 
 OLDER, NEWER = ModelVersion("m", 2), ModelVersion("m", 3)
 
@@ -106,3 +108,72 @@
     transfer = Transfer(context, engine, policy, lambda: None)
     transfer.start("m", 2, lambda model_version: True)
     assert len(pool.sent) == int(is_list_known)
+
+
+class Agent:
+    """The transfer of one of several agents of a region, on a task of its own."""
+
+    def __init__(self, number, count):
+        self.task = ManualTask()
+        self.pool = ManualPool(self.task)
+        members = [
+            Peer(Address(f"127.0.0.{each + 1}", 7000), "region-1")
+            for each in range(count)
+        ]
+        own = members.pop(number)
+        origin = WeightOrigin(Address("127.0.0.99", 9100), "zone-a", 1e6, 8)
+        context = SimpleNamespace(
+            pool=self.pool,
+            task=self.task,
+            origin=lambda: origin,
+            can_plan_transfer=lambda: True,
+            own_peer=lambda: own,
+            peers=lambda: members,
+            region_of=lambda availability_zone: "region-1",
+            upload_count=lambda: 0,
+            announce_pieces=lambda piece_map, addresses: None,
+        )
+        engine = Address("127.0.0.1", 9000)
+        policy = make_piece_policy("region-chain")
+        self.transfer = Transfer(context, engine, policy, self.start)
+
+    def start(self):
+        self.transfer.start(OLDER.model, OLDER.version, lambda model_version: True)
+
+    @property
+    def origin_calls(self):
+        """Indexes of the calls for the manifest that went to the origin."""
+        targets = self.pool.targets
+        return [
+            index
+            for index, target in enumerate(targets)
+            if target.startswith(names.MANIFEST_PATH)
+        ]
+
+
+def test_slow_manifest_is_used_when_it_arrives():
+    """Guards against an agent that had all pieces and served nothing for 14 s.
+
+    All agents asked the origin at once. Each cancelled its call after a second, and
+    asked again for what was on its way.
+    """
+    agent = Agent(0, 1)
+    agent.start()
+    agent.task.advance(2.0)
+    digests = ["00" * 32] * 4
+    agent.pool.respond(
+        agent.origin_calls[0],
+        model=OLDER.model,
+        version=OLDER.version,
+        digests=digests,
+    )
+    assert agent.transfer.is_started
+
+
+def test_few_agents_of_a_region_ask_the_origin_for_the_manifest():
+    """Guards against agents that waited for each other's manifests at the origin."""
+    agents = [Agent(number, 15) for number in range(15)]
+    for agent in agents:
+        agent.start()
+    asked = [agent for agent in agents if agent.origin_calls]
+    assert 1 <= len(asked) <= 2
