Agents get a version's manifest from each other; a slow call for it is kept

No engine was ordered to load in 25 s.

Cause, this half: every agent asked the origin for the manifest, cancelled the call after 1.0 s and asked again. Beside the store, 20 agents had the configuration after 0.8 to 1.6 s; their calls to the origin stood behind listings on the link between regions, and none of them had a manifest 7 s later.

Change: in each group the agent that a hash selects asks the origin at once. The others ask the agents before them, which hold the request until they have the manifest. A source that fails moves the others forward at once, a silent one after a second; no call is cancelled, a further one goes beside it. An agent that announces pieces of the version is asked at once. The log names the source and the reason of a failed call.

--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -120,7 +120,7 @@
         limits = HttpLimits()
         self._piece_handler = PieceHandler(
             self.task,
-            self._loader.transfer.read_piece,
+            self._loader.transfer,
             self._settings.link_bytes_per_s,
             lambda: self._loader.served_version() is not None,
         )
--- a/src/bamboolever/daemons/loader.py
+++ b/src/bamboolever/daemons/loader.py
@@ -146,7 +146,7 @@
 
     def stop(self) -> None:
         """Stop the transfer in progress."""
-        self.transfer.drop()
+        self.transfer.stop()
 
     # Steps.
 
--- a/src/bamboolever/daemons/piecehandler.py
+++ b/src/bamboolever/daemons/piecehandler.py
@@ -1,4 +1,4 @@
-"""Serves staged pieces to other agents over HTTP.
+"""Serves staged pieces and manifests to other agents over HTTP.
 
 Takes requests for pieces, some of them urgent, and decides in which order and at what
 rate the pieces are sent.
@@ -11,12 +11,14 @@
 
 import collections
 import logging
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import final
 from urllib.parse import quote, unquote
 
 from bamboolever._task import IoTask
+from bamboolever.daemons.manifestfetch import parse_manifest_target
 from bamboolever.net.addresses import Address
 from bamboolever.net.handlers import RequestHandler
 from bamboolever.net.messages import Request
@@ -30,7 +32,29 @@
 # Share of the link that pieces may use while the engine serves responses.
 PIECE_LINK_SHARE = 0.88
 
-ReadPiece = Callable[[str, int, int, Callable[[bytes | None], None]], None]
+
+class PieceSource(ABC):
+    """What a `PieceHandler` serves."""
+
+    @abstractmethod
+    def read_piece(
+        self,
+        model: str,
+        version: int,
+        number: int,
+        on_done: Callable[[bytes | None], None],
+    ) -> None:
+        """Read a piece; ``on_done`` is called with its bytes, or None without it."""
+
+    @abstractmethod
+    def serve_manifest(
+        self, connection: ServerConnection, model: str, version: int | None
+    ) -> None:
+        """Respond with a manifest, now or later; version None is the newest."""
+
+    @abstractmethod
+    def on_caller_gone(self, connection: ServerConnection) -> None:
+        """Forget a request whose caller disconnected."""
 
 
 def make_piece_request(
@@ -56,7 +80,7 @@
 
 @final
 class PieceHandler(RequestHandler):
-    """Responds to the requests of `make_piece_request` with the piece or 404.
+    """Responds to requests with the piece or the manifest that they name, or 404.
 
     ``link_bytes_per_s`` 0 means unlimited. ``is_serving`` returns whether the engine
     shares the link; if not, pieces may use all of it.
@@ -65,12 +89,12 @@
     def __init__(
         self,
         task: IoTask,
-        read_piece: ReadPiece,
+        source: PieceSource,
         link_bytes_per_s: float,
         is_serving: Callable[[], bool],
     ):
         self._task = task
-        self._read_piece = read_piece
+        self._source = source
         self._bytes_per_s = link_bytes_per_s
         self._is_serving = is_serving
         self._uploads: collections.deque[_Upload] = collections.deque()
@@ -78,8 +102,12 @@
         self.sent_count = 0
 
     def on_request(self, connection: ServerConnection, request: Request) -> None:
-        """Called for each request: reads the piece and queues its upload."""
+        """Called for each request: serves the manifest, or queues the piece."""
         target = request.target.decode("latin-1")
+        manifest_name = parse_manifest_target(target)
+        if manifest_name is not None:
+            self._source.serve_manifest(connection, *manifest_name)
+            return
         is_urgent = target.endswith(URGENT_QUERY)
         parsed = _parse_target(target.removesuffix(URGENT_QUERY))
         if parsed is None:
@@ -95,7 +123,7 @@
                 self._is_sending = True
                 self._send_slice()
 
-        self._read_piece(*parsed, on_read)
+        self._source.read_piece(*parsed, on_read)
 
     @property
     def upload_count(self) -> int:
@@ -103,7 +131,8 @@
         return len(self._uploads)
 
     def on_caller_gone(self, connection: ServerConnection) -> None:
-        """Called when the requesting agent disconnects: drops its uploads."""
+        """Called when the requesting agent disconnects: drops its requests."""
+        self._source.on_caller_gone(connection)
         self._uploads = collections.deque(
             upload for upload in self._uploads if upload.connection is not connection
         )
--- a/src/bamboolever/daemons/transfer.py
+++ b/src/bamboolever/daemons/transfer.py
@@ -10,30 +10,35 @@
 from typing import final
 
 from bamboolever.daemons.loadercontext import LoaderContext
+from bamboolever.daemons.manifestfetch import (
+    HeldRequests,
+    ManifestFetch,
+    respond_with_manifest,
+)
+from bamboolever.daemons.piecehandler import PieceSource
 from bamboolever.daemons.staging import StagingClient
 from bamboolever.daemons.swarm import SwarmMember
 from bamboolever.fleet.messages import PieceMap
 from bamboolever.fleet.records import EngineReport, ModelVersion
 from bamboolever.net.addresses import Address
-from bamboolever.net.fetch import Fetch, FetchResult, Response
-from bamboolever.platform import weights as wire
-from bamboolever.platform.errors import AdapterError
+from bamboolever.net.server import ServerConnection
+from bamboolever.platform.weights import PieceDigests
 from bamboolever.weights.pieces import PieceSet
 from bamboolever.weights.plan import PiecePolicy
 from bamboolever.weights.view import SwarmView
 
 logger = logging.getLogger(__name__)
 
-MANIFEST_TIMEOUT_S = 1.0
-MANIFEST_RETRY_S = 0.3
+# Pause after a manifest of another version.
+VERSION_RETRY_S = 0.3
 
 
 @final
-class Transfer:
+class Transfer(PieceSource):
     """Pieces of the version being transferred, and of the one staged before it.
 
     ``on_changed`` is called when all pieces are staged, when a verification ends, and
-    when a failed fetch of the manifest may be retried. ``staged_at`` is when all
+    when a manifest turned out to be of another version. ``staged_at`` is when all
     pieces were first staged, in seconds of the task's clock; None before that.
     """
 
@@ -54,7 +59,9 @@
         # agents may still fetch them.
         self._retained_version: ModelVersion | None = None
         self._retained_pieces = 0
-        self._is_fetching_manifest = False
+        self._retained_manifest: PieceDigests | None = None
+        self._search: ManifestFetch | None = None
+        self._held_requests = HeldRequests()
         self._is_verifying = False
         self.staged_at: float | None = None
 
@@ -87,32 +94,39 @@
         """
         if not self._context.can_plan_transfer():
             return
-        origin = self._context.origin()
-        if origin is None or self._is_fetching_manifest or self._swarm is not None:
+        if self._context.origin() is None or self._swarm is not None:
             return
-        self._is_fetching_manifest = True
+        search = self._search
+        if search is not None:
+            if search.model == model and search.version in (None, version):
+                return
+            search.stop()
 
-        def on_result(result: FetchResult) -> None:
-            self._on_manifest(result, on_version)
+        def on_manifest(manifest: PieceDigests) -> bool:
+            return self._on_manifest(manifest, on_version)
 
-        Fetch.start(
-            self._context.pool,
-            origin.address,
-            wire.manifest_request(origin.address, model, version),
-            on_result,
-            timeout_s=MANIFEST_TIMEOUT_S,
-        )
+        self._search = ManifestFetch(self._context, model, version, on_manifest)
+        self._search.start()
 
     def drop(self) -> None:
         """Stop the transfer; its staged pieces are retained until overwritten."""
         if self._swarm is not None:
             pieces = self._swarm.view.pieces
             self._retained_version = _version_of(pieces)
+            self._retained_manifest = pieces.manifest
             self._retained_pieces = pieces.verified
             self._swarm.stop()
             self._swarm = None
         self.staged_at = None
 
+    def stop(self) -> None:
+        """Stop the transfer and the search for a manifest."""
+        self.drop()
+        if self._search is not None:
+            self._search.stop()
+            self._search = None
+        self._held_requests.release(None)
+
     def verify(self, on_verified: Callable[[], None]) -> None:
         """Read every staged piece back and compare it with its digest.
 
@@ -155,6 +169,9 @@
                     self._context.announce_pieces(swarm.make_piece_map(), [sender])
                 return
             swarm.view.mark_inactive(sender)
+        search = self._search
+        if search is not None and search.may_find(piece_map.model, piece_map.version):
+            search.on_announced(sender)
         if piece_map.is_reply_wanted and self._retained_version == model_version:
             self._announce_retained(model_version, sender)
 
@@ -184,6 +201,39 @@
             return
         self._staging.get(model, number, on_done)
 
+    def serve_manifest(
+        self, connection: ServerConnection, model: str, version: int | None
+    ) -> None:
+        """Send another agent the manifest of a version transferred now or before.
+
+        While this agent lacks it too, the request waits for it.
+        """
+        newest = self._swarm_manifest
+        if newest is not None and version is None:
+            version = newest.version
+        for manifest in (newest, self._retained_manifest):
+            if manifest is not None and manifest.version == version:
+                respond_with_manifest(connection, model, version, manifest)
+                return
+        if self._may_get_manifest(model, version):
+            self._held_requests.hold(connection, model, version)
+        else:
+            connection.respond(404, [])
+
+    @property
+    def _swarm_manifest(self) -> PieceDigests | None:
+        return self._swarm.view.pieces.manifest if self._swarm is not None else None
+
+    def _may_get_manifest(self, model: str, version: int | None) -> bool:
+        if self._search is not None:
+            return self._search.may_find(model, version)
+        # An agent that has nothing yet has only just started, and needs one too.
+        return self._swarm is None and self._retained_version is None
+
+    def on_caller_gone(self, connection: ServerConnection) -> None:
+        """Forget the request for a manifest of an agent that disconnected."""
+        self._held_requests.drop(connection)
+
     def adopt_staged(self, report: EngineReport) -> None:
         """Retain the pieces staged before this agent started.
 
@@ -218,24 +268,20 @@
         self._retained_pieces &= ~(1 << number)
 
     def _on_manifest(
-        self, result: FetchResult, on_version: Callable[[ModelVersion], bool]
-    ) -> None:
-        try:
-            if not isinstance(result, Response) or not result.head.is_success:
-                raise AdapterError("the origin returned no manifest")
-            manifest = wire.decode_manifest(result.body)
-            if not on_version(ModelVersion(manifest.model, manifest.version)):
-                raise AdapterError("the manifest is for another version")
-        except AdapterError as error:
-            logger.warning("manifest not fetched", extra={"reason": str(error)})
-            self._task.call_later(MANIFEST_RETRY_S, self._on_manifest_retry)
-            return
-        self._is_fetching_manifest = False
+        self, manifest: PieceDigests, on_version: Callable[[ModelVersion], bool]
+    ) -> bool:
+        search = self._search
+        if not on_version(ModelVersion(manifest.model, manifest.version)):
+            if search is not None and search.version is None:
+                # The origin's newest version is not the one named meanwhile.
+                search.stop()
+                self._search = None
+                self._task.call_later(VERSION_RETRY_S, self._on_changed)
+            return False
+        self._search = None
         self._start_swarm(PieceSet(manifest))
-
-    def _on_manifest_retry(self) -> None:
-        self._is_fetching_manifest = False
-        self._on_changed()
+        self._held_requests.release(manifest)
+        return True
 
     def _start_swarm(self, pieces: PieceSet) -> None:
         origin = self._context.origin()
--- a/testing/daemons/test_transfer.py
+++ b/testing/daemons/test_transfer.py
@@ -102,6 +102,9 @@
         task=task,
         origin=lambda: WeightOrigin(Address("127.0.0.1", 9100), "zone-a", 1e6, 8),
         can_plan_transfer=lambda: is_list_known,
+        own_peer=lambda: Peer(Address("127.0.0.1", 7000), "region-1"),
+        peers=list,
+        region_of=lambda availability_zone: "region-1",
     )
     engine = Address("127.0.0.1", 9000)
     policy = make_piece_policy("region-chain")
