A manifest with a wrong digest is read again from the origin

Agents get manifests from each other, so a digest that was damaged on its way from the origin would reach all agents of a region, and no source could send a piece that has it. Before, one agent was left without the version. The same bytes from the origin twice, or from two sources, show that the digest is wrong: the manifest is read again, from the origin only.

--- a/src/bamboolever/daemons/swarm.py
+++ b/src/bamboolever/daemons/swarm.py
@@ -19,6 +19,7 @@
 from bamboolever.net.messages import Request
 from bamboolever.platform import weights as wire
 from bamboolever.weights.groups import find_watched
+from bamboolever.weights.pieces import DigestMismatches
 from bamboolever.weights.plan import (
     ORIGIN_BACKOFF_S,
     PEER_BACKOFF_S,
@@ -38,12 +39,14 @@
 ANNOUNCE_HEARTBEAT_S = 1.0
 # A peer that asked for this agent's pieces longer ago is not told of new ones.
 ASKED_TIMEOUT_S = 3.0
+WRONG_DIGEST = "wrong digest"
 
 
 class SwarmMember:
     """One agent's part in distributing one version to all agents.
 
-    ``on_complete`` is called when all pieces are staged. Planning continues until
+    ``on_complete`` is called when all pieces are staged, ``on_manifest_suspect`` when
+    the digest of a piece in the manifest seems to be wrong. Planning continues until
     `stop`, so that a staged piece that is found invalid later is fetched again. Runs on
     ``task``; times are seconds of its clock.
     """
@@ -59,6 +62,7 @@
         announce_pieces: Callable[[PieceMap, list[Address]], None],
         on_complete: Callable[[], None],
         get_upload_count: Callable[[], int],
+        on_manifest_suspect: Callable[[], None],
     ):
         self._task = task
         self._pool = pool
@@ -69,6 +73,8 @@
         self._announce_pieces = announce_pieces
         self._on_complete = on_complete
         self._get_upload_count = get_upload_count
+        self._on_manifest_suspect = on_manifest_suspect
+        self._mismatches = DigestMismatches()
         self._fetches: dict[int, Fetch] = {}
         self._is_stopped = False
         self._announced_at = 0.0
@@ -191,6 +197,7 @@
         reason = self._failure_reason(number, result)
         if reason is not None:
             self._on_fetch_failed(planned, reason)
+            self._check_mismatch(planned, result, reason)
             return
         assert not isinstance(result, ExchangeFailure)
         if planned.source is None:
@@ -211,9 +218,17 @@
         if not result.head.is_success:
             return f"status {result.head.status}"
         if not self.view.pieces.matches(number, result.body):
-            return "wrong digest"
+            return WRONG_DIGEST
         return None
 
+    def _check_mismatch(
+        self, planned: PieceFetch, result: FetchResult, reason: str
+    ) -> None:
+        if reason != WRONG_DIGEST or isinstance(result, ExchangeFailure):
+            return
+        if self._mismatches.add(planned.number, planned.source, result.body):
+            self._on_manifest_suspect()
+
     def _on_fetch_failed(self, planned: PieceFetch, reason: str) -> None:
         logger.warning(
             "piece not fetched",
@@ -225,7 +240,7 @@
         )
         self.view.in_flight.pop(planned.number, None)
         source = planned.source
-        if source is not None and reason in ("wrong digest", "status 404"):
+        if source is not None and reason in (WRONG_DIGEST, "status 404"):
             # Only this piece is invalid or missing; the peer's others may be fetched.
             bitmap = self.view.peer_bitmaps.get(source, 0)
             self.view.peer_bitmaps[source] = bitmap & ~(1 << planned.number)
--- a/src/bamboolever/daemons/transfer.py
+++ b/src/bamboolever/daemons/transfer.py
@@ -61,6 +61,8 @@
         self._retained_pieces = 0
         self._retained_manifest: PieceDigests | None = None
         self._search: ManifestFetch | None = None
+        # Reads the manifest again that the pieces of the transfer do not match.
+        self._recheck: ManifestFetch | None = None
         self._held_requests = HeldRequests()
         self._is_verifying = False
         self.staged_at: float | None = None
@@ -110,6 +112,9 @@
 
     def drop(self) -> None:
         """Stop the transfer; its staged pieces are retained until overwritten."""
+        if self._recheck is not None:
+            self._recheck.stop()
+            self._recheck = None
         if self._swarm is not None:
             pieces = self._swarm.view.pieces
             self._retained_version = _version_of(pieces)
@@ -271,7 +276,7 @@
         self, manifest: PieceDigests, on_version: Callable[[ModelVersion], bool]
     ) -> bool:
         search = self._search
-        if not on_version(ModelVersion(manifest.model, manifest.version)):
+        if not on_version(_name_of(manifest)):
             if search is not None and search.version is None:
                 # The origin's newest version is not the one named meanwhile.
                 search.stop()
@@ -283,6 +288,30 @@
         self._held_requests.release(manifest)
         return True
 
+    def _check_manifest(self) -> None:
+        """Read the manifest from the origin again, once for each transfer."""
+        if self._recheck is not None or self._swarm is None:
+            return
+        known = self._swarm.view.pieces.manifest
+        logger.warning("manifest suspect", extra=_log_fields(self._swarm.view.pieces))
+
+        def on_manifest(manifest: PieceDigests) -> bool:
+            if _name_of(manifest) != _name_of(known):
+                return False
+            if manifest.digests != known.digests:
+                self.drop()
+                self._start_swarm(PieceSet(manifest))
+            return True
+
+        self._recheck = ManifestFetch(
+            self._context,
+            known.model,
+            known.version,
+            on_manifest,
+            is_origin_only=True,
+        )
+        self._recheck.start()
+
     def _start_swarm(self, pieces: PieceSet) -> None:
         origin = self._context.origin()
         zone = origin.availability_zone if origin is not None else ""
@@ -303,6 +332,7 @@
             self._context.announce_pieces,
             self._on_staged,
             self._context.upload_count,
+            self._check_manifest,
         )
         logger.info("fetching", extra=_log_fields(pieces))
         self._reuse_staged(self._swarm)
@@ -349,7 +379,11 @@
 
 
 def _version_of(pieces: PieceSet) -> ModelVersion:
-    return ModelVersion(pieces.manifest.model, pieces.manifest.version)
+    return _name_of(pieces.manifest)
+
+
+def _name_of(manifest: PieceDigests) -> ModelVersion:
+    return ModelVersion(manifest.model, manifest.version)
 
 
 def _log_fields(pieces: PieceSet) -> dict[str, object]:
--- a/src/bamboolever/platform/standins/upstream.py
+++ b/src/bamboolever/platform/standins/upstream.py
@@ -271,7 +271,8 @@
 class StandInOrigin(RequestHandler):
     """Serves manifests and pieces of any version on its own task.
 
-    ``pieces_to_corrupt`` is how many of the next pieces are sent corrupted.
+    ``pieces_to_corrupt`` is how many of the next pieces are sent corrupted, and
+    ``manifests_to_corrupt`` how many of the next manifests have a wrong digest.
     ``served_pieces`` lists the version and the number of each piece sent. While
     ``is_silent``, no request gets a response.
     """
@@ -287,6 +288,7 @@
         self.newest_version = 1
         self.served_pieces: list[tuple[int, int]] = []
         self.pieces_to_corrupt = 0
+        self.manifests_to_corrupt = 0
         self.is_silent = False
 
     def start(self) -> None:
@@ -341,6 +343,9 @@
             hashlib.sha256(self.piece_data(version, number)).hexdigest()
             for number in range(self._piece_count)
         ]
+        if self.manifests_to_corrupt > 0:
+            self.manifests_to_corrupt -= 1
+            digests[0] = "00" * 32
         document = {
             "model": model,
             "version": version,
--- a/src/bamboolever/weights/pieces.py
+++ b/src/bamboolever/weights/pieces.py
@@ -2,7 +2,9 @@
 
 import hashlib
 from dataclasses import dataclass
+from typing import final
 
+from bamboolever.net.addresses import Address
 from bamboolever.platform.weights import PieceDigests
 
 
@@ -45,6 +47,30 @@
         self.verified &= ~(1 << number)
 
 
+@final
+class DigestMismatches:
+    """Pieces that did not have the digest in the manifest.
+
+    Bytes that were damaged on their way, or at one agent, differ from each other. The
+    same bytes from the origin twice, or from two sources, show that the digest is
+    wrong.
+    """
+
+    def __init__(self) -> None:
+        self._last: dict[int, tuple[Address | None, bytes]] = {}
+
+    def add(self, number: int, source: Address | None, data: bytes) -> bool:
+        """Record a piece and return whether its digest in the manifest is suspect.
+
+        ``source`` None is the origin.
+        """
+        mismatch = (source, hashlib.sha256(data).digest())
+        last, self._last[number] = self._last.get(number), mismatch
+        if last is None or last[1] != mismatch[1]:
+            return False
+        return source is None or source != last[0]
+
+
 def full_bitmap(count: int) -> int:
     """Return a bitmap in which the bits of all ``count`` pieces are set."""
     return (1 << count) - 1
--- a/testing/daemons/test_agent.py
+++ b/testing/daemons/test_agent.py
@@ -198,3 +198,18 @@
     site.origin.is_silent = True
     start_agent(engines[1], "second")
     wait_for(lambda: _serves(engines[1], 1), limit_s=10.0)
+
+
+@pytest.mark.parametrize("count", [1, 3])
+def test_manifest_with_a_wrong_digest_is_read_again(site, start_agent, count):
+    """Guards against a fleet that waits for a piece that no source can send.
+
+    Agents get the manifest from each other, so a digest that was damaged once would
+    reach all of them.
+    """
+    engines = _engines(site, count, 1)
+    site.origin.manifests_to_corrupt = 1
+    for engine in engines:
+        start_agent(engine, engine.instance_id)
+    site.set_model_version(2)
+    wait_for(lambda: all(_serves(engine, 2) for engine in engines))
