--- a/src/bamboolever/config/sharing.py
+++ b/src/bamboolever/config/sharing.py
@@ -6,10 +6,12 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from typing import final
 
+from bamboolever.config.kindstate import Snapshot
+from bamboolever.net.addresses import Address
 from bamboolever.platform import store
 
 # Size of the parts in which changes are passed on. JSON of this size fits into one
@@ -25,6 +27,7 @@
     that it could not be passed on. ``as_of`` is when the objects at ``revision`` were
     the newest, in seconds of the receiving process's clock; None if that is unknown.
     ``is_after_outage`` means that upstreams that the store dropped may be back soon.
+    ``source`` is the process that found it, if another one did.
     """
 
     kind: str
@@ -34,6 +37,7 @@
     changes: bytes | None
     as_of: float | None
     is_after_outage: bool = False
+    source: Address | None = None
 
 
 def split_result(result: WatchResult) -> Iterator[WatchResult]:
@@ -75,6 +79,21 @@
     def publish(self, result: WatchResult) -> None:
         """Pass on what a call of this process returned."""
 
+    def ask_peer(
+        self,
+        source: Address,
+        kind: str,
+        era: int,
+        revision: int,
+        on_snapshot: Callable[[Snapshot | None], None],
+    ) -> bool:
+        """Ask another process for all objects of a kind; return whether it is asked.
+
+        ``era`` and ``revision`` are what is known here. ``on_snapshot`` is called
+        later, with None if the process does not respond.
+        """
+        return False
+
 
 @final
 class NoSharing(WatchSharing):
--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 
 from bamboolever._task import IoTask, Timer
+from bamboolever.config.kindstate import KindState, Snapshot
 from bamboolever.config.observer import KindObserver
 from bamboolever.config.sharing import (
     NoSharing,
@@ -82,20 +83,17 @@
         self._observer = observer
         self._timing = timing
         self._batch_delay_s = batch_delay_s
-        self._revision: int | None = None
+        self._state = KindState()
         self._listing: ListingProgress | None = None
         # Size of the objects when they were listed last.
         self._listed_bytes = 0
         self._group = group
         self._sharing = sharing or NoSharing()
-        # How often the store was restored, as its responses say; None before the first.
-        self._era: int | None = None
-        # Revision of the store at the last change that was watched, not listed.
-        self.changed_revision = 0
         group.add(self)
         self._retry_delay_s = MIN_RETRY_DELAY_S
         self._is_reachable = False
         self._is_stopped = False
+        self._is_asking_peer = False
         self._calls = StoreCalls(
             task,
             pool,
@@ -110,7 +108,21 @@
     @property
     def era(self) -> int:
         """How often the store was restored, as far as this watch knows."""
-        return self._era or 0
+        return self._state.era or 0
+
+    @property
+    def changed_revision(self) -> int:
+        """Revision of the store at the last change that was watched."""
+        return self._state.changed_revision
+
+    @property
+    def change_count(self) -> int:
+        """A number that changes with the objects."""
+        return self._state.change_count
+
+    def snapshot(self) -> Snapshot | None:
+        """Return all objects as they are known; None while they are not."""
+        return self._state.snapshot()
 
     @property
     def is_calling(self) -> bool:
@@ -151,27 +163,31 @@
     def apply_shared(self, result: WatchResult) -> None:
         """Take over what another process's watch found.
 
-        Calls the store if changes between are missing here.
+        Asks that process or the store if changes between are missing here.
         """
-        if self._is_stopped or self._revision is None or self._era is None:
+        if self._is_stopped or self._state.revision is None:
             return
-        if result.era != self._era:
-            if result.era > self._era:
-                self._group.on_restored(result.era)
+        if not self._is_current_era(result.era):
             return
         if result.is_after_outage:
             self._observer.on_reachability_changed(False, "a peer lost the store")
             self._observer.on_reachability_changed(True, "a peer reached the store")
-        if result.revision > self._revision and not self._apply_changes(result):
-            self._catch_up()
+        if result.revision > self._state.revision and not self._apply_changes(result):
+            self._catch_up(result.revision, result.source)
             return
         if result.as_of is not None:
             # What is known here is as new as the peer's, or newer.
-            self._observer.on_confirmed(result.as_of)
+            self._confirm(result.as_of)
+
+    def _is_current_era(self, era: int) -> bool:
+        if self._state.era is not None and era > self._state.era:
+            self._group.on_restored(era)
+            return False
+        return era == self._state.era
 
     def _apply_changes(self, result: WatchResult) -> bool:
-        assert self._revision is not None
-        if result.changes is None or result.from_revision > self._revision:
+        known = self._state.revision
+        if result.changes is None or known is None or result.from_revision > known:
             return False
         documents: tuple[StoredDocument, ...] = ()
         if result.changes:
@@ -184,44 +200,85 @@
         return True
 
     def _apply(self, documents: tuple[StoredDocument, ...], revision: int) -> None:
-        known = self._revision or 0
-        self._revision = revision
-        new = tuple(
-            document
-            for document in documents
-            if document.revision is None or document.revision > known
-        )
+        new = self._state.take_changes(documents, revision)
         if new:
-            self.changed_revision = revision
             self._observer.on_changes(new)
 
-    def catch_up_to(self, era: int, revision: int) -> None:
-        """Call the store if another process knows of a change that is unknown here.
+    def _confirm(self, as_of: float) -> None:
+        self._state.confirm(as_of)
+        self._observer.on_confirmed(as_of)
+
+    def apply_snapshot(self, snapshot: Snapshot) -> None:
+        """Take over all objects as another process knows them, if they are newer."""
+        if self._is_stopped:
+            return
+        if self._state.era is None:
+            self._state.era = snapshot.era
+        if not self._is_current_era(snapshot.era):
+            return
+        known = self._state.revision
+        if snapshot.documents is not None and (
+            known is None or snapshot.revision > known
+        ):
+            self._state.take_listing(snapshot.documents, snapshot.revision)
+            self._state.on_change_known(snapshot.changed_revision)
+            self._observer.on_listing(snapshot.documents)
+        known = self._state.revision
+        if (
+            snapshot.as_of is not None
+            and known is not None
+            and known >= snapshot.revision
+        ):
+            self._confirm(snapshot.as_of)
+
+    def catch_up_to(
+        self, era: int, revision: int, source: Address | None = None
+    ) -> None:
+        """Ask ``source`` or the store for a change that is unknown here.
 
         The update that told of it was lost.
         """
-        if era != self._era or self._revision is None:
+        known = self._state.revision
+        if era == self._state.era and known is not None and revision > known:
+            self._catch_up(revision, source)
+
+    def _catch_up(self, revision: int, source: Address | None) -> None:
+        if self._is_asking_peer or (self._calls.is_any and self._is_reachable):
             return
-        if revision > self._revision:
-            self._catch_up()
 
-    def _catch_up(self) -> None:
+        def on_snapshot(snapshot: Snapshot | None) -> None:
+            self._is_asking_peer = False
+            if self._is_stopped:
+                return
+            if snapshot is not None:
+                self.apply_snapshot(snapshot)
+            if self._state.revision is not None and self._state.revision < revision:
+                self._call_for_changes()
+
+        known = self._state.revision
+        if source is not None and known is not None:
+            self._is_asking_peer = self._sharing.ask_peer(
+                source, self._kind, self.era, known, on_snapshot
+            )
+        if not self._is_asking_peer:
+            self._call_for_changes()
+
+    def _call_for_changes(self) -> None:
         # While calls are overdue, the next one is sent when its time comes.
-        if self._calls.is_any or self._revision is None:
+        if self._calls.is_any or self._state.revision is None:
             return
         if self._task.now() - self._calls.sent_at < MIN_RETRY_DELAY_S:
             return
-        self._send_watch(self._revision, 0.0, is_shared=False)
+        self._send_watch(self._state.revision, 0.0, is_shared=False)
 
     def follow_era(self, era: int) -> None:
         """List again if the store was restored since the last response."""
-        if self._era is None or era <= self._era or self._is_stopped:
+        known = self._state.era
+        if known is None or era <= known or self._is_stopped:
             return
         logger.warning("store restored", extra={"kind": self._kind, "era": era})
-        self._era = era
-        self._revision = None
+        self._state.follow_era(era)
         self._listing = ListingProgress()
-        self.changed_revision = 0
         self._calls.cancel_all()
         self._observer.on_store_restored()
         self._send_next()
@@ -245,17 +302,19 @@
         wait_s = self._timing.wait_s
         if wait_s is None:
             return
-        assert self._revision is not None
+        revision = self._state.revision
+        if revision is None:
+            return
         if not self._is_reachable:
             # A call that waits at the store gets its response late, so the store would
             # count as unreachable for longer.
-            self._send_watch(self._revision, 0.0, is_shared=True)
+            self._send_watch(revision, 0.0, is_shared=True)
             return
         delay_s = self._sharing.call_delay_s(self._task.now())
         if delay_s > 0:
             self._call_later(delay_s)
             return
-        self._send_watch(self._revision, wait_s, is_shared=True)
+        self._send_watch(revision, wait_s, is_shared=True)
 
     def _call_later(self, delay_s: float) -> None:
         if self._timer is not None:
@@ -305,11 +364,11 @@
 
     def _check_era(self, response: Response) -> bool:
         era = store.response_era(response.head) or 0
-        if self._era is None:
-            self._era = era
-        if era == self._era:
+        if self._state.era is None:
+            self._state.era = era
+        if era == self._state.era:
             return True
-        if era < self._era:
+        if era < self._state.era:
             # The response was made before the store was restored.
             logger.info("older store response ignored", extra={"kind": self._kind})
             self._call_later(MIN_RETRY_DELAY_S)
@@ -342,14 +401,14 @@
             return
         self._listing = None
         self._listed_bytes = listing.size_bytes
-        if self._revision is None or listing.revision >= self._revision:
+        documents = tuple(listing.documents)
+        if self._state.take_listing(documents, listing.revision):
             if self.changed_revision:
                 # A later listing may hold changes that others missed too.
-                self.changed_revision = listing.revision
-            self._revision = listing.revision
+                self._state.on_change_known(listing.revision)
             self._set_reachable()
-            self._observer.on_listing(tuple(listing.documents))
-        self._observer.on_confirmed(listing.sent_at)
+            self._observer.on_listing(documents)
+        self._confirm(listing.sent_at)
 
     def _on_changes(self, call: StoreCall, response: Response) -> None:
         if response.head.status == store.HISTORY_GONE_STATUS:
@@ -363,18 +422,19 @@
             return
         changes = store.decode_changes(response.body)
         is_after_outage = self._on_reachable(call)
-        if self._revision is None:
+        known = self._state.revision
+        if known is None:
             self._send_next()
             return
-        is_new = changes.revision >= self._revision
+        is_new = changes.revision >= known
         if is_new:
             self._apply(changes.documents, changes.revision)
         as_of = self._as_of(call, response, changes)
-        self._observer.on_confirmed(as_of)
+        self._confirm(as_of)
         if call.is_shared and is_new:
             result = WatchResult(
                 self._kind,
-                self._era or 0,
+                self.era,
                 call.revision,
                 changes.revision,
                 response.body if changes.documents else b"",
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -50,6 +50,7 @@
 )
 from bamboolever.daemons.relay import CallRelay
 from bamboolever.daemons.settings import InstanceSettings
+from bamboolever.daemons.snapshots import SnapshotHandler
 from bamboolever.daemons.statushandler import StatusHandler
 from bamboolever.daemons.storerelay import WATCH_WAIT_SHARE
 from bamboolever.fleet.records import ModelVersion
@@ -71,7 +72,7 @@
 TIMER_MARGIN_S = 0.05
 # File descriptors kept for other uses than calls. A call takes two: one for its
 # caller and one for its upstream.
-RESERVED_FDS = 264
+RESERVED_FDS = 328
 # The load balancer still sends new connections for this long after a stop request.
 LOAD_BALANCER_DELAY_S = 3.0
 # Taken off the grace period, after which the platform ends the process.
@@ -130,6 +131,7 @@
             self._caller_server,
             self._readiness_server,
             self._metrics_server,
+            self._snapshot_server,
         ):
             server.start()
         self.exchange.start()
@@ -169,6 +171,12 @@
             self.is_ready,
             settings.bounds.configuration_timeout_s,
         )
+        snapshots = SnapshotHandler(
+            self.task.now, self.exchange.store_relay.snapshot_of
+        )
+        self._snapshot_server = HttpServer(
+            self.task, own_address, snapshots, limits, max_connections=64
+        )
         self.calls = InFlightCalls(
             self.task, self.telemetry, self.fleet, self.exchange, settings
         )
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -21,6 +21,7 @@
 from bamboolever.calls.poison import CrashTracker
 from bamboolever.calls.rejections import RejectionHistory
 from bamboolever.daemons.entryfleet import EntryFleet
+from bamboolever.daemons.snapshots import CONNECT_TIMEOUT_S, MAX_IDLE_S
 from bamboolever.daemons.storerelay import StoreRelay
 from bamboolever.fleet import exchange
 from bamboolever.fleet.messages import (
@@ -34,6 +35,7 @@
     StoreUpdate,
 )
 from bamboolever.net.addresses import Address
+from bamboolever.net.client import ConnectionPool
 from bamboolever.net.datagrams import DatagramSocket
 from bamboolever.platform import names
 
@@ -92,6 +94,9 @@
             names.CONFIGURATION_KIND,
             self._send,
             configuration_timeout_s,
+            ConnectionPool(
+                task, connect_timeout_s=CONNECT_TIMEOUT_S, max_idle_s=MAX_IDLE_S
+            ),
         )
         self.rejection_history = RejectionHistory()
         self.crash_tracker = CrashTracker()
@@ -232,7 +237,7 @@
         if isinstance(message, EntryLoad):
             self._fleet.apply_peer_load(sender, message, now)
             self.store_relay.on_peer_revisions(
-                message.store_era, message.store_revisions
+                sender, message.store_era, message.store_revisions
             )
             if message.summary_cell == self._fleet.own_cell:
                 self._send(self._fleet.build_summary(sender, now), sender)
@@ -242,7 +247,7 @@
         elif isinstance(message, CellSummary):
             self._fleet.apply_summary(message, now)
         elif isinstance(message, StoreUpdate):
-            self.store_relay.on_update(message, now)
+            self.store_relay.on_update(message, sender, now)
         elif isinstance(message, Rejections):
             for digest, age_s in message.ages_s.items():
                 self.rejection_history.on_rejected(digest, now - age_s, now)
--- a/src/bamboolever/daemons/storerelay.py
+++ b/src/bamboolever/daemons/storerelay.py
@@ -6,7 +6,9 @@
 
 Load pattern: many entries that follow the same configuration, list and versions. One
 entry of the cell, chosen by hash, watches the store. If its confirmations stop, the
-next in rank calls the store after a delay that grows with the rank.
+next in rank calls the store after a delay that grows with the rank. A change that no
+datagram holds is had from the entry that told of it, not from the store: a large
+configuration crosses the link to the store once for a cell.
 
 A revoked key must stop working in time even where a datagram was delayed or this
 process was suspended. An update therefore names the last load of this entry that its
@@ -19,11 +21,14 @@
 from typing import final
 
 from bamboolever._subset import rank_members
+from bamboolever.config.kindstate import Snapshot
 from bamboolever.config.sharing import WatchResult, WatchSharing
 from bamboolever.config.watch import KindWatch
 from bamboolever.daemons.entryfleet import EntryFleet
+from bamboolever.daemons.snapshots import fetch_snapshot
 from bamboolever.fleet.messages import Message, StoreUpdate
 from bamboolever.net.addresses import Address
+from bamboolever.net.client import ConnectionPool
 
 # Shares of the time in which a changed configuration must be in force: how long a watch
 # waits at the store, after which silence another entry takes over, and what each rank
@@ -42,6 +47,7 @@
     ``now`` returns seconds of the entry's clock; ``send`` sends one message. The kind
     ``confirmed_kind`` is confirmed most often: its silence shows that a peer no longer
     reaches the store. A change must be in force within ``configuration_timeout_s``.
+    Peers are asked for snapshots over ``pool``; with None, they are not asked.
     """
 
     def __init__(
@@ -52,12 +58,14 @@
         confirmed_kind: str,
         send: Callable[[Message, Address], None],
         configuration_timeout_s: float,
+        pool: ConnectionPool | None = None,
     ):
         self._now = now
         self._own_address = own_address
         self._fleet = fleet
         self._confirmed_kind = confirmed_kind
         self._send = send
+        self._pool = pool
         self._configuration_timeout_s = configuration_timeout_s
         self._watches: dict[str, KindWatch] = {}
         self._heard_at = now()
@@ -81,10 +89,20 @@
         """Return the store's revision at the last known change of each kind."""
         return tuple(watch.changed_revision for watch in self._watches.values())
 
-    def on_peer_revisions(self, era: int, revisions: tuple[int, ...]) -> None:
-        """Call the store for changes that a peer knows and this entry missed."""
+    def snapshot_of(self, kind: str) -> tuple[Snapshot, int] | None:
+        """Return all objects of a kind, and a number that changes with them."""
+        watch = self._watches.get(kind)
+        snapshot = watch.snapshot() if watch is not None else None
+        if watch is None or snapshot is None:
+            return None
+        return snapshot, watch.change_count
+
+    def on_peer_revisions(
+        self, sender: Address, era: int, revisions: tuple[int, ...]
+    ) -> None:
+        """Ask a peer for changes that it knows and this entry missed."""
         for watch, revision in zip(self._watches.values(), revisions, strict=False):
-            watch.catch_up_to(era, revision)
+            watch.catch_up_to(era, revision, sender)
 
     def on_load_sent(self, sequence: int, now: float) -> None:
         """Record when a load was sent to the peers."""
@@ -104,6 +122,22 @@
         share = SILENCE_SHARE + steps * TAKE_OVER_SHARE
         return max(0.0, self._heard_at + share * self._configuration_timeout_s - now)
 
+    def ask_peer(
+        self,
+        source: Address,
+        kind: str,
+        era: int,
+        revision: int,
+        on_snapshot: Callable[[Snapshot | None], None],
+    ) -> bool:
+        """Ask a peer for all objects of a kind; return whether it is asked."""
+        if self._pool is None:
+            return False
+        fetch_snapshot(
+            self._pool, source, kind, on_snapshot, era=era, revision=revision
+        )
+        return True
+
     def publish(self, result: WatchResult) -> None:
         """Send the peers what a call of this entry returned."""
         now = self._now()
@@ -126,7 +160,7 @@
             )
             self._send(update, address)
 
-    def on_update(self, update: StoreUpdate, now: float) -> None:
+    def on_update(self, update: StoreUpdate, sender: Address, now: float) -> None:
         """Pass a peer's update on to the watch of its kind."""
         watch = self._watches.get(update.kind)
         if watch is None:
@@ -143,6 +177,7 @@
                 update.changes,
                 as_of,
                 update.is_after_outage,
+                sender,
             )
         )
 
--- a/src/bamboolever/platform/store.py
+++ b/src/bamboolever/platform/store.py
@@ -107,9 +107,10 @@
         if event_size > max_bytes:
             return []
         if not parts or size + event_size > max_bytes:
-            parts.append((revision, []))
+            parts.append((max([revision, *(last for last, _ in parts[-1:])]), []))
             size = 0
-        parts[-1] = (revision, [*parts[-1][1], event])
+        # A deletion may state the revision of an earlier change.
+        parts[-1] = (max(revision, parts[-1][0]), [*parts[-1][1], event])
         size += event_size
     if parts:
         parts[-1] = (at, parts[-1][1])
--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -6,6 +6,7 @@
 import pytest
 from manualtask import ManualPool, ManualTask, SlowStore
 
+from bamboolever.config.kindstate import Snapshot
 from bamboolever.config.observer import KindObserver
 from bamboolever.config.sharing import WatchResult, WatchSharing
 from bamboolever.config.storecalls import (
@@ -19,6 +20,7 @@
 from bamboolever.config.watchgroup import WatchGroup
 from bamboolever.net.addresses import Address
 from bamboolever.net.messages import ResponseHead
+from bamboolever.platform.store import StoredDocument
 
 WAIT_S = 2.0
 
@@ -486,3 +488,143 @@
     pool.respond(-1, items=[], at=12)
     assert recorder.listings == 2
     assert pool.targets[-1] == "/-/objects/a?watch=10&waitMs=2000"
+
+
+class AskingShare(FollowingShare):
+    """Follows others, and asks the process that told of a change."""
+
+    def __init__(self):
+        super().__init__(delay_s=60.0)
+        self.asked = []
+
+    def ask_peer(self, source, kind, era, revision, on_snapshot):
+        self.asked.append((source, kind, era, revision))
+        self.answer = on_snapshot
+        return True
+
+
+PEER = Address("10.0.0.2", 7700)
+
+
+def _snapshot(*names, **changes):
+    documents = tuple(StoredDocument(name, {}, 3) for name in names)
+    return Snapshot(
+        **{
+            "era": 0,
+            "revision": 3,
+            "changed_revision": 3,
+            "as_of": 99.0,
+            "documents": documents,
+            **changes,
+        }
+    )
+
+
+@pytest.fixture
+def sharing():
+    return AskingShare()
+
+
+@pytest.fixture
+def follower(task, pool, sharing):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup(), sharing=sharing)
+    recorder.confirmed_at = None
+    task.advance(1.0)
+    return recorder
+
+
+def test_change_too_large_for_a_datagram_is_had_from_the_peer(pool, follower, sharing):
+    """Guards against each entry reading it over the narrow link to the store."""
+    update = _result(changes=None, source=PEER)
+    follower.watch.apply_shared(update)
+    follower.watch.apply_shared(update)
+    assert sharing.asked == [(PEER, "a", 0, 1)]
+    assert follower.confirmed_at is None
+    sharing.answer(_snapshot("x", "y"))
+    assert follower.listed_names == ["x", "y"]
+    assert follower.confirmed_at == 99.0
+    assert follower.watch.changed_revision == 3
+    assert pool.targets == ["/-/objects/a"]
+
+
+def test_missed_change_is_had_from_the_peer_that_knows_of_it(pool, follower, sharing):
+    follower.watch.catch_up_to(0, 3, PEER)
+    sharing.answer(_snapshot("x"))
+    follower.watch.catch_up_to(0, 3, PEER)
+    assert follower.listed_names == ["x"]
+    assert len(sharing.asked) == 1
+    assert pool.targets == ["/-/objects/a"]
+
+
+@pytest.mark.parametrize(
+    "snapshot",
+    [None, _snapshot(revision=2), _snapshot(documents=None, revision=1)],
+    ids=["gone", "behind", "nothing new"],
+)
+def test_store_is_called_if_the_peer_does_not_have_the_change(
+    pool, follower, sharing, snapshot
+):
+    follower.watch.apply_shared(_result(changes=None, source=PEER))
+    sharing.answer(snapshot)
+    revision = 2 if snapshot is not None and snapshot.documents is not None else 1
+    assert pool.targets[1:] == [f"/-/objects/a?watch={revision}&waitMs=0"]
+
+
+def test_entry_that_the_store_turns_away_follows_its_peers(task, pool, sharing):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    recorder.watch._sharing = sharing
+    _advance_to_probe(task, pool)
+    recorder.watch.apply_shared(_result(changes=None, source=PEER))
+    sharing.answer(_snapshot("x"))
+    assert recorder.listed_names == ["x"]
+    assert recorder.confirmed_at == 99.0
+
+
+def test_older_snapshot_changes_nothing(follower):
+    follower.watch.apply_shared(_result(as_of=None))
+    follower.watch.apply_snapshot(_snapshot("old", revision=2, as_of=98.0))
+    follower.watch.apply_snapshot(_snapshot("old", era=-1, revision=9))
+    assert (follower.changed_names, follower.listings) == (["x"], 1)
+    assert follower.confirmed_at == 98.0
+
+
+def test_snapshot_of_a_newer_state_without_objects_confirms_nothing(follower):
+    follower.watch.apply_snapshot(_snapshot(documents=None, revision=9))
+    assert follower.confirmed_at is None
+
+
+def test_snapshot_of_a_restored_store_causes_a_new_listing(pool, follower):
+    follower.watch.apply_snapshot(_snapshot("x", era=1))
+    assert (follower.listings, follower.restores) == (1, 1)
+    assert pool.targets[1:] == ["/-/objects/a"]
+
+
+def test_process_that_knows_nothing_can_begin_with_a_snapshot(task, pool):
+    recorder = Recorder()
+    watch = KindWatch(
+        task,
+        pool,
+        lambda: PEER,
+        "a",
+        recorder,
+        WatchTiming(None),
+        group=WatchGroup(),
+    )
+    assert watch.snapshot() is None
+    watch.apply_snapshot(_snapshot("x", era=2))
+    assert recorder.listed_names == ["x"]
+    assert watch.era == 2
+    assert pool.targets == []
+
+
+def test_watch_passes_on_what_it_knows(task, pool):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    count = recorder.watch.change_count
+    pool.respond(-1, events=[_event("x", 3), _event("y", 4)], at=4)
+    deleted = {**_event("x", 5), "deleted": True}
+    pool.respond(-1, events=[deleted], at=6)
+    snapshot = recorder.watch.snapshot()
+    assert [document.name for document in snapshot.documents] == ["y"]
+    assert (snapshot.revision, snapshot.changed_revision) == (6, 6)
+    assert snapshot.as_of == recorder.confirmed_at
+    assert recorder.watch.change_count > count
--- a/testing/daemons/test_storerelay.py
+++ b/testing/daemons/test_storerelay.py
@@ -114,7 +114,7 @@
         member.now += 1.0
     watching.hear(follower, sequence=2)
     update = watching.publish(as_of=watching.now)[follower.address]
-    follower.relay.on_update(update, follower.now)
+    follower.relay.on_update(update, watching.address, follower.now)
     assert follower.relay.call_delay_s(follower.now) == pytest.approx(before, abs=0.01)
 
 
@@ -128,7 +128,7 @@
     watching.now += 0.2
     update = watching.publish(as_of=watching.now - 0.5)[follower.address]
     follower.now += 20.0
-    follower.relay.on_update(update, follower.now)
+    follower.relay.on_update(update, watching.address, follower.now)
     (result,) = follower.applied
     assert result.as_of <= 100.0 + 0.2 - 0.5
 
@@ -137,6 +137,6 @@
     watching, follower = members[0], members[1]
     update = watching.publish(as_of=watching.now)[follower.address]
     follower.fleet.started_ms = 8
-    follower.relay.on_update(update, follower.now)
+    follower.relay.on_update(update, watching.address, follower.now)
     (result,) = follower.applied
     assert result.as_of is None
--- a/testing/manualtask.py
+++ b/testing/manualtask.py
@@ -50,9 +50,11 @@
 
     def __init__(self, task):
         self.task = task
+        self.requests = []
         self.sent = []
 
     def send(self, address, request, handler):
+        self.requests.append(request)
         self.sent.append((request.target.decode(), handler))
         return ManualConnection()
 
