Agents get the configuration from an entry that says hello

Cause: each agent listed the whole configuration at the store, 310 KB after 1,360 routes had been added, and gave up after 2 s. 28 agents asked at once over two links of 1.56 MB/s: 3 to 4 s of queue, behind which all of them gave up, their new connections failed, and the entries' own listings, the manifest and the pieces stood as well. When the queue had drained, all began again: a cycle of 5 to 6 s in which no listing was finished. While the configuration was unknown, the list of upstreams was read again every 2 s, too.

It lists the store only after 3 to 9 s, spread at random, without a hello, or if entries sent nothing usable six times. An entry says hello to the agents of new engines at once, also when it learns them with the configuration, not with the list.

--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -7,15 +7,15 @@
 from bamboolever._task import IoTask
 from bamboolever._telemetry import Telemetry
 from bamboolever.config import storecalls
-from bamboolever.config.model import Configuration, EngineProfile, WeightOrigin
+from bamboolever.config.model import EngineProfile, WeightOrigin
 from bamboolever.config.sharing import WatchSharing
 from bamboolever.config.watch import KindWatch, WatchTiming
 from bamboolever.config.watchgroup import WatchGroup
+from bamboolever.daemons.agentconfiguration import AgentConfiguration
 from bamboolever.daemons.clock import boottime_clock
 from bamboolever.daemons.loader import EngineLoader
 from bamboolever.daemons.loadercontext import LoaderContext
 from bamboolever.daemons.observers import (
-    ConfigurationObserver,
     UpstreamObserver,
     VersionObserver,
 )
@@ -74,7 +74,6 @@
             max_idle_s=MAX_IDLE_S,
         )
         self._own_address = Address(settings.host, settings.internal_port)
-        self._configuration: Configuration | None = None
         self._upstreams = UpstreamList()
         self._rollouts = VersionRollouts(settings.bounds.version_timeout_s)
         self._loader = EngineLoader(
@@ -104,7 +103,6 @@
         self._piece_server.start()
         self._metrics_server.start()
         self._datagrams.start()
-        self._configuration_watch.start()
         self._version_watch.start()
         self._upstream_watch.start()
         self._poll_report()
@@ -170,14 +168,17 @@
                 sharing=sharing,
             )
 
-        configuration = ConfigurationObserver(
-            self._apply_configuration, lambda _as_of: None
-        )
         upstreams = UpstreamObserver(
             self._upstreams, self.task.now, self._loader.transfer.update_peers
         )
         versions = VersionObserver(self._on_version)
-        self._configuration_watch = watch(names.CONFIGURATION_KIND, configuration, None)
+        self._configuration = AgentConfiguration(
+            self.task,
+            self.pool,
+            self._settings.upstream_service,
+            lambda observer: watch(names.CONFIGURATION_KIND, observer, None),
+            self._loader.advance,
+        )
         self._upstream_watch = watch(names.UPSTREAM_KIND, upstreams, None)
         self._version_watch = watch(
             names.VERSION_KIND,
@@ -188,14 +189,6 @@
 
     # Updates from the store.
 
-    def _apply_configuration(self, configuration: Configuration) -> None:
-        known = self._configuration
-        if known is not None and configuration.version < known.version:
-            # A listing that may be seconds old.
-            return
-        self._configuration = configuration
-        self._loader.advance()
-
     def _on_version(self, model_version: ModelVersion, is_new: bool) -> None:
         now = self.task.now()
         self._rollouts.add(
@@ -204,7 +197,10 @@
         self._loader.start_rollout(model_version, now)
 
     def _on_hello(self, hello: Hello, sender: Address) -> None:
-        self._subscribers.add(sender, hello.cell, self.task.now())
+        now = self.task.now()
+        self._subscribers.add(sender, hello.cell, now)
+        is_same_cell = hello.cell == hello.agent_cell
+        self._configuration.on_hello(sender, is_same_cell=is_same_cell)
         for rollout in hello.rollouts:
             self._on_reported_rollout(rollout)
         self._send_state(sender, hello.agent_cell)
@@ -236,18 +232,11 @@
 
     def profile(self) -> EngineProfile | None:
         """Return the engine profile of the upstream's service, or None if unknown."""
-        service = self._settings.upstream_service
-        if self._configuration is None or service is None:
-            return None
-        found = self._configuration.services.get(service)
-        return found.engine if found is not None else None
+        return self._configuration.profile
 
     def origin(self) -> WeightOrigin | None:
         """Return the origin of the weights, or None if unknown."""
-        if self._configuration is None:
-            return None
-        origins = (item.origin for item in self._configuration.services.values())
-        return next((item for item in origins if item is not None), None)
+        return self._configuration.origin
 
     def own_peer(self) -> Peer:
         """Return this agent's address, region and group."""
@@ -286,22 +275,12 @@
 
     def can_interrupt_requests(self) -> bool:
         """Return whether every request of the service can be resumed elsewhere."""
-        service = self._settings.upstream_service
-        if self._configuration is None:
-            return False
-        return all(
-            route.is_retry_safe
-            for route in self._configuration.routes
-            if any(share.service == service for share in route.targets)
-        )
+        return self._configuration.can_interrupt_requests
 
     def refresh_lists(self) -> None:
-        """Read the configuration and the list of upstreams from the store again."""
+        """Read the list of upstreams from the store again."""
         self._refreshed_at = self.task.now()
-        is_stale_ok = self._configuration is not None and self._upstreams.is_known
-        self._upstream_watch.refresh(is_stale_ok=is_stale_ok)
-        if self._configuration is None:
-            self._configuration_watch.refresh()
+        self._upstream_watch.refresh(is_stale_ok=self._upstreams.is_known)
 
     def announce_pieces(self, piece_map: PieceMap, addresses: list[Address]) -> None:
         """Send a piece map to the agents at these addresses."""
@@ -348,10 +327,9 @@
             logger.warning("report ignored", extra={"reason": str(error)})
 
     def _refresh_if_needed(self) -> None:
+        self._configuration.list_if_needed()
         is_due = self.task.now() - self._refreshed_at > LIST_REFRESH_INTERVAL_S
-        if is_due and (
-            self._configuration is None or self._loader.transfer.needs_pieces
-        ):
+        if is_due and self._loader.transfer.needs_pieces:
             self.refresh_lists()
 
     # Datagrams.
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -240,7 +240,7 @@
         self._limits.header_timeout_s = limits.header_timeout_s
         self._limits.idle_timeout_s = limits.idle_timeout_s
         self.fleet.apply_configuration(configuration)
-        self.fleet.refresh_views(self.task.now())
+        self._refresh_views()
         logger.info(
             "configuration in force",
             extra={
@@ -260,13 +260,20 @@
     def _on_store_restored(self) -> None:
         self._freshness.on_store_restored(self.task.now())
 
-    def _on_upstreams(self) -> None:
-        is_first = not self.fleet.has_upstreams
+    def _refresh_views(self) -> None:
+        known = set(self.fleet.agent_addresses())
         self.fleet.refresh_views(self.task.now())
-        if is_first:
+        new = [each for each in self.fleet.agent_addresses() if each not in known]
+        if not known and new:
             # Agents respond with the ages of rollouts and the addresses of the other
             # entries. An entry that has just started cannot know these.
             self.exchange.send_hello_to_agents()
+        else:
+            # An agent that has just started waits for a hello, too.
+            self.exchange.send_hello(new)
+
+    def _on_upstreams(self) -> None:
+        self._refresh_views()
         for service in self.fleet.services():
             self.calls.on_capacity_changed(service)
         removal_at = self.fleet.upstreams.deferred_removal_at()
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -119,6 +119,10 @@
             agents = fleet.neighbor_agent_addresses(cell, self._hello_count)
             self._send_hello(cell, agents)
 
+    def send_hello(self, addresses: list[Address]) -> None:
+        """Send a hello to some agents of the cell."""
+        self._send_hello(self._fleet.own_cell, addresses)
+
     def _send_hello(self, agent_cell: str, addresses: list[Address]) -> None:
         fleet = self._fleet
         rollouts = fleet.version_rollouts.known_rollouts(self._task.now())
--- a/src/bamboolever/daemons/loadercontext.py
+++ b/src/bamboolever/daemons/loadercontext.py
@@ -53,7 +53,7 @@
 
     @abstractmethod
     def refresh_lists(self) -> None:
-        """Read the configuration and the list of upstreams from the store again."""
+        """Read the list of upstreams from the store again."""
 
     @abstractmethod
     def announce_pieces(self, piece_map: PieceMap, addresses: list[Address]) -> None:
--- a/testing/daemons/test_agent.py
+++ b/testing/daemons/test_agent.py
@@ -3,6 +3,7 @@
 import pytest
 from sitebuilders import wait_for
 
+from bamboolever.fleet import configurationsearch
 from bamboolever.fleet.exchange import encode
 from bamboolever.fleet.messages import PieceMap
 from bamboolever.net.addresses import Address
@@ -11,6 +12,16 @@
 from bamboolever.platform.standins.upstream import MODEL
 
 
+@pytest.fixture(autouse=True)
+def _list_configuration_at_once(monkeypatch):
+    """Let agents without entries list the store at their start.
+
+    `fleet.configurationsearch` has tests of its own for when they do so.
+    """
+    monkeypatch.setattr(configurationsearch, "HELLO_TIMEOUT_S", 0.0)
+    monkeypatch.setattr(configurationsearch, "LISTING_SPREAD_S", 0.0)
+
+
 def _engines(site, count, version):
     return [
         site.add_engine(f"engine-{number}", f"127.0.0.{10 + number}", version=version)
--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -12,6 +12,7 @@
 )
 
 from bamboolever.calls.poison import request_digest
+from bamboolever.net.addresses import Address
 from bamboolever.platform.standins.site import (
     API_KEY,
     HOST,
@@ -337,3 +338,14 @@
     for _ in range(4):
         assert entry.call("/lookup/1").status == 503
     assert [len(each.received_requests) for each in plain_upstreams] == [1, 1]
+
+
+def test_new_engine_s_agent_gets_a_hello_at_once(site, start_entry, monkeypatch):
+    """An agent that has just started waits for it to ask for the configuration."""
+    site.add_engine("engine-1", "127.0.0.11")
+    running = start_entry().wait_ready()
+    greeted = []
+    monkeypatch.setattr(running.entry.exchange, "send_hello", greeted.extend)
+    engine = site.add_engine("engine-2", "127.0.0.12")
+    agent = Address(engine.address.host, site.internal_port)
+    wait_for(lambda: agent in greeted)
