--- a/testing/daemons/test_entryexchange.py
+++ b/testing/daemons/test_entryexchange.py
@@ -1,7 +1,8 @@
-"""The datagrams that an entry sends after a burst of rejections."""
+"""The datagrams that an entry sends after a burst of rejections, and of crashes."""
 
 import queue
 
+from manualtask import ManualTask
 from sitebuilders import WAIT_S, wait_for
 
 from bamboolever._task import IoTask
@@ -14,6 +15,9 @@
 from bamboolever.platform.standins.site import find_free_port
 
 REJECTIONS = 500
+POISON = 7
+# Longer than the interval of an entry's regular datagrams.
+REPEAT_S = 2.0
 
 
 def _make_exchange(site, task, host):
@@ -53,3 +57,75 @@
     while not sizes.empty():
         assert sizes.get() <= MAX_DATAGRAM_BYTES
     task.stop()
+
+
+class _Wire:
+    """Carries the datagrams of exchanges whose sockets are not started."""
+
+    def __init__(self, *exchanges):
+        self._exchanges = {each._socket.address: each for each in exchanges}
+        self.is_down = False
+        for each in exchanges:
+            each._socket.send = self._sender(each._socket.address)
+
+    def _sender(self, sender):
+        def send(data, address):
+            if not self.is_down and address in self._exchanges:
+                self._exchanges[address]._on_datagram(data, sender)
+
+        return send
+
+
+def _introduce(first, second, now):
+    first._fleet.peers.add_addresses((second._socket.address,), now)
+    second._fleet.peers.add_addresses((first._socket.address,), now)
+
+
+def _crash(exchange, upstream, now):
+    exchange.crash_tracker.on_broken_response(upstream, POISON, now)
+    digests = exchange.crash_tracker.on_upstream_down(upstream, now)
+    exchange.send_crash_report(digests)
+
+
+def test_lost_crash_report_is_made_up_for(site):
+    task = ManualTask()
+    first = _make_exchange(site, task, "127.0.0.8")
+    second = _make_exchange(site, task, "127.0.0.9")
+    wire = _Wire(first, second)
+    _introduce(first, second, task.now())
+    first._send_load_heartbeat()
+    second._send_load_heartbeat()
+    wire.is_down = True
+    for upstream in range(3):
+        _crash(first, upstream, task.now())
+    wire.is_down = False
+    task.advance(REPEAT_S)
+    assert second.crash_tracker.is_blocked(POISON, task.now())
+
+
+def test_entry_that_starts_later_learns_which_requests_are_blocked(site):
+    task = ManualTask()
+    first = _make_exchange(site, task, "127.0.0.8")
+    second = _make_exchange(site, task, "127.0.0.9")
+    _Wire(first, second)
+    first._send_load_heartbeat()
+    for upstream in range(3):
+        _crash(first, upstream, task.now())
+    _introduce(first, second, task.now())
+    second._send_load_heartbeat()
+    task.advance(REPEAT_S)
+    assert second.crash_tracker.is_blocked(POISON, task.now())
+
+
+def test_repeated_crash_report_counts_once(site):
+    task = ManualTask()
+    first = _make_exchange(site, task, "127.0.0.8")
+    second = _make_exchange(site, task, "127.0.0.9")
+    _Wire(first, second)
+    _introduce(first, second, task.now())
+    _crash(first, 0, task.now())
+    _crash(second, 0, task.now())
+    _crash(first, 1, task.now())
+    task.advance(REPEAT_S)
+    assert not first.crash_tracker.is_blocked(POISON, task.now())
+    assert not second.crash_tracker.is_blocked(POISON, task.now())
