--- a/protocol/exchange.thrift
+++ b/protocol/exchange.thrift
@@ -102,6 +102,10 @@
   8: string cell
   // Requests that the upstream is running or has queued.
   9: i32 active
+  // Start of the upstream's process in Unix milliseconds; 0 means unknown. With
+  // is_down it refuses connections.
+  10: i64 upstream_started_ms
+  11: bool is_down
 }
 
 // The pieces of a version that an agent has verified. Bit N of bitmap, read as a
@@ -116,8 +120,26 @@
   6: bool is_retained
 }
 
-// Digests of the requests that an entry suspects of crashing an upstream.
-struct CrashReport { 1: list<i64> digests }
+// A crash of an upstream by a request, and how long ago the request was sent to it.
+struct Crash {
+  1: i64 digest
+  2: i32 upstream_key
+  3: i32 age_ms
+}
+
+// A request that an upstream completed, and how long ago.
+struct Completion {
+  1: i64 digest
+  2: i32 age_ms
+}
+
+// Field 1 held digests without their upstreams. ended are the keys of upstreams that
+// refused a connection.
+struct CrashReport {
+  2: list<Crash> crashes
+  3: list<Completion> completions
+  4: list<i32> ended
+}
 
 // A request that an entry rejected and how long ago it first arrived.
 struct Rejected {
--- a/src/bamboolever/_exchange_protocol/ttypes.py
+++ b/src/bamboolever/_exchange_protocol/ttypes.py
@@ -979,6 +979,8 @@
      - model
      - cell
      - active
+     - upstream_started_ms
+     - is_down
 
     """
 
@@ -992,10 +994,12 @@
         'model',
         'cell',
         'active',
+        'upstream_started_ms',
+        'is_down',
     )
 
 
-    def __init__(self, upstream_address=None, is_switching=None, version=None, pace=None, entries=None, rollouts=None, model=None, cell=None, active=None,):
+    def __init__(self, upstream_address=None, is_switching=None, version=None, pace=None, entries=None, rollouts=None, model=None, cell=None, active=None, upstream_started_ms=None, is_down=None,):
         self.upstream_address = upstream_address
         self.is_switching = is_switching
         self.version = version
@@ -1005,6 +1009,8 @@
         self.model = model
         self.cell = cell
         self.active = active
+        self.upstream_started_ms = upstream_started_ms
+        self.is_down = is_down
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1071,6 +1077,16 @@
                     self.active = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.upstream_started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.is_down = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1123,6 +1139,14 @@
             oprot.writeFieldBegin('active', TType.I32, 9)
             oprot.writeI32(self.active)
             oprot.writeFieldEnd()
+        if self.upstream_started_ms is not None:
+            oprot.writeFieldBegin('upstream_started_ms', TType.I64, 10)
+            oprot.writeI64(self.upstream_started_ms)
+            oprot.writeFieldEnd()
+        if self.is_down is not None:
+            oprot.writeFieldBegin('is_down', TType.BOOL, 11)
+            oprot.writeBool(self.is_down)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1276,20 +1300,26 @@
         return not (self == other)
 
 
-class CrashReport(object):
+class Crash(object):
     """
     Attributes:
-     - digests
+     - digest
+     - upstream_key
+     - age_ms
 
     """
 
     __slots__ = (
-        'digests',
+        'digest',
+        'upstream_key',
+        'age_ms',
     )
 
 
-    def __init__(self, digests=None,):
-        self.digests = digests
+    def __init__(self, digest=None, upstream_key=None, age_ms=None,):
+        self.digest = digest
+        self.upstream_key = upstream_key
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1301,12 +1331,206 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.upstream_key = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Crash')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 1)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
+        if self.upstream_key is not None:
+            oprot.writeFieldBegin('upstream_key', TType.I32, 2)
+            oprot.writeI32(self.upstream_key)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Completion(object):
+    """
+    Attributes:
+     - digest
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'digest',
+        'age_ms',
+    )
+
+
+    def __init__(self, digest=None, age_ms=None,):
+        self.digest = digest
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Completion')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 1)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashReport(object):
+    """
+    Attributes:
+     - crashes
+     - completions
+     - ended
+
+    """
+
+    __slots__ = (
+        'crashes',
+        'completions',
+        'ended',
+    )
+
+
+    def __init__(self, crashes=None, completions=None, ended=None,):
+        self.crashes = crashes
+        self.completions = completions
+        self.ended = ended
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 2:
                 if ftype == TType.LIST:
-                    self.digests = []
+                    self.crashes = []
                     (_etype52, _size49) = iprot.readListBegin()
                     for _i53 in range(_size49):
-                        _elem54 = iprot.readI64()
-                        self.digests.append(_elem54)
+                        _elem54 = Crash()
+                        _elem54.read(iprot)
+                        self.crashes.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.completions = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = Completion()
+                        _elem60.read(iprot)
+                        self.completions.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.ended = []
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = iprot.readI32()
+                        self.ended.append(_elem66)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1320,11 +1544,25 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('CrashReport')
-        if self.digests is not None:
-            oprot.writeFieldBegin('digests', TType.LIST, 1)
-            oprot.writeListBegin(TType.I64, len(self.digests))
-            for iter55 in self.digests:
-                oprot.writeI64(iter55)
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter67 in self.crashes:
+                iter67.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.completions is not None:
+            oprot.writeFieldBegin('completions', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.completions))
+            for iter68 in self.completions:
+                iter68.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.ended))
+            for iter69 in self.ended:
+                oprot.writeI32(iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1459,11 +1697,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.rejected = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Rejected()
-                        _elem61.read(iprot)
-                        self.rejected.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Rejected()
+                        _elem75.read(iprot)
+                        self.rejected.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1480,8 +1718,8 @@
         if self.rejected is not None:
             oprot.writeFieldBegin('rejected', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.rejected))
-            for iter62 in self.rejected:
-                iter62.write(oprot)
+            for iter76 in self.rejected:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1750,6 +1988,8 @@
     (7, TType.STRING, 'model', 'UTF8', None, ),  # 7
     (8, TType.STRING, 'cell', 'UTF8', None, ),  # 8
     (9, TType.I32, 'active', None, None, ),  # 9
+    (10, TType.I64, 'upstream_started_ms', None, None, ),  # 10
+    (11, TType.BOOL, 'is_down', None, None, ),  # 11
 )
 all_structs.append(PieceMap)
 PieceMap.thrift_spec = (
@@ -1761,10 +2001,26 @@
     (5, TType.I32, 'uploads', None, None, ),  # 5
     (6, TType.BOOL, 'is_retained', None, None, ),  # 6
 )
+all_structs.append(Crash)
+Crash.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'digest', None, None, ),  # 1
+    (2, TType.I32, 'upstream_key', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
+all_structs.append(Completion)
+Completion.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'digest', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
 all_structs.append(CrashReport)
 CrashReport.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'digests', (TType.I64, None, False), None, ),  # 1
+    None,  # 1
+    (2, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 2
+    (3, TType.LIST, 'completions', (TType.STRUCT, [Completion, None], False), None, ),  # 3
+    (4, TType.LIST, 'ended', (TType.I32, None, False), None, ),  # 4
 )
 all_structs.append(Rejected)
 Rejected.thrift_spec = (
--- a/src/bamboolever/calls/poison.py
+++ b/src/bamboolever/calls/poison.py
@@ -1,25 +1,38 @@
 """Detects poison requests: requests that crash the upstreams which run them.
 
-Takes broken responses, upstreams found to be down, completed requests, and the crash
-reports of other entries. Decides which requests are blocked.
+Takes broken responses, the ends of upstreams, responses, and the crashes and
+completions that other entries report. Decides which requests are blocked.
 
 Load pattern: one request that is sent again and again, to any entry, and crashes each
-upstream that begins it. A broken response alone proves nothing. It counts as a crash
-by the request when the upstream is found to be down shortly after, and the request is
-blocked after `CRASHES_TO_BLOCK` crashes. Entries send each other the crashes that
-they detect.
+upstream that begins it. A broken response alone proves nothing. It makes its request a
+suspect until there is evidence of what became of the upstream, whenever that comes: if
+the upstream has ended, the suspect has crashed it; if it responds to a later request,
+it lives. A request is blocked after crashes of `CRASHES_TO_BLOCK` upstreams.
+
+A crash is a fact with a name: the request and the `upstream_key`, which changes when
+the upstream restarts. Reports of other entries are merged by it, in any order and any
+number of times.
+
+A request that shares an upstream with a poison request is a suspect too. Once an
+upstream completes an equal request, all crashes by requests sent before that are void.
+A bystander is blocked only if it was in flight at three crashes and no equal request
+was completed since the first of these was sent; its caller is then refused until the
+block ends.
 """
 
 import hashlib
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import Any, final
 
 CRASHES_TO_BLOCK = 3
-# Crashes are forgotten, and a block ends, this long after the last crash.
+# Stands for how long a caller goes on repeating a request, which no process knows: a
+# block ends, and crashes are forgotten, this long after the last one.
 CRASH_MAX_AGE_S = 120.0
-# Longest time from a broken response to the finding that its upstream is down.
-CRASH_DETECTION_S = 3.0
 MAX_TRACKED_REQUESTS = 5000
+MAX_CRASHES_PER_REQUEST = 8
+MAX_TRACKED_UPSTREAMS = 1000
+MAX_SUSPECTS_PER_UPSTREAM = 256
 _DIGEST_BYTES = 8
 
 
@@ -33,72 +46,163 @@
     return int.from_bytes(digest.digest(), "big", signed=True)
 
 
-@dataclass
-class _CrashCount:
-    crashes: int
-    last_at: float
+@dataclass(frozen=True)
+class Crash:
+    """A crash of one upstream by one request.
 
+    ``upstream`` is an `upstream_key`. ``sent_at`` is when the request was sent to it,
+    in seconds of the entry's clock.
+    """
 
-@dataclass(frozen=True)
-class _BrokenResponse:
     digest: int
+    upstream: int
+    sent_at: float
+
+
+@dataclass(frozen=True)
+class _Suspect:
+    sent_at: float
     broke_at: float
 
 
+@final
 class CrashTracker:
-    """Counts crashes by request digest.
+    """The suspects of each upstream, and the crashes by each request.
 
-    ``upstream`` is an `upstream_key`, which changes when the upstream restarts. Times
-    are seconds of the entry's clock.
+    ``upstream`` is an `upstream_key`. Times are seconds of the entry's clock.
     """
 
     def __init__(self) -> None:
-        self._broken: dict[int, list[_BrokenResponse]] = {}
-        self._counts: OrderedDict[int, _CrashCount] = OrderedDict()
-
-    def on_broken_response(self, upstream: int, digest: int, now: float) -> None:
-        """Record a request; call when the upstream's response to it breaks off."""
-        recent = [
-            response
-            for response in self._broken.get(upstream, [])
-            if _is_recent(response, now)
+        self._suspects: OrderedDict[int, dict[int, _Suspect]] = OrderedDict()
+        self._ended_at: OrderedDict[int, float] = OrderedDict()
+        self._crashes: OrderedDict[int, dict[int, Crash]] = OrderedDict()
+        self._completed_at: OrderedDict[int, float] = OrderedDict()
+
+    # What this entry sees.
+
+    def on_broken_response(
+        self, upstream: int, digest: int, sent_at: float, now: float
+    ) -> list[int]:
+        """Record a request whose response the upstream broke off.
+
+        Returns the requests with a new crash: this one, if the upstream has ended.
+        """
+        if upstream in self._ended_at:
+            is_new = self.add_crash(Crash(digest, upstream, sent_at), now)
+            return [digest] if is_new else []
+        suspects = self._suspects.setdefault(upstream, {})
+        if len(suspects) < MAX_SUSPECTS_PER_UPSTREAM:
+            suspects[digest] = _Suspect(sent_at, now)
+        _limit(self._suspects, MAX_TRACKED_UPSTREAMS)
+        return []
+
+    def on_upstream_ended(self, upstream: int, now: float) -> list[int]:
+        """Count a crash for each suspect of an upstream that is known to have ended.
+
+        Returns the requests with a new crash.
+        """
+        self._ended_at.setdefault(upstream, now)
+        _limit(self._ended_at, MAX_TRACKED_UPSTREAMS)
+        suspects = self._suspects.pop(upstream, {})
+        return [
+            digest
+            for digest, suspect in suspects.items()
+            if self.add_crash(Crash(digest, upstream, suspect.sent_at), now)
         ]
-        self._broken[upstream] = [*recent, _BrokenResponse(digest, now)]
 
-    def on_upstream_down(self, upstream: int, now: float) -> list[int]:
-        """Count a crash for each suspect; call when an upstream is found to be down.
+    def on_upstream_left(self, upstream: int) -> None:
+        """Clear the suspects of an upstream that has ended as it had announced."""
+        self._suspects.pop(upstream, None)
+
+    def on_response(self, upstream: int, sent_at: float) -> None:
+        """Clear the suspects that the upstream has outlived.
 
-        Returns the digests of the suspects: the requests whose responses from this
-        upstream broke off within the last `CRASH_DETECTION_S` seconds.
+        It has responded to a request that was sent at ``sent_at``. If that is later
+        than its supposed end, it has not ended.
         """
-        broken = self._broken.pop(upstream, [])
-        suspects = {response.digest for response in broken if _is_recent(response, now)}
-        for digest in suspects:
-            self.on_crash(digest, now)
-        return sorted(suspects)
-
-    def on_crash(self, digest: int, now: float) -> None:
-        """Count a crash by a suspected request; call when another entry reports one."""
-        known = self._counts.get(digest)
-        if known is None or now - known.last_at > CRASH_MAX_AGE_S:
-            known = self._counts[digest] = _CrashCount(0, now)
-        known.crashes += 1
-        known.last_at = now
-        self._counts.move_to_end(digest)
-        if len(self._counts) > MAX_TRACKED_REQUESTS:
-            self._counts.popitem(last=False)
-
-    def on_completed(self, digest: int) -> None:
-        """Reset a request's crash count; call when an upstream completes it."""
-        self._counts.pop(digest, None)
+        ended_at = self._ended_at.get(upstream)
+        if ended_at is not None and ended_at < sent_at:
+            del self._ended_at[upstream]
+        suspects = self._suspects.get(upstream)
+        if suspects is None:
+            return
+        for digest, suspect in list(suspects.items()):
+            if suspect.broke_at < sent_at:
+                del suspects[digest]
+        if not suspects:
+            del self._suspects[upstream]
+
+    # Facts, which other entries report too.
+
+    def add_crash(self, crash: Crash, now: float) -> bool:
+        """Add a crash; return whether it is new, not too old and not void."""
+        if now - crash.sent_at > CRASH_MAX_AGE_S or self._is_void(crash):
+            return False
+        crashes = self._crashes.setdefault(crash.digest, {})
+        known = crashes.get(crash.upstream)
+        if known is not None:
+            # A report that was delayed makes the crash look newer than it is.
+            crashes[crash.upstream] = min(known, crash, key=_sent_at)
+            return False
+        crashes[crash.upstream] = crash
+        if len(crashes) > MAX_CRASHES_PER_REQUEST:
+            del crashes[min(crashes.values(), key=_sent_at).upstream]
+        self._crashes.move_to_end(crash.digest)
+        _limit(self._crashes, MAX_TRACKED_REQUESTS)
+        return True
+
+    def add_completion(self, digest: int, at: float) -> bool:
+        """Void the crashes by a request that an upstream completed at ``at``.
+
+        Returns whether any was void.
+        """
+        self._completed_at[digest] = max(at, self._completed_at.get(digest, at))
+        self._completed_at.move_to_end(digest)
+        _limit(self._completed_at, MAX_TRACKED_REQUESTS)
+        crashes = self._crashes.get(digest)
+        if crashes is None:
+            return False
+        left = {
+            upstream: crash
+            for upstream, crash in crashes.items()
+            if not self._is_void(crash)
+        }
+        if left:
+            self._crashes[digest] = left
+        else:
+            del self._crashes[digest]
+        return len(left) < len(crashes)
+
+    def has_ended(self, upstream: int) -> bool:
+        """Return whether the upstream is known to have ended."""
+        return upstream in self._ended_at
+
+    def completed_at(self, digest: int) -> float | None:
+        """Return when an upstream last completed a request, if that is known."""
+        return self._completed_at.get(digest)
+
+    def crashes_by(self, digest: int) -> list[Crash]:
+        """Return the known crashes by a request."""
+        return list(self._crashes.get(digest, {}).values())
 
     def is_blocked(self, digest: int, now: float) -> bool:
         """Return whether a request must not be sent to any upstream."""
-        known = self._counts.get(digest)
-        if known is None or now - known.last_at > CRASH_MAX_AGE_S:
-            return False
-        return known.crashes >= CRASHES_TO_BLOCK
+        crashes = self._crashes.get(digest, {})
+        return len(crashes) >= CRASHES_TO_BLOCK and not self._is_too_old(crashes, now)
+
+    def _is_void(self, crash: Crash) -> bool:
+        completed_at = self._completed_at.get(crash.digest)
+        return completed_at is not None and crash.sent_at <= completed_at
+
+    def _is_too_old(self, crashes: dict[int, Crash], now: float) -> bool:
+        newest = max(crashes.values(), key=_sent_at)
+        return now - newest.sent_at > CRASH_MAX_AGE_S
+
+
+def _sent_at(crash: Crash) -> float:
+    return crash.sent_at
 
 
-def _is_recent(response: _BrokenResponse, now: float) -> bool:
-    return now - response.broke_at <= CRASH_DETECTION_S
+def _limit(table: OrderedDict[Any, Any], size: int) -> None:
+    while len(table) > size:
+        table.popitem(last=False)
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -30,6 +30,7 @@
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
 from bamboolever.net.datagrams import DatagramSocket
+from bamboolever.net.exchange import ExchangeFailure
 from bamboolever.net.fetch import Fetch, FetchResult, Response
 from bamboolever.net.handlers import HttpLimits
 from bamboolever.net.server import HttpServer
@@ -82,6 +83,8 @@
         self._started_at = self.task.now()
         self._refreshed_at = 0.0
         self._is_stopping = False
+        self._engine_started_ms = 0
+        self._is_engine_down = False
         self._open_ports()
         self._make_watches()
 
@@ -333,13 +336,21 @@
         interval_s = SWITCHING_REPORT_INTERVAL_S if is_busy else REPORT_INTERVAL_S
         self.task.call_later(interval_s, self._poll_report)
         self._refresh_if_needed()
-        if not isinstance(result, Response) or not result.head.is_success:
-            self._loader.set_report(None)
-            return
-        try:
-            self._loader.set_report(wire.decode_report_body(result.body))
-        except AdapterError as error:
-            logger.warning("report ignored", extra={"reason": str(error)})
+        report = None
+        if isinstance(result, Response) and result.head.is_success:
+            try:
+                report = wire.decode_report_body(result.body)
+            except AdapterError as error:
+                logger.warning("report ignored", extra={"reason": str(error)})
+                return
+        known = (self._engine_started_ms, self._is_engine_down)
+        if report is not None and report.started_ms is not None:
+            self._engine_started_ms = report.started_ms
+        self._is_engine_down = isinstance(result, ExchangeFailure) and result.is_refused
+        self._loader.set_report(report)
+        if known != (self._engine_started_ms, self._is_engine_down):
+            # Calls may have crashed the engine: the entries count that at once.
+            self.on_serving_changed()
 
     def _refresh_if_needed(self) -> None:
         is_due = self.task.now() - self._refreshed_at > LIST_REFRESH_INTERVAL_S
@@ -380,5 +391,7 @@
             rollouts=self._rollouts.ages(now),
             cell=cell,
             active=report.running + report.queued if report is not None else 0,
+            started_ms=self._engine_started_ms,
+            is_down=self._is_engine_down,
         )
         self._datagrams.send(exchange.encode(state), address)
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -229,7 +229,7 @@
         self._limits.header_timeout_s = limits.header_timeout_s
         self._limits.idle_timeout_s = limits.idle_timeout_s
         self.fleet.apply_configuration(configuration)
-        self.fleet.refresh_views(self.task.now())
+        self.calls.on_upstreams_ended(self.fleet.refresh_views(self.task.now()))
         logger.info(
             "configuration in force",
             extra={
@@ -251,7 +251,7 @@
 
     def _on_upstreams(self) -> None:
         is_first = not self.fleet.has_upstreams
-        self.fleet.refresh_views(self.task.now())
+        self.calls.on_upstreams_ended(self.fleet.refresh_views(self.task.now()))
         if is_first:
             # Agents respond with the ages of rollouts and the addresses of the other
             # entries. An entry that has just started cannot know these.
@@ -315,7 +315,7 @@
         digest = request_digest(
             request.method, request.target, metadata.api_key or "", request.body
         )
-        if self.exchange.crash_tracker.is_blocked(digest, now):
+        if self.exchange.crashes.tracker.is_blocked(digest, now):
             self._reject(
                 connection, metadata, UNAVAILABLE_STATUS, RejectReason.POISON.value
             )
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -4,7 +4,7 @@
 called peers, receive this entry's load at each upstream, the requests that it rejected
 and what its watches of the store returned. Of each neighbor cell, one entry receives
 this entry's load there and responds with the cell's summary. Received messages go to
-`EntryFleet`, `StoreRelay`, `RejectionHistory` and `CrashTracker`, which decide what
+`EntryFleet`, `StoreRelay`, `RejectionHistory` and `CrashReports`, which decide what
 follows from them.
 
 Load pattern: several entries share the same upstreams, so each must place, queue
@@ -18,8 +18,8 @@
 
 from bamboolever._task import IoTask
 from bamboolever._telemetry import Telemetry
-from bamboolever.calls.poison import CrashTracker
 from bamboolever.calls.rejections import RejectionHistory
+from bamboolever.daemons.crashreports import CrashReports
 from bamboolever.daemons.entryfleet import EntryFleet
 from bamboolever.daemons.storerelay import StoreRelay
 from bamboolever.fleet import exchange
@@ -94,7 +94,7 @@
             configuration_timeout_s,
         )
         self.rejection_history = RejectionHistory()
-        self.crash_tracker = CrashTracker()
+        self.crashes = CrashReports(task.now, telemetry, self._send_to_all_entries)
 
     def start(self) -> None:
         """Start to receive datagrams and to send hellos and loads periodically."""
@@ -140,15 +140,6 @@
         self._unsent_rejections[digest] = first_at
         self.schedule_load_update()
 
-    def send_crash_report(self, digests: list[int]) -> None:
-        """Tell all known entries which requests may have crashed an upstream."""
-        report = CrashReport(tuple(digests))
-        self._send_to_peers(report)
-        now = self._task.now()
-        for neighbor in self._fleet.neighbors.values():
-            for address in neighbor.entries(now):
-                self._send(report, address)
-
     def _send_hello_periodically(self) -> None:
         self.send_hello_to_agents()
         self._task.call_later(HELLO_INTERVAL_S, self._send_hello_periodically)
@@ -208,6 +199,13 @@
         for address in addresses:
             self._socket.send(data, address)
 
+    def _send_to_all_entries(self, message: Message) -> None:
+        self._send_to_peers(message)
+        now = self._task.now()
+        for neighbor in self._fleet.neighbors.values():
+            for address in neighbor.entries(now):
+                self._send(message, address)
+
     def _on_datagram(self, data: bytes, sender: Address) -> None:
         try:
             message = exchange.decode(data)
@@ -239,6 +237,9 @@
         elif isinstance(message, AgentState):
             if self._fleet.apply_agent_state(message, now):
                 self.schedule_load_update()
+            ended = self._fleet.find_ended(message)
+            if ended is not None:
+                self.crashes.on_upstream_ended(ended.key, "agent")
         elif isinstance(message, CellSummary):
             self._fleet.apply_summary(message, now)
         elif isinstance(message, StoreUpdate):
@@ -247,5 +248,4 @@
             for digest, age_s in message.ages_s.items():
                 self.rejection_history.on_rejected(digest, now - age_s, now)
         elif isinstance(message, CrashReport):
-            for digest in message.digests:
-                self.crash_tracker.on_crash(digest, now)
+            self.crashes.apply(message)
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -113,11 +113,12 @@
 
     # Views.
 
-    def refresh_views(self, now: float) -> None:
+    def refresh_views(self, now: float) -> list[UpstreamView]:
         """Rebuild the views; called when the upstreams or the services changed.
 
         The view of an upstream that has not restarted keeps its state. Engines of
-        cells that this entry does not use have no view.
+        cells that this entry does not use have no view. Returns the former views of
+        upstreams that have ended: they are listed no more, or with another start.
         """
         records = self.upstreams.records(now)
         self._refresh_cells(records)
@@ -135,6 +136,12 @@
             by_service.setdefault(record.service, []).append(view)
         for service in {*by_service, *self._dispatchers}:
             self.dispatcher(service).set_upstreams(by_service.get(service, []))
+        listed = {record.instance_id: record for record in records}
+        return [
+            view
+            for view in known.values()
+            if _has_ended(view.record, listed.get(view.instance_id))
+        ]
 
     def _refresh_cells(self, records: list[UpstreamRecord]) -> None:
         engines = [
@@ -347,6 +354,19 @@
             return False
         return self.peers.add_addresses(state.entries, now)
 
+    def find_ended(self, state: AgentState) -> UpstreamView | None:
+        """Return the upstream of which an agent reports that it has ended, if any.
+
+        It has if it refuses connections, or if another process runs in its place.
+        """
+        view = self._engines_by_address.get(state.upstream)
+        started_ms = view.record.started_ms if view is not None else None
+        if started_ms is None:
+            return None
+        is_replaced = state.started_ms > started_ms
+        is_gone = state.is_down and state.started_ms == started_ms
+        return view if is_replaced or is_gone else None
+
     def _apply_engine_state(
         self, view: UpstreamView, state: AgentState, now: float
     ) -> None:
@@ -390,3 +410,11 @@
         if settings.region_of(zone) == settings.region:
             return OTHER_ZONE_PENALTY_S
         return OTHER_REGION_PENALTY_S
+
+
+def _has_ended(record: UpstreamRecord, listed: UpstreamRecord | None) -> bool:
+    if listed is None:
+        return True
+    if record.started_ms is None or listed.started_ms is None:
+        return False
+    return record.started_ms != listed.started_ms
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -149,28 +149,28 @@
         """Add 1 to the counter ``name`` with these attributes."""
         self._telemetry.count(name, 1, **attributes)
 
-    def on_broken_response(self, relay: CallRelay, upstream: UpstreamView) -> None:
+    def on_broken_response(
+        self, relay: CallRelay, upstream: UpstreamView, sent_at: float
+    ) -> None:
         """Record that ``upstream`` broke off a response; the call may be the cause."""
-        key = upstream.key
-        self._exchange.crash_tracker.on_broken_response(
-            key, relay.digest, self.task.now()
-        )
+        crashes = self._exchange.crashes
+        crashes.on_broken_response(upstream.key, relay.digest, sent_at)
 
-    def on_connect_failed(self, upstream: UpstreamView) -> None:
-        """Count a crash against the calls that may have crashed ``upstream``.
+    def on_connection_refused(self, upstream: UpstreamView) -> None:
+        """Count a crash against the calls whose responses ``upstream`` broke off."""
+        self._exchange.crashes.on_connection_refused(upstream.key)
 
-        These are the calls whose responses it broke off shortly before it became
-        unreachable. Their digests are sent to the peers.
+    def on_upstreams_ended(self, upstreams: list[UpstreamView]) -> None:
+        """Count the crashes of upstreams that are listed no more.
+
+        One that had announced its end was not crashed.
         """
-        now = self.task.now()
-        digests = self._exchange.crash_tracker.on_upstream_down(upstream.key, now)
-        if not digests:
-            return
-        logger.info(
-            "upstream down",
-            extra={"upstream": upstream.instance_id, "blamed": len(digests)},
-        )
-        self._exchange.send_crash_report(digests)
+        crashes = self._exchange.crashes
+        for upstream in upstreams:
+            if upstream.record.is_draining or upstream.is_leaving:
+                crashes.tracker.on_upstream_left(upstream.key)
+            else:
+                crashes.on_upstream_ended(upstream.key, "list")
 
     def on_upstream_closed(
         self, upstream: UpstreamView, reason: str, delay_s: float | None
@@ -187,16 +187,20 @@
         )
         self._exchange.schedule_load_update()
 
-    def on_completed(self, relay: CallRelay) -> None:
-        """Clear the crashes counted against a call that an upstream completed."""
-        self._exchange.crash_tracker.on_completed(relay.digest)
+    def on_completed(
+        self, relay: CallRelay, upstream: UpstreamView, sent_at: float
+    ) -> None:
+        """Void the crashes counted against a call that an upstream completed."""
+        crashes = self._exchange.crashes
+        crashes.on_completed(relay.digest, upstream.key, sent_at)
 
     def acquire_retry(self, relay: CallRelay) -> str | None:
         """Take one retry of a call from its service's budget.
 
         Returns None if the call may be sent again, else the reason why not.
         """
-        if self._exchange.crash_tracker.is_blocked(relay.digest, self.task.now()):
+        tracker = self._exchange.crashes.tracker
+        if tracker.is_blocked(relay.digest, self.task.now()):
             return "crashes-upstreams"
         if not self._retry_budget(relay.service).try_take():
             return "budget-used"
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -93,6 +93,7 @@
         self.record = CallRecord()
         self._tried: set[str] = set()
         self._attempts = 0
+        self._sent_at = 0.0
         self._is_done = False
         self._upstream: UpstreamView | None = None
         self._upstream_connection: ClientConnection | None = None
@@ -119,6 +120,7 @@
         view = placement.upstream
         self._upstream = view
         self._attempts += 1
+        self._sent_at = self._task.now()
         self._tried.add(view.instance_id)
         self.record.upstreams.append(view.instance_id)
         self.record.predicted_s = placement.predicted_s
@@ -267,11 +269,11 @@
         assert view is not None
         truncation = self._find_truncation()
         if truncation is not None:
-            self._context.on_broken_response(self, view)
+            self._context.on_broken_response(self, view, self._sent_at)
             self._on_attempt_failed(AttemptOutcome.UNKNOWN, truncation)
             return
         view.on_success()
-        self._context.on_completed(self)
+        self._context.on_completed(self, view, self._sent_at)
         if self._is_event_stream():
             self._end_stream()
             return
@@ -298,9 +300,10 @@
         assert view is not None
         if failure.kind is FailureKind.CONNECT:
             view.on_unreachable(self._task.now())
-            self._context.on_connect_failed(view)
+            if failure.is_refused:
+                self._context.on_connection_refused(view)
         elif failure.is_request_sent:
-            self._context.on_broken_response(self, view)
+            self._context.on_broken_response(self, view, self._sent_at)
         self._on_attempt_failed(outcome, detail)
 
     def _end_rejected_attempt(self) -> None:
--- a/src/bamboolever/daemons/relaycontext.py
+++ b/src/bamboolever/daemons/relaycontext.py
@@ -53,12 +53,17 @@
         """Called once for each call of the service, before its first attempt."""
 
     @abstractmethod
-    def on_broken_response(self, relay: "CallRelay", upstream: UpstreamView) -> None:
-        """Called when a connection failed after some of the request was sent."""
+    def on_broken_response(
+        self, relay: "CallRelay", upstream: UpstreamView, sent_at: float
+    ) -> None:
+        """Called when a connection failed after some of the request was sent.
+
+        ``sent_at`` is the task's time in seconds when the request was sent to it.
+        """
 
     @abstractmethod
-    def on_connect_failed(self, upstream: UpstreamView) -> None:
-        """Called when a new connection to ``upstream`` could not be opened."""
+    def on_connection_refused(self, upstream: UpstreamView) -> None:
+        """Called when nothing listens at the address of ``upstream``."""
 
     @abstractmethod
     def on_upstream_closed(
@@ -70,8 +75,13 @@
         """
 
     @abstractmethod
-    def on_completed(self, relay: "CallRelay") -> None:
-        """Called when an upstream's successful response is complete."""
+    def on_completed(
+        self, relay: "CallRelay", upstream: UpstreamView, sent_at: float
+    ) -> None:
+        """Called when the successful response of ``upstream`` is complete.
+
+        ``sent_at`` is the task's time in seconds when the request was sent to it.
+        """
 
     @abstractmethod
     def acquire_retry(self, relay: "CallRelay") -> str | None:
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -18,6 +18,7 @@
     Message,
     PieceMap,
     Rejections,
+    ReportedCrash,
     RolloutAge,
     StoreUpdate,
     UpstreamSummary,
@@ -67,7 +68,7 @@
     if isinstance(message, AgentState):
         return {"agent_state": _state_to_wire(message)}
     if isinstance(message, CrashReport):
-        return {"crash_report": ttypes.CrashReport(list(message.digests))}
+        return {"crash_report": _crashes_to_wire(message)}
     if isinstance(message, CellSummary):
         return {"cell_summary": _summary_to_wire(message)}
     if isinstance(message, StoreUpdate):
@@ -123,9 +124,23 @@
         message.model,
         message.cell,
         message.active,
+        message.started_ms,
+        message.is_down,
     )
 
 
+def _crashes_to_wire(message: CrashReport) -> Any:
+    crashes = [
+        ttypes.Crash(crash.digest, crash.upstream, int(crash.age_s * 1000))
+        for crash in message.crashes
+    ]
+    completions = [
+        ttypes.Completion(digest, int(age_s * 1000))
+        for digest, age_s in message.completed_ages_s.items()
+    ]
+    return ttypes.CrashReport(crashes, completions, list(message.ended))
+
+
 def _summary_to_wire(message: CellSummary) -> Any:
     upstreams = [
         ttypes.UpstreamSummary(
@@ -192,7 +207,7 @@
     if datagram.store_update is not None:
         return _update_from_wire(datagram.store_update)
     if datagram.crash_report is not None:
-        return CrashReport(tuple(datagram.crash_report.digests))
+        return _crashes_from_wire(datagram.crash_report)
     if datagram.rejections is not None:
         rejected = datagram.rejections.rejected
         return Rejections(
@@ -243,6 +258,8 @@
         wire.model or "",
         wire.cell or "",
         wire.active or 0,
+        wire.upstream_started_ms or 0,
+        bool(wire.is_down),
     )
 
 
@@ -257,6 +274,15 @@
     )
 
 
+def _crashes_from_wire(wire: Any) -> CrashReport:
+    crashes = tuple(
+        ReportedCrash(crash.digest, crash.upstream_key, crash.age_ms / 1000)
+        for crash in wire.crashes or ()
+    )
+    completed_ages_s = {each.digest: each.age_ms / 1000 for each in wire.completions}
+    return CrashReport(crashes, completed_ages_s, tuple(wire.ended))
+
+
 def _summary_from_wire(wire: Any) -> CellSummary:
     upstreams = {
         each.upstream_key: UpstreamSummary(
--- a/src/bamboolever/fleet/messages.py
+++ b/src/bamboolever/fleet/messages.py
@@ -4,7 +4,7 @@
 complete state, or names the state from which its changes go on.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bamboolever.calls.engine import EngineLoad
 from bamboolever.net.addresses import Address
@@ -120,7 +120,9 @@
     ``model`` and ``version`` name what the upstream serves with all layers; version 0
     means nothing. ``is_switching`` means that the upstream takes no requests because
     it changes its version. ``slowdown`` is the factor by which it is slower than its
-    profile.
+    profile. ``started_ms`` is the Unix time of the upstream's last known start in
+    milliseconds, 0 if none is known; ``is_down`` means that this process refuses
+    connections.
     """
 
     upstream: Address
@@ -132,6 +134,8 @@
     model: str = ""
     cell: str = ""
     active: int = 0
+    started_ms: int = 0
+    is_down: bool = False
 
 
 @dataclass(frozen=True)
@@ -152,11 +156,29 @@
     is_retained: bool = False
 
 
+@dataclass(frozen=True)
+class ReportedCrash:
+    """A request's digest and the key of the upstream that it crashed.
+
+    ``age_s`` is the seconds since the request was sent to the upstream.
+    """
+
+    digest: int
+    upstream: int
+    age_s: float
+
+
 @dataclass(frozen=True)
 class CrashReport:
-    """Digests of the requests that an entry suspects of crashing an upstream."""
+    """What an entry knows of requests that crash upstreams.
+
+    ``completed_ages_s`` are the seconds since an upstream completed a request, by
+    digest. ``ended`` are the keys of upstreams that refused a connection.
+    """
 
-    digests: tuple[int, ...]
+    crashes: tuple[ReportedCrash, ...] = ()
+    completed_ages_s: dict[int, float] = field(default_factory=dict)
+    ended: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/net/client.py
+++ b/src/bamboolever/net/client.py
@@ -118,7 +118,8 @@
     def _finish_connect(self) -> bool:
         error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
-            self._fail(FailureKind.CONNECT, os.strerror(error))
+            is_refused = error == errno.ECONNREFUSED
+            self._fail(FailureKind.CONNECT, os.strerror(error), is_refused=is_refused)
             return False
         self._is_connecting = False
         self._cancel_connect_timer()
@@ -255,7 +256,9 @@
         kind = FailureKind.SILENT if is_silent else FailureKind.RESET
         self._fail(kind, str(error))
 
-    def _fail(self, kind: FailureKind, detail: str) -> None:
+    def _fail(
+        self, kind: FailureKind, detail: str, *, is_refused: bool = False
+    ) -> None:
         if self._is_closed:
             return
         handler = self._handler
@@ -263,7 +266,9 @@
         is_request_sent = self._is_request_sent
         self.close()
         if handler is not None:
-            handler.on_failure(ExchangeFailure(kind, is_request_sent, detail))
+            handler.on_failure(
+                ExchangeFailure(kind, is_request_sent, detail, is_refused)
+            )
 
     def _set_events(self, events: int) -> None:
         if events != self._events and not self._is_closed:
--- a/src/bamboolever/net/exchange.py
+++ b/src/bamboolever/net/exchange.py
@@ -32,12 +32,14 @@
 
     ``is_request_sent`` is true when at least one byte of the request was written
     to the socket. Otherwise the server cannot have executed the request.
-    ``detail`` is a text for logs.
+    ``detail`` is a text for logs. ``is_refused`` is true when nothing listens at the
+    server's address.
     """
 
     kind: FailureKind
     is_request_sent: bool
     detail: str
+    is_refused: bool = False
 
 
 class ResponseHandler(ABC):
--- /dev/null
+++ b/testing/daemons/test_crashreports.py
@@ -0,0 +1,127 @@
+"""What entries tell each other of requests that crash upstreams."""
+
+import pytest
+
+from bamboolever._telemetry import Telemetry
+from bamboolever.calls.poison import CRASH_MAX_AGE_S, CRASHES_TO_BLOCK
+from bamboolever.daemons.crashreports import MAX_CRASHES_PER_DATAGRAM, CrashReports
+from bamboolever.fleet import exchange
+from bamboolever.fleet.messages import CrashReport, ReportedCrash
+from bamboolever.net.datagrams import MAX_DATAGRAM_BYTES
+
+POISON = 7
+MAX_UNFRAGMENTED_BYTES = 1400
+
+
+class _Clock:
+    def __init__(self):
+        self.now_s = 1000.0
+
+    def __call__(self):
+        return self.now_s
+
+
+@pytest.fixture
+def clock():
+    return _Clock()
+
+
+@pytest.fixture
+def sent():
+    return []
+
+
+@pytest.fixture
+def crashes(clock, sent):
+    return CrashReports(clock, Telemetry("entry"), sent.append)
+
+
+def _crash(crashes, clock, *upstreams, digest=POISON):
+    for upstream in upstreams:
+        crashes.on_broken_response(upstream, digest, clock())
+        crashes.on_upstream_ended(upstream, "agent")
+
+
+def test_crash_is_reported_at_once_with_its_age(crashes, clock, sent):
+    crashes.on_broken_response(5, POISON, clock() - 0.5)
+    assert sent == []
+    crashes.on_upstream_ended(5, "agent")
+    assert sent == [CrashReport((ReportedCrash(POISON, 5, 0.5),))]
+
+
+def test_end_without_suspects_is_not_reported(crashes, sent):
+    crashes.on_upstream_ended(5, "list")
+    assert sent == []
+
+
+def test_response_that_breaks_after_the_known_end_is_reported(crashes, clock, sent):
+    crashes.on_upstream_ended(5, "agent")
+    crashes.on_broken_response(5, POISON, clock())
+    assert sent == [CrashReport((ReportedCrash(POISON, 5, 0.0),))]
+
+
+def test_refused_connection_is_reported_once(crashes, clock, sent):
+    crashes.on_connection_refused(5)
+    crashes.on_connection_refused(5)
+    assert sent == [CrashReport(ended=(5,))]
+
+
+def test_end_that_another_entry_saw_counts_the_crash(crashes, clock):
+    crashes.on_broken_response(5, POISON, clock())
+    crashes.apply(CrashReport(ended=(5,)))
+    assert [crash.upstream for crash in crashes.tracker.crashes_by(POISON)] == [5]
+
+
+def test_crashes_that_different_entries_saw_add_up(crashes, clock):
+    _crash(crashes, clock, 1)
+    reported = tuple(ReportedCrash(POISON, key, 0.1) for key in (1, 2))
+    crashes.apply(CrashReport(reported))
+    assert not crashes.tracker.is_blocked(POISON, clock())
+    crashes.apply(CrashReport((ReportedCrash(POISON, 3, 0.1),)))
+    assert crashes.tracker.is_blocked(POISON, clock())
+
+
+def test_reported_crash_ages_on_this_entrys_clock(crashes, clock):
+    for key in range(CRASHES_TO_BLOCK):
+        crashes.apply(CrashReport((ReportedCrash(POISON, key, 100.0),)))
+    assert crashes.tracker.is_blocked(POISON, clock())
+    clock.now_s += CRASH_MAX_AGE_S - 99.0
+    assert not crashes.tracker.is_blocked(POISON, clock())
+
+
+def test_completion_is_reported_only_if_it_voids_a_crash(crashes, clock, sent):
+    crashes.on_completed(POISON, 9, clock())
+    assert sent == []
+    clock.now_s += 1.0
+    _crash(crashes, clock, 1)
+    sent.clear()
+    crashes.on_completed(POISON, 9, clock())
+    assert sent == [CrashReport(completed_ages_s={POISON: 0.0})]
+
+
+def test_entry_that_missed_a_completion_is_told_of_it(crashes, clock, sent):
+    crashes.on_completed(POISON, 9, clock())
+    clock.now_s += 1.0
+    crashes.apply(CrashReport((ReportedCrash(POISON, 1, 2.0),)))
+    assert sent == [CrashReport(completed_ages_s={POISON: 1.0})]
+    assert not crashes.tracker.crashes_by(POISON)
+
+
+def test_reported_completion_voids_crashes(crashes, clock):
+    _crash(crashes, clock, 1, 2, 3)
+    clock.now_s += 1.0
+    crashes.apply(CrashReport(completed_ages_s={POISON: 0.5}))
+    assert not crashes.tracker.is_blocked(POISON, clock())
+
+
+def test_report_of_many_crashes_fits_into_datagrams(crashes, clock, sent):
+    digests = [2**63 - 1 - number for number in range(MAX_CRASHES_PER_DATAGRAM)]
+    for digest in digests:
+        crashes.on_broken_response(2**31 - 1, digest, clock() - CRASH_MAX_AGE_S + 1.0)
+        crashes.on_broken_response(-(2**31), digest, clock() - CRASH_MAX_AGE_S + 1.0)
+    crashes.on_upstream_ended(2**31 - 1, "agent")
+    crashes.on_upstream_ended(-(2**31), "agent")
+    sizes = [len(exchange.encode(report)) for report in sent]
+    assert max(sizes) <= MAX_UNFRAGMENTED_BYTES < MAX_DATAGRAM_BYTES
+    names = {(crash.digest, crash.upstream) for each in sent for crash in each.crashes}
+    assert len(names) == 2 * MAX_CRASHES_PER_DATAGRAM
--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -255,10 +255,11 @@
 def test_request_that_crashes_upstreams_is_blocked_at_every_entry(
     site, engines, start_entry, start_agent
 ):
+    engines.append(site.add_engine("engine-3", "127.0.0.4"))
     first, second = _start_peers(engines, start_entry, start_agent)
     now = first.entry.task.now
     digest = _crash_three_times(first, engines)
-    wait_for(lambda: second.entry.exchange.crash_tracker.is_blocked(digest, now()))
+    wait_for(lambda: second.entry.exchange.crashes.tracker.is_blocked(digest, now()))
     response = second.call("/stream/bad", **make_stream_headers())
     assert response.status == 503
     assert response.body == b"poison"
@@ -268,8 +269,9 @@
 def _start_peers(engines, start_entry, start_agent):
     """Return two entries that know each other's address through an agent."""
     start_agent(engines[0])
-    first = start_entry(name="entry-1", host="127.0.0.8").wait_ready(2)
-    second = start_entry(name="entry-2", host="127.0.0.9").wait_ready(2)
+    count = len(engines)
+    first = start_entry(name="entry-1", host="127.0.0.8").wait_ready(count)
+    second = start_entry(name="entry-2", host="127.0.0.9").wait_ready(count)
     wait_for(lambda: first.entry.fleet.peers.recipients())
     wait_for(lambda: second.entry.fleet.peers.recipients())
     return first, second
@@ -279,14 +281,13 @@
     entry = running.entry
     digest = request_digest(b"POST", b"/stream/bad", API_KEY, b"body")
     views = views_of(running)
-    for number in range(3):
-        view = views[engines[number % 2].instance_id]
+    for engine in engines[:3]:
+        view = views[engine.instance_id]
 
         def crash(view=view):
-            entry.exchange.crash_tracker.on_broken_response(
-                view.key, digest, entry.task.now()
-            )
-            entry.calls.on_connect_failed(view)
+            now = entry.task.now()
+            entry.exchange.crashes.on_broken_response(view.key, digest, now)
+            entry.calls.on_connection_refused(view)
 
         entry.task.send(crash)
     return digest
--- a/testing/daemons/test_entryexchange.py
+++ b/testing/daemons/test_entryexchange.py
@@ -81,10 +81,9 @@
     second._fleet.peers.add_addresses((first._socket.address,), now)
 
 
-def _crash(exchange, upstream, now):
-    exchange.crash_tracker.on_broken_response(upstream, POISON, now)
-    digests = exchange.crash_tracker.on_upstream_down(upstream, now)
-    exchange.send_crash_report(digests)
+def _crash(exchange, upstream):
+    exchange.crashes.on_broken_response(upstream, POISON, exchange._task.now())
+    exchange.crashes.on_upstream_ended(upstream, "refused")
 
 
 def test_lost_crash_report_is_made_up_for(site):
@@ -97,10 +96,10 @@
     second._send_load_heartbeat()
     wire.is_down = True
     for upstream in range(3):
-        _crash(first, upstream, task.now())
+        _crash(first, upstream)
     wire.is_down = False
     task.advance(REPEAT_S)
-    assert second.crash_tracker.is_blocked(POISON, task.now())
+    assert second.crashes.tracker.is_blocked(POISON, task.now())
 
 
 def test_entry_that_starts_later_learns_which_requests_are_blocked(site):
@@ -110,11 +109,11 @@
     _Wire(first, second)
     first._send_load_heartbeat()
     for upstream in range(3):
-        _crash(first, upstream, task.now())
+        _crash(first, upstream)
     _introduce(first, second, task.now())
     second._send_load_heartbeat()
     task.advance(REPEAT_S)
-    assert second.crash_tracker.is_blocked(POISON, task.now())
+    assert second.crashes.tracker.is_blocked(POISON, task.now())
 
 
 def test_repeated_crash_report_counts_once(site):
@@ -123,9 +122,9 @@
     second = _make_exchange(site, task, "127.0.0.9")
     _Wire(first, second)
     _introduce(first, second, task.now())
-    _crash(first, 0, task.now())
-    _crash(second, 0, task.now())
-    _crash(first, 1, task.now())
+    _crash(first, 0)
+    _crash(second, 0)
+    _crash(first, 1)
     task.advance(REPEAT_S)
-    assert not first.crash_tracker.is_blocked(POISON, task.now())
-    assert not second.crash_tracker.is_blocked(POISON, task.now())
+    assert not first.crashes.tracker.is_blocked(POISON, task.now())
+    assert not second.crashes.tracker.is_blocked(POISON, task.now())
--- a/testing/daemons/test_inflightcalls.py
+++ b/testing/daemons/test_inflightcalls.py
@@ -1,10 +1,15 @@
-"""Requests that crash engines, at an entry that hears from the engines' agents."""
+"""Requests that crash upstreams, and how an entry finds out that these have ended."""
 
 import pytest
 from sitebuilders import make_stream_headers, views_of, wait_for
 
+from bamboolever.calls.poison import request_digest
+from bamboolever.fleet.messages import AgentState
+from bamboolever.platform.standins.site import API_KEY, PLAIN_SERVICE
 from bamboolever.platform.standins.upstream import MODEL, Behaviour
 
+LOOKUP_DIGEST = request_digest(b"POST", b"/lookup/bad", API_KEY, b"body")
+
 
 @pytest.fixture
 def engines(site):
@@ -14,11 +19,6 @@
     ]
 
 
-def _crash(engine):
-    """Stop an engine that has just broken off a response."""
-    engine.stop()
-
-
 def _send_poison(running, engines):
     """Send a request that crashes the engines that it reaches, and return those."""
     counts = [len(engine.received_requests) for engine in engines]
@@ -30,7 +30,7 @@
         if len(engine.received_requests) > count
     ]
     for engine in reached:
-        _crash(engine)
+        engine.stop()
     return reached
 
 
@@ -55,3 +55,114 @@
     response = entry.call("/stream/bad", **make_stream_headers())
     assert response.status == 503
     assert response.body == b"poison"
+
+
+def test_restart_that_an_agent_sees_counts_as_a_crash(
+    engines, start_entry, start_agent
+):
+    engine = engines[0]
+    start_agent(engine)
+    entry = start_entry().wait_ready(len(engines))
+    view = views_of(entry)[engine.instance_id]
+    wait_for(lambda: view._reported_version)
+    crashes = entry.entry.exchange.crashes
+    entry.entry.task.send(
+        lambda: crashes.on_broken_response(view.key, 7, entry.entry.task.now())
+    )
+    engine.engine.started_ms = 2
+    wait_for(lambda: crashes.tracker.crashes_by(7))
+
+
+@pytest.mark.parametrize(
+    ("started_ms", "is_down", "is_ended"),
+    [
+        (1, True, True),
+        (2, False, True),
+        (2, True, True),
+        (1, False, False),
+        (0, True, False),
+        (0, False, False),
+    ],
+)
+def test_agent_reports_the_end_of_the_process_that_the_entry_knows(
+    engines, start_entry, started_ms, is_down, is_ended
+):
+    fleet = start_entry().wait_ready(len(engines)).entry.fleet
+    state = AgentState(
+        engines[0].address, False, 0, 1.0, (), started_ms=started_ms, is_down=is_down
+    )
+    found = fleet.find_ended(state)
+    assert (found is not None) is is_ended
+
+
+def _break_lookup(entry, upstreams):
+    """Break off the response to one lookup at each upstream that it reaches."""
+    for upstream in upstreams:
+        upstream.behaviours.append(Behaviour.CUT)
+    assert entry.call("/lookup/bad").status == 502
+
+
+def _crashed(entry):
+    tracker = entry.entry.exchange.crashes.tracker
+    return tracker.crashes_by(LOOKUP_DIGEST)
+
+
+def test_removal_from_the_list_counts_as_a_crash(site, plain_upstreams, start_entry):
+    entry = start_entry().wait_ready(2)
+    _break_lookup(entry, plain_upstreams)
+    assert not _crashed(entry)
+    site.store.delete("servers", "plain-1")
+    wait_for(lambda: len(_crashed(entry)) == 1)
+
+
+def test_restart_under_the_same_id_counts_as_a_crash(
+    site, plain_upstreams, start_entry
+):
+    for upstream in plain_upstreams:
+        site.put_upstream(upstream, PLAIN_SERVICE, born=1)
+    entry = start_entry().wait_ready(2)
+    _break_lookup(entry, plain_upstreams)
+    for upstream in plain_upstreams:
+        site.put_upstream(upstream, PLAIN_SERVICE, born=2)
+    wait_for(lambda: len(_crashed(entry)) == 2)
+
+
+def test_upstream_that_drains_and_leaves_was_not_crashed(
+    site, plain_upstreams, start_entry
+):
+    entry = start_entry().wait_ready(2)
+    _break_lookup(entry, plain_upstreams)
+    site.put_upstream(plain_upstreams[0], PLAIN_SERVICE, state="draining")
+    wait_for(lambda: views_of(entry)["plain-1"].record.is_draining)
+    site.store.delete("servers", "plain-1")
+    wait_for(lambda: "plain-1" not in views_of(entry))
+    assert not _crashed(entry)
+
+
+def test_refused_connection_counts_as_a_crash(site, plain_upstreams, start_entry):
+    entry = start_entry().wait_ready(2)
+    _break_lookup(entry, plain_upstreams)
+    for upstream in plain_upstreams:
+        upstream.stop()
+    assert entry.call("/lookup/other").status == 503
+    assert len(_crashed(entry)) == 2
+
+
+def test_upstream_that_serves_another_request_was_not_crashed(
+    site, plain_upstreams, start_entry
+):
+    entry = start_entry().wait_ready(2)
+    _break_lookup(entry, plain_upstreams)
+    assert entry.call("/lookup/other").status == 200
+    keys = {
+        upstream.instance_id: views_of(entry)[upstream.instance_id].key
+        for upstream in plain_upstreams
+    }
+    silent = [each for each in plain_upstreams if len(each.received_requests) == 1]
+    for upstream in plain_upstreams:
+        site.store.delete("servers", upstream.instance_id)
+    wait_for(lambda: not views_of(entry))
+    wait_for(lambda: _crashed(entry))
+    expected = [keys[upstream.instance_id] for upstream in silent]
+    assert len(expected) == 1
+    assert [crash.upstream for crash in _crashed(entry)] == expected
--- a/testing/daemons/test_truncation.py
+++ b/testing/daemons/test_truncation.py
@@ -76,7 +76,7 @@
     """Guards against requests that crash upstreams and are never blocked."""
     entry = start_entry().wait_ready(1)
     _call_stream(entry)
-    assert entry.entry.exchange.crash_tracker._broken
+    assert entry.entry.exchange.crashes.tracker._suspects
 
 
 @pytest.mark.parametrize(
--- a/testing/fleet/test_exchange.py
+++ b/testing/fleet/test_exchange.py
@@ -46,7 +46,15 @@
     exchange.PieceMap("model", 2, (1 << 95) | 5, True),
     exchange.PieceMap("model", 2, 0),
     exchange.PieceMap("model", 2, 5, False, 3, True),
-    exchange.CrashReport((-1, 5)),
+    exchange.AgentState(
+        Address("10.0.0.1", 80), False, 0, 1.0, (), started_ms=2**41, is_down=True
+    ),
+    exchange.CrashReport(),
+    exchange.CrashReport(
+        (exchange.ReportedCrash(-(2**63), -5, 1.25), exchange.ReportedCrash(5, 6, 0.0)),
+        {-9: 1.25, 3: 0.0},
+        (-7, 8),
+    ),
     exchange.Rejections({-9: 1.25, 3: 0.0}),
 ]
 
--- a/testing/net/test_client.py
+++ b/testing/net/test_client.py
@@ -160,6 +160,7 @@
     _, outcome = _exchange(pool, server.address)
     assert outcome.kind is FailureKind.CONNECT
     assert not outcome.is_request_sent
+    assert outcome.is_refused
 
 
 def test_response_before_the_end_of_the_request_closes_the_connection(pool):
