Repeat crash reports while they matter

Cause: a crash report was one datagram, sent once, to the entries known at that moment.

Change: with its regular datagrams an entry reports the requests that are blocked or one crash short of it, until they complete or are too old. Reports are merged by request and incarnation, so a repeat changes nothing.

--- a/src/bamboolever/calls/poison.py
+++ b/src/bamboolever/calls/poison.py
@@ -185,6 +185,20 @@
         """Return the known crashes by a request."""
         return list(self._crashes.get(digest, {}).values())
 
+    def near_block(self, now: float) -> list[int]:
+        """Return the requests that are blocked or would be after one more crash.
+
+        Forgets the requests whose last crash is too old.
+        """
+        for digest, crashes in list(self._crashes.items()):
+            if self._is_too_old(crashes, now):
+                del self._crashes[digest]
+        return [
+            digest
+            for digest, crashes in self._crashes.items()
+            if len(crashes) >= CRASHES_TO_BLOCK - 1
+        ]
+
     def is_blocked(self, digest: int, now: float) -> bool:
         """Return whether a request must not be sent to any upstream."""
         crashes = self._crashes.get(digest, {})
--- a/src/bamboolever/daemons/crashreports.py
+++ b/src/bamboolever/daemons/crashreports.py
@@ -3,8 +3,10 @@
 Takes what this entry sees of its calls and upstreams, and the reports of other entries.
 Decides which reports to send. `CrashTracker` decides which requests are blocked.
 
-Load pattern: a request that crashes upstreams comes to any entry, and each entry sees
-only its own calls. A report costs what it names.
+Load pattern: a request that crashes upstreams comes to any entry. A datagram may be
+lost, an entry may be cut off or start later. A request that is blocked, or would be
+after one more crash, is therefore reported again and again; a report costs what it
+names and changes nothing when it is repeated.
 """
 
 import logging
@@ -74,6 +76,10 @@
         if self.tracker.add_completion(digest, self._now()):
             self._send(CrashReport(completed_ages_s={digest: 0.0}))
 
+    def repeat(self) -> None:
+        """Report the requests that are blocked or nearly so; call periodically."""
+        self._send_crashes(self.tracker.near_block(self._now()))
+
     def apply(self, report: CrashReport) -> None:
         """Merge the report of another entry.
 
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -10,7 +10,7 @@
 Load pattern: several entries share the same upstreams, so each must place, queue
 and block requests by nearly the same state. Loads and rejections are sent soon after
 a change, but at most every `MIN_LOAD_INTERVAL_S`, so that a burst of requests needs
-few datagrams. Crash reports are sent at once.
+few datagrams. Crash reports are sent at once, and repeated while they matter.
 """
 
 import logging
@@ -151,6 +151,7 @@
             self._send_load()
         if now - self._summaries_asked_at >= MAX_SUMMARY_INTERVAL_S:
             self._ask_for_summaries()
+        self.crashes.repeat()
         self._task.call_later(LOAD_HEARTBEAT_S, self._send_load_heartbeat)
 
     def _send_load(self) -> None:
--- a/testing/calls/test_poison.py
+++ b/testing/calls/test_poison.py
@@ -133,6 +133,8 @@
         _crash(tracker, upstream, 0.0, POISON)
     assert tracker.is_blocked(POISON, 1.0)
     assert not tracker.is_blocked(POISON, CRASH_MAX_AGE_S + 1.0)
+    assert not tracker.near_block(CRASH_MAX_AGE_S + 1.0)
+    assert not tracker.crashes_by(POISON)
 
 
 def test_crash_of_one_upstream_counts_once():
@@ -143,6 +145,14 @@
     assert tracker.crashes_by(POISON) == [Crash(POISON, 7, 0.0)]
 
 
+def test_request_is_near_its_block_after_two_crashes():
+    tracker = CrashTracker()
+    _crash(tracker, 0, 0.0, POISON, HARMLESS)
+    assert tracker.near_block(1.0) == []
+    _crash(tracker, 1, 0.0, POISON)
+    assert tracker.near_block(1.0) == [POISON]
+
+
 FACTS = [
     *(Crash(POISON, upstream, 10.0 + upstream) for upstream in range(4)),
     *(Crash(HARMLESS, upstream, 10.0 + upstream) for upstream in range(4)),
--- a/testing/daemons/test_crashreports.py
+++ b/testing/daemons/test_crashreports.py
@@ -114,6 +114,18 @@
     assert not crashes.tracker.is_blocked(POISON, clock())
 
 
+def test_only_requests_near_their_block_are_repeated(crashes, clock, sent):
+    _crash(crashes, clock, 1, 2)
+    _crash(crashes, clock, 3, digest=8)
+    sent.clear()
+    crashes.repeat()
+    assert [crash.digest for crash in sent[0].crashes] == [POISON, POISON]
+    clock.now_s += CRASH_MAX_AGE_S + 1.0
+    sent.clear()
+    crashes.repeat()
+    assert sent == []
+
+
 def test_report_of_many_crashes_fits_into_datagrams(crashes, clock, sent):
     digests = [2**63 - 1 - number for number in range(MAX_CRASHES_PER_DATAGRAM)]
     for digest in digests:
