Divide the retry slack by the number of entries

Cause: each entry saved a tenth of a service's retry slack, whatever the number of entries: the tenth stood in for 'there are ten at most'. By arithmetic with every entry's reserve full (slack 104, ratio 0.2), 17 entries could send 170 retries where 104 are allowed without requests, 36 entries 720 where 704 are at 3,000 requests.

Change: an entry saves its part of the slack by the number of entries: those of its cell, times the number of cells, so that the parts of all cells add up to the slack. It keeps to a tenth at most, as before; up to ten entries nothing changes.

Open: an entry that restarts within the window has its reserve again, and entries in zones without engines are not counted elsewhere.

--- a/src/bamboolever/_retry.py
+++ b/src/bamboolever/_retry.py
@@ -37,6 +37,11 @@
         """Set the retries that each first attempt adds, such as 0.1."""
         self._share = share
 
+    def set_max_saved(self, max_saved: float) -> None:
+        """Set how many unused retries are kept at most; drop those beyond it."""
+        self._max_saved = max_saved
+        self._tokens = min(self._tokens, max_saved)
+
     def on_first_attempt(self) -> None:
         """Add a first attempt's share of a retry."""
         self._tokens = min(self._max_saved, self._tokens + self._share)
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -84,6 +84,13 @@
         """Whether a request waits for an upstream of any service."""
         return any(each.queue_length for each in self._dispatchers.values())
 
+    @property
+    def entry_count(self) -> int:
+        """Number of entries, as if each cell had as many as this entry's."""
+        cells = self._cells.members
+        cell_count = len(cells) if self.own_cell in cells else len(cells) + 1
+        return cell_count * (1 + len(self.peers.recipients()))
+
     def needs_neighbors(self, now: float) -> bool:
         """Return whether engines of other cells are in use or may soon be."""
         return any(
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -7,7 +7,8 @@
 
 Load pattern: upstreams that fail many requests at once. Each retry adds load to the
 upstreams that are left, so retries are limited to a share of the first attempts. All
-entries together must keep to the contract's budget, so each spends only a part of it.
+entries together must keep to the contract's budget, so each spends the share of its own
+first attempts, and the slack is divided by the number of entries.
 """
 
 import itertools
@@ -36,9 +37,11 @@
 MAX_UPSTREAM_IDLE_S = 3.0
 # Changes of the fleet within this time cause one dispatch of the waiting calls.
 DISPATCH_DELAY_S = 0.015
-# The part of a service's retry ratio and slack that one of several entries may spend.
+# The part of a service's retry ratio that the entries spend.
 ENTRY_RETRY_SHARE = 0.6
-ENTRY_RESERVE_SHARE = 0.1
+# The part of a service's retry slack that one entry saves at most, however few others
+# it knows.
+MAX_ENTRY_RESERVE_SHARE = 0.1
 
 
 @final
@@ -135,16 +138,18 @@
     def _retry_budget(self, service: str) -> RetryBudget:
         budget = self._retry_budgets.get(service)
         if budget is None:
-            bounds = self._bounds
-            reserve = bounds.retry_slack * ENTRY_RESERVE_SHARE
-            budget = RetryBudget(
-                bounds.retry_ratio * ENTRY_RETRY_SHARE,
+            reserve = self._find_reserve()
+            budget = self._retry_budgets[service] = RetryBudget(
+                self._bounds.retry_ratio * ENTRY_RETRY_SHARE,
                 reserve=reserve,
                 max_saved=reserve,
             )
-            self._retry_budgets[service] = budget
         return budget
 
+    def _find_reserve(self) -> float:
+        share = min(MAX_ENTRY_RESERVE_SHARE, 1 / self._fleet.entry_count)
+        return self._bounds.retry_slack * share
+
     def count(self, name: str, **attributes: str) -> None:
         """Add 1 to the counter ``name`` with these attributes."""
         self._telemetry.count(name, 1, **attributes)
@@ -202,7 +207,9 @@
         tracker = self._exchange.crashes.tracker
         if tracker.is_blocked(relay.digest, self.task.now()):
             return "crashes-upstreams"
-        if not self._retry_budget(relay.service).try_take():
+        budget = self._retry_budget(relay.service)
+        budget.set_max_saved(self._find_reserve())
+        if not budget.try_take():
             return "budget-used"
         return None
 
