--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -262,7 +262,8 @@
 
     def _refresh_views(self) -> None:
         known = set(self.fleet.agent_addresses())
-        self.fleet.refresh_views(self.task.now())
+        ended = self.fleet.refresh_views(self.task.now())
+        self.calls.on_upstreams_ended(ended)
         new = [each for each in self.fleet.agent_addresses() if each not in known]
         if not known and new:
             # Agents respond with the ages of rollouts and the addresses of the other
@@ -333,7 +334,7 @@
         digest = request_digest(
             request.method, request.target, metadata.api_key or "", request.body
         )
-        if self.exchange.crash_tracker.is_blocked(digest, now):
+        if self.exchange.crashes.tracker.is_blocked(digest, now):
             self._reject(
                 connection, metadata, UNAVAILABLE_STATUS, RejectReason.POISON.value
             )
--- a/testing/daemons/test_entryfleet.py
+++ b/testing/daemons/test_entryfleet.py
@@ -5,13 +5,14 @@
 
 from sitebuilders import make_stream_headers, views_of, wait_for
 
+from bamboolever.fleet.messages import AgentState
 from bamboolever.platform.documents import decode_configuration
 from bamboolever.platform.standins.site import (
     ENGINE_SERVICE,
     PLAIN_SERVICE,
 )
 from bamboolever.platform.standins.store import StoreFault
-from bamboolever.platform.standins.upstream import EVENT_COUNT
+from bamboolever.platform.standins.upstream import EVENT_COUNT, MODEL
 
 ALL_EVENTS = b"".join(
     f"id: {number}\ndata: token {number}\n\n".encode()
@@ -175,3 +176,26 @@
     wait_for(lambda: all("plain-3" in views_of(each) for each in running))
     wait_for(lambda: sum(watch.is_calling for watch in watches) == 3)
     assert sum(each._watches[0].is_calling for each in entries) == 1
+
+
+def test_agent_that_cannot_tell_the_version_keeps_its_engine_in_use(
+    engines, start_entry
+):
+    """An agent that had just started reported that its engine serves nothing."""
+    entry = start_entry().wait_ready(len(engines)).entry
+    now = entry.task.now()
+    for engine in engines:
+        state = AgentState(engine.address, False, None, 1.0, ())
+        entry.fleet.apply_agent_state(state, now)
+    assert {
+        view.served_version(MODEL, now) for view in entry.fleet._views.values()
+    } == {1}
+
+
+def test_agent_cannot_tell_the_version_before_it_knows_the_configuration(
+    engines, start_agent
+):
+    agent = start_agent(engines[0]).agent
+    wait_for(lambda: agent._loader.report)
+    assert agent.profile() is None
+    assert agent._reported_version() is None
