--- a/testing/daemons/test_entryfleet.py
+++ b/testing/daemons/test_entryfleet.py
@@ -2,13 +2,17 @@
 
 import json
 import threading
+from dataclasses import replace
+from functools import partial
 
 from sitebuilders import make_stream_headers, views_of, wait_for
 
+from bamboolever.net.addresses import Address
 from bamboolever.platform.documents import decode_configuration
 from bamboolever.platform.standins.site import (
     ENGINE_SERVICE,
     PLAIN_SERVICE,
+    find_free_port,
 )
 from bamboolever.platform.standins.store import StoreFault
 from bamboolever.platform.standins.upstream import EVENT_COUNT
@@ -175,3 +179,33 @@
     wait_for(lambda: all("plain-3" in views_of(each) for each in running))
     wait_for(lambda: sum(watch.is_calling for watch in watches) == 3)
     assert sum(each._watches[0].is_calling for each in entries) == 1
+
+
+def test_large_configuration_reaches_entries_that_the_store_turns_away(
+    site, start_entry, start_agent
+):
+    """Guards against entries that stay on an old version while their peers are current.
+
+    The change is larger than a datagram.
+    """
+    for number in (2, 3):
+        engine = site.add_engine(f"engine-{number}", f"127.0.0.{number}")
+        start_agent(engine, f"agent-{number}")
+    running = [
+        start_entry(name=f"entry-{number}", host=f"127.0.0.{number}").wait_ready(2)
+        for number in (7, 8, 9)
+    ]
+    entries = [each.entry for each in running]
+    wait_for(lambda: all(len(each.fleet.peers.recipients()) == 2 for each in entries))
+    watches = [watch for each in entries for watch in each._watches]
+    wait_for(lambda: sum(watch.is_calling for watch in watches) == 3)
+    closed_address = Address("127.0.0.1", find_free_port())
+    for each in entries:
+        if not each._watches[0].is_calling:
+            settings = replace(each._settings, store_address=closed_address)
+            each.task.send(partial(each.apply_settings, settings))
+    first = site.configuration["routes"][0]
+    routes = [{**first, "pathPrefix": f"/large/{number}/"} for number in range(500)]
+    site.apply_configuration(routes=routes)
+    wait_for(lambda: all(each._configuration.version == 2 for each in entries))
+    assert all(len(each._configuration.routes) == 500 for each in entries)
