Take only a later start in the list for the end of an upstream

A store that came back from a copy may list an earlier process of the same id for a while; that was taken for the end of the one that runs. A crash counts only when the end is certain. test_earlier_start_in_the_list_does_not_count_as_a_crash fails without it.

--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -125,7 +125,7 @@
 
         The view of an upstream that has not restarted keeps its state. Engines of
         cells that this entry does not use have no view. Returns the former views of
-        upstreams that have ended: they are listed no more, or with another start.
+        upstreams that have ended: they are listed no more, or with a later start.
         """
         records = self.upstreams.records(now)
         self._refresh_cells(records)
@@ -424,4 +424,5 @@
         return True
     if record.started_ms is None or listed.started_ms is None:
         return False
-    return record.started_ms != listed.started_ms
+    # A store that came back from a copy may list an earlier process.
+    return listed.started_ms > record.started_ms
--- a/testing/daemons/test_inflightcalls.py
+++ b/testing/daemons/test_inflightcalls.py
@@ -127,6 +127,21 @@
     wait_for(lambda: len(_crashed(entry)) == 2)
 
 
+def test_earlier_start_in_the_list_does_not_count_as_a_crash(
+    site, plain_upstreams, start_entry
+):
+    for upstream in plain_upstreams:
+        site.put_upstream(upstream, PLAIN_SERVICE, born=2)
+    entry = start_entry().wait_ready(2)
+    _break_lookup(entry, plain_upstreams)
+    for upstream in plain_upstreams:
+        site.put_upstream(upstream, PLAIN_SERVICE, born=1)
+    wait_for(
+        lambda: all(view.record.started_ms == 1 for view in views_of(entry).values())
+    )
+    assert not _crashed(entry)
+
+
 def test_upstream_that_drains_and_leaves_was_not_crashed(
     site, plain_upstreams, start_entry
 ):
