Failing tests: a version's end is missed after a suspension and behind a queue

Callers saw (VERSION): a request began on version 1, 8395 ms after version 2 was acknowledged. The entry had stood still from 10.0 to 14.0 s and counted the rollout from when it read of it; the age that agents reported was ignored, since a start was known. In the other report requests waited at their engine past the end of its version.

--- a/testing/calls/test_dispatcher.py
+++ b/testing/calls/test_dispatcher.py
@@ -232,6 +232,17 @@
     assert isinstance(placed, Assignment)
 
 
+def test_expiring_version_is_not_used_if_the_request_would_begin_too_late():
+    """Guards against requests that wait at an engine past its version's end."""
+    versions = VersionRollouts(8.0)
+    versions.add("model-1", 2, 0.0)
+    prompts = {"waiting": 1, "waiting_tokens": 31900}
+    busy = make_view("busy", peer_load=prompts)
+    # The prompts ahead take a second.
+    (decision,) = _dispatcher([busy], versions).submit(make_pending(target_at=9.0), 7.2)
+    assert isinstance(decision, Rejection)
+
+
 def test_cost_of_a_dispatch_does_not_grow_with_waiting_calls_times_engines(monkeypatch):
     """Guards against days that were too slow: each waiting call looked at each engine
     of all cells, at each datagram.
--- a/testing/daemons/test_entryfleet.py
+++ b/testing/daemons/test_entryfleet.py
@@ -3,7 +3,13 @@
 import json
 import threading
 
-from sitebuilders import make_stream_headers, views_of, wait_for
+from sitebuilders import (
+    make_headers,
+    make_stream_headers,
+    read_response,
+    views_of,
+    wait_for,
+)
 
 from bamboolever.platform.documents import decode_configuration
 from bamboolever.platform.standins.site import (
@@ -11,7 +17,7 @@
     PLAIN_SERVICE,
 )
 from bamboolever.platform.standins.store import StoreFault
-from bamboolever.platform.standins.upstream import EVENT_COUNT
+from bamboolever.platform.standins.upstream import EVENT_COUNT, Behaviour
 
 ALL_EVENTS = b"".join(
     f"id: {number}\ndata: token {number}\n\n".encode()
@@ -102,6 +108,28 @@
     assert entry.call("/stream/1", **make_stream_headers()).status == 200
 
 
+def test_request_that_has_not_begun_is_withdrawn_when_the_version_expires(
+    site, start_entry
+):
+    """Guards against requests that an engine begins after its version's end."""
+    old = site.add_engine("engine-1", "127.0.0.2")
+    old.behaviours.append(Behaviour.MUTE)
+    entry = start_entry(version_ms=500).wait_ready(1)
+    # No time limit of a stalled attempt ends the request first.
+    routes = [dict(route, targetGapMs=10000) for route in site.configuration["routes"]]
+    site.apply_configuration(routes=routes)
+    wait_for(lambda: entry.entry._configuration.version == 2)
+    connection = entry.connect()
+    headers = make_headers(**make_stream_headers())
+    connection.request("POST", "/stream/1", b"body", headers)
+    wait_for(lambda: _count_executions([old]) == 1)
+    site.add_engine("engine-2", "127.0.0.3", version=2)
+    wait_for(lambda: "engine-2" in views_of(entry))
+    site.set_model_version(2)
+    assert read_response(connection).body == ALL_EVENTS
+    wait_for(lambda: old.received_requests[-1].is_cancelled)
+
+
 def test_configuration_that_does_not_decode_is_ignored(
     site, plain_upstreams, start_entry
 ):
--- /dev/null
+++ b/testing/daemons/test_observers.py
@@ -0,0 +1,48 @@
+"""What follows from the store's objects, with a manual clock and without sockets."""
+
+from manualtask import ManualPool, ManualTask
+
+from bamboolever.config.watch import KindWatch, WatchTiming
+from bamboolever.config.watchgroup import WatchGroup
+from bamboolever.daemons.observers import VersionObserver
+from bamboolever.fleet.versions import VersionRollouts
+from bamboolever.net.addresses import Address
+
+WAIT_S = 20.0
+
+
+def _event(version, revision):
+    return {
+        "object": {
+            "metadata": {"name": "m", "revision": revision},
+            "specification": {"model": "m", "version": version},
+        }
+    }
+
+
+def test_version_named_during_a_suspension_expires_the_older_one_in_time():
+    """Guards against an entry that stands still while a version is named."""
+    task, versions = ManualTask(), VersionRollouts(8.0)
+    pool = ManualPool(task)
+    observer = VersionObserver(
+        lambda named, is_new: versions.add(
+            named.model, named.version, task.now(), is_new=is_new
+        )
+    )
+    watch = KindWatch(
+        task,
+        pool,
+        lambda: Address("127.0.0.1", 7000),
+        "versions",
+        observer,
+        WatchTiming(WAIT_S),
+        group=WatchGroup(),
+    )
+    watch.start()
+    pool.respond(-1, items=[])
+    # The version is named at any time from here on; the response is read after 6 s.
+    asked_at = task.now()
+    task.advance(6.0)
+    pool.respond(-1, at=2, events=[_event(2, 2)])
+    assert versions.newest("m") == 2
+    assert versions.min_version("m", asked_at + 8.0) == 2
--- a/testing/fleet/test_versions.py
+++ b/testing/fleet/test_versions.py
@@ -59,3 +59,11 @@
     versions.add("m", 2, 10.0, is_new=False)
     versions.add("m", 3, 12.0)
     assert versions.expires_at("m", 1) is None
+
+
+def test_rollout_that_is_heard_of_late_is_not_counted_from_its_hearing():
+    """Guards against an entry that was cut off and serves an expired version."""
+    versions = VersionRollouts(8.0)
+    versions.add("m", 2, 14.0)
+    versions.record_age("m", 2, 1.6, 14.1)
+    assert versions.min_version("m", 20.5) == 2
