Count a rollout from when the store was surely without it

Cause: a process counted a rollout from when it read of it, and ignored older ages once a start was known. Ages in datagrams counted from their arrival, so that one that lay in a suspended process's socket was late as well.

Change: the start is a lower bound. The store has one revision for all kinds, so each answer at a lower revision than the version's object proves that it was named later (fleet.storetimes). Answers of all watches of an entry count, and confirmations that peers pass on. Ages from others count from the sending of the hello or state that their datagram echoes (fleet.echoes). Without any bound a version is required at once, as before. Agents follow the same rule for their switches.

The start is earlier than the hearing by up to the wait of the configuration's watch.

--- a/protocol/exchange.thrift
+++ b/protocol/exchange.thrift
@@ -17,6 +17,11 @@
   2: string cell
   3: string agent_cell
   4: list<RolloutAge> rollouts
+  // Names this hello among those of its sender, and the last state that it has of the
+  // receiver, with how long it has had it.
+  30: i64 sequence
+  31: i64 echo_sequence
+  32: i32 echo_age_ms
 }
 
 // An entry's load at one upstream.
@@ -102,6 +107,11 @@
   8: string cell
   // Requests that the upstream is running or has queued.
   9: i32 active
+  // Names this state among those of its sender, and the last hello that it has of the
+  // receiver, with how long it has had it.
+  30: i64 sequence
+  31: i64 echo_sequence
+  32: i32 echo_age_ms
 }
 
 // The pieces of a version that an agent has verified. Bit N of bitmap, read as a
--- a/src/bamboolever/_exchange_protocol/ttypes.py
+++ b/src/bamboolever/_exchange_protocol/ttypes.py
@@ -115,6 +115,9 @@
      - cell
      - agent_cell
      - rollouts
+     - sequence
+     - echo_sequence
+     - echo_age_ms
 
     """
 
@@ -123,14 +126,20 @@
         'cell',
         'agent_cell',
         'rollouts',
+        'sequence',
+        'echo_sequence',
+        'echo_age_ms',
     )
 
 
-    def __init__(self, instance_id=None, cell=None, agent_cell=None, rollouts=None,):
+    def __init__(self, instance_id=None, cell=None, agent_cell=None, rollouts=None, sequence=None, echo_sequence=None, echo_age_ms=None,):
         self.instance_id = instance_id
         self.cell = cell
         self.agent_cell = agent_cell
         self.rollouts = rollouts
+        self.sequence = sequence
+        self.echo_sequence = echo_sequence
+        self.echo_age_ms = echo_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -167,6 +176,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.I64:
+                    self.echo_sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 32:
+                if ftype == TType.I32:
+                    self.echo_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -196,6 +220,18 @@
                 iter6.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 30)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.echo_sequence is not None:
+            oprot.writeFieldBegin('echo_sequence', TType.I64, 31)
+            oprot.writeI64(self.echo_sequence)
+            oprot.writeFieldEnd()
+        if self.echo_age_ms is not None:
+            oprot.writeFieldBegin('echo_age_ms', TType.I32, 32)
+            oprot.writeI32(self.echo_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -979,6 +1015,9 @@
      - model
      - cell
      - active
+     - sequence
+     - echo_sequence
+     - echo_age_ms
 
     """
 
@@ -992,10 +1031,13 @@
         'model',
         'cell',
         'active',
+        'sequence',
+        'echo_sequence',
+        'echo_age_ms',
     )
 
 
-    def __init__(self, upstream_address=None, is_switching=None, version=None, pace=None, entries=None, rollouts=None, model=None, cell=None, active=None,):
+    def __init__(self, upstream_address=None, is_switching=None, version=None, pace=None, entries=None, rollouts=None, model=None, cell=None, active=None, sequence=None, echo_sequence=None, echo_age_ms=None,):
         self.upstream_address = upstream_address
         self.is_switching = is_switching
         self.version = version
@@ -1005,6 +1047,9 @@
         self.model = model
         self.cell = cell
         self.active = active
+        self.sequence = sequence
+        self.echo_sequence = echo_sequence
+        self.echo_age_ms = echo_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1071,6 +1116,21 @@
                     self.active = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.I64:
+                    self.echo_sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 32:
+                if ftype == TType.I32:
+                    self.echo_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1123,6 +1183,18 @@
             oprot.writeFieldBegin('active', TType.I32, 9)
             oprot.writeI32(self.active)
             oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 30)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.echo_sequence is not None:
+            oprot.writeFieldBegin('echo_sequence', TType.I64, 31)
+            oprot.writeI64(self.echo_sequence)
+            oprot.writeFieldEnd()
+        if self.echo_age_ms is not None:
+            oprot.writeFieldBegin('echo_age_ms', TType.I32, 32)
+            oprot.writeI32(self.echo_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1681,6 +1753,34 @@
     (2, TType.STRING, 'cell', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'agent_cell', 'UTF8', None, ),  # 3
     (4, TType.LIST, 'rollouts', (TType.STRUCT, [RolloutAge, None], False), None, ),  # 4
+    None,  # 5
+    None,  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    (30, TType.I64, 'sequence', None, None, ),  # 30
+    (31, TType.I64, 'echo_sequence', None, None, ),  # 31
+    (32, TType.I32, 'echo_age_ms', None, None, ),  # 32
 )
 all_structs.append(UpstreamUse)
 UpstreamUse.thrift_spec = (
@@ -1750,6 +1850,29 @@
     (7, TType.STRING, 'model', 'UTF8', None, ),  # 7
     (8, TType.STRING, 'cell', 'UTF8', None, ),  # 8
     (9, TType.I32, 'active', None, None, ),  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    (30, TType.I64, 'sequence', None, None, ),  # 30
+    (31, TType.I64, 'echo_sequence', None, None, ),  # 31
+    (32, TType.I32, 'echo_age_ms', None, None, ),  # 32
 )
 all_structs.append(PieceMap)
 PieceMap.thrift_spec = (
--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -114,6 +114,11 @@
         """How often the store was restored, as far as this watch knows."""
         return self._era or 0
 
+    @property
+    def revision(self) -> int | None:
+        """Revision of the store up to which all objects were passed on."""
+        return self._revision
+
     @property
     def is_reachable(self) -> bool:
         """Whether the store responded to the last call."""
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -15,6 +15,7 @@
 from bamboolever.daemons.loadercontext import LoaderContext
 from bamboolever.daemons.observers import (
     ConfigurationObserver,
+    RevisionObserver,
     UpstreamObserver,
     VersionObserver,
 )
@@ -23,6 +24,7 @@
 from bamboolever.daemons.statushandler import StatusHandler
 from bamboolever.daemons.subscribers import HelloSharing, Subscribers
 from bamboolever.fleet import exchange
+from bamboolever.fleet.echoes import Echoes, SentTimes
 from bamboolever.fleet.messages import AgentState, Hello, PieceMap, RolloutAge
 from bamboolever.fleet.records import ModelVersion
 from bamboolever.fleet.upstreams import UpstreamList
@@ -79,6 +81,8 @@
             make_piece_policy(settings.piece_policy),
         )
         self._subscribers = Subscribers(self.task.now())
+        self._state_times = SentTimes()
+        self._hello_echoes = Echoes()
         self._started_at = self.task.now()
         self._refreshed_at = 0.0
         self._is_stopping = False
@@ -170,7 +174,11 @@
         upstreams = UpstreamObserver(
             self._upstreams, self.task.now, self._loader.transfer.update_peers
         )
-        versions = VersionObserver(self._on_version)
+        # The other watches list objects that may be seconds old, which says nothing of
+        # the store's revision.
+        versions = RevisionObserver(
+            VersionObserver(self._on_version), self._on_version_revision
+        )
         self._configuration_watch = watch(names.CONFIGURATION_KIND, configuration, None)
         self._upstream_watch = watch(names.UPSTREAM_KIND, upstreams, None)
         self._version_watch = watch(
@@ -190,29 +198,38 @@
         self._configuration = configuration
         self._loader.advance()
 
-    def _on_version(self, model_version: ModelVersion, is_new: bool) -> None:
+    def _on_version_revision(self, as_of: float) -> None:
+        watch = self._version_watch
+        if watch.revision is not None:
+            self._rollouts.confirm(watch.era, watch.revision, as_of)
+
+    def _on_version(self, model_version: ModelVersion, revision: int | None) -> None:
+        model, version = model_version.model, model_version.version
+        self._rollouts.add(model, version, revision=revision)
+        self._start_rollout(model_version)
+
+    def _start_rollout(self, model_version: ModelVersion) -> None:
         now = self.task.now()
-        self._rollouts.add(
-            model_version.model, model_version.version, now, is_new=is_new
-        )
-        self._loader.start_rollout(model_version, now)
+        age_s = self._rollouts.age_s(model_version.model, model_version.version, now)
+        self._loader.start_rollout(model_version, now - (age_s or 0.0))
 
     def _on_hello(self, hello: Hello, sender: Address) -> None:
-        self._subscribers.add(sender, hello.cell, self.task.now())
+        now = self.task.now()
+        self._subscribers.add(sender, hello.cell, now)
+        self._hello_echoes.on_received(sender, hello.sequence, now)
+        said_after = self._state_times.said_after(hello.echo)
         for rollout in hello.rollouts:
-            self._on_reported_rollout(rollout)
+            self._on_reported_rollout(rollout, said_after)
         self._send_state(sender, hello.agent_cell)
 
-    def _on_reported_rollout(self, rollout: RolloutAge) -> None:
-        now = self.task.now()
-        model_version = ModelVersion(rollout.model, rollout.version)
-        is_new = self._rollouts.add(rollout.model, rollout.version, now, is_new=False)
-        if rollout.age_s is not None:
-            self._rollouts.record_age(
-                rollout.model, rollout.version, rollout.age_s, now
-            )
-        if is_new:
-            self._loader.start_rollout(model_version, now - (rollout.age_s or 0.0))
+    def _on_reported_rollout(
+        self, rollout: RolloutAge, said_after: float | None
+    ) -> None:
+        started_at = None
+        if rollout.age_s is not None and said_after is not None:
+            started_at = said_after - rollout.age_s
+        if self._rollouts.add(rollout.model, rollout.version, started_at):
+            self._start_rollout(ModelVersion(rollout.model, rollout.version))
 
     def _learn_rollout(self, piece_map: PieceMap, sender: Address) -> None:
         """Take over a version that a peer already transfers.
@@ -224,7 +241,7 @@
             return
         if any(peer.address == sender for peer in self.peers()):
             rollout = RolloutAge(piece_map.model, piece_map.version, None)
-            self._on_reported_rollout(rollout)
+            self._on_reported_rollout(rollout, None)
 
     # LoaderContext.
 
@@ -380,5 +397,7 @@
             rollouts=self._rollouts.ages(now),
             cell=cell,
             active=report.running + report.queued if report is not None else 0,
+            sequence=self._state_times.next_sequence(now),
+            echo=self._hello_echoes.echo_to(address, now),
         )
         self._datagrams.send(exchange.encode(state), address)
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -44,6 +44,7 @@
 from bamboolever.daemons.inflightcalls import CONNECT_TIMEOUT_S, InFlightCalls
 from bamboolever.daemons.observers import (
     ConfigurationObserver,
+    RevisionObserver,
     UpstreamObserver,
     VersionObserver,
 )
@@ -176,17 +177,20 @@
         def watch(
             kind: str, observer: Any, wait_s: float, batch_delay_s: float
         ) -> KindWatch:
-            return KindWatch(
+            created = KindWatch(
                 self.task,
                 self._store_pool,
                 lambda: self._settings.store_address,
                 kind,
-                observer,
+                RevisionObserver(
+                    observer, lambda as_of: self._on_revision(created, as_of)
+                ),
                 WatchTiming(wait_s),
                 group=group,
                 batch_delay_s=batch_delay_s,
                 sharing=self.exchange.store_relay,
             )
+            return created
 
         watches = [
             watch(
@@ -247,7 +251,11 @@
             self.calls.on_fleet_changed()
 
     def _on_store_restored(self) -> None:
-        self._freshness.on_store_restored(self.task.now())
+        now = self.task.now()
+        self._freshness.on_store_restored(now)
+        self.fleet.version_rollouts.on_store_restored(
+            self.exchange.store_relay.era, now
+        )
 
     def _on_upstreams(self) -> None:
         is_first = not self.fleet.has_upstreams
@@ -263,16 +271,21 @@
             delay_s = removal_at - self.task.now() + TIMER_MARGIN_S
             self.task.call_later(max(TIMER_MARGIN_S, delay_s), self._on_upstreams)
 
-    def _on_version(self, model_version: ModelVersion, is_new: bool) -> None:
+    def _on_revision(self, watch: KindWatch, as_of: float) -> None:
+        if watch.revision is not None:
+            rollouts = self.fleet.version_rollouts
+            rollouts.confirm(watch.era, watch.revision, as_of)
+
+    def _on_version(self, model_version: ModelVersion, revision: int | None) -> None:
         rollouts = self.fleet.version_rollouts
-        now = self.task.now()
-        if rollouts.add(model_version.model, model_version.version, now, is_new=is_new):
+        model, version = model_version.model, model_version.version
+        if rollouts.add(model, version, revision=revision):
             logger.info(
                 "version named",
                 extra={
-                    "model": model_version.model,
-                    "version": model_version.version,
-                    "is_new": is_new,
+                    "model": model,
+                    "version": version,
+                    "age_s": rollouts.age_s(model, version, self.task.now()),
                 },
             )
             self.exchange.send_hello_to_agents()
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -23,6 +23,7 @@
 from bamboolever.daemons.entryfleet import EntryFleet
 from bamboolever.daemons.storerelay import StoreRelay
 from bamboolever.fleet import exchange
+from bamboolever.fleet.echoes import Echoes, SentTimes
 from bamboolever.fleet.messages import (
     AgentState,
     CellSummary,
@@ -84,6 +85,8 @@
         self._malformed_logged_at = 0.0
         self._is_load_scheduled = False
         self._hello_count = 0
+        self._hello_times = SentTimes()
+        self._agent_echoes = Echoes()
         self._unsent_rejections: dict[int, float] = {}
         self.store_relay = StoreRelay(
             task.now,
@@ -115,12 +118,15 @@
             self._send_hello(cell, agents)
 
     def _send_hello(self, agent_cell: str, addresses: list[Address]) -> None:
-        fleet = self._fleet
-        rollouts = fleet.version_rollouts.known_rollouts(self._task.now())
-        hello = Hello(self._name, fleet.own_cell, agent_cell, rollouts)
-        data = exchange.encode(hello)
+        fleet, now = self._fleet, self._task.now()
+        rollouts = fleet.version_rollouts.known_rollouts(now)
+        sequence = self._hello_times.next_sequence(now)
         for address in addresses:
-            self._socket.send(data, address)
+            echo = self._agent_echoes.echo_to(address, now)
+            hello = Hello(
+                self._name, fleet.own_cell, agent_cell, rollouts, sequence, echo
+            )
+            self._send(hello, address)
 
     def schedule_load_update(self) -> None:
         """Send this entry's load to the peers once `MIN_LOAD_INTERVAL_S` has passed."""
@@ -237,7 +243,9 @@
             if message.summary_cell == self._fleet.own_cell:
                 self._send(self._fleet.build_summary(sender, now), sender)
         elif isinstance(message, AgentState):
-            if self._fleet.apply_agent_state(message, now):
+            self._agent_echoes.on_received(sender, message.sequence, now)
+            said_after = self._hello_times.said_after(message.echo)
+            if self._fleet.apply_agent_state(message, now, said_after):
                 self.schedule_load_update()
         elif isinstance(message, CellSummary):
             self._fleet.apply_summary(message, now)
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -327,18 +327,21 @@
 
     # States of agents.
 
-    def apply_agent_state(self, state: AgentState, now: float) -> bool:
+    def apply_agent_state(
+        self, state: AgentState, now: float, said_after: float | None = None
+    ) -> bool:
         """Apply an agent's report on its engine, the rollouts and the known entries.
 
-        Returns whether the report has a peer that was unknown here.
+        The agent made it after ``said_after``; None if no such time is known. Returns
+        whether the report has a peer that was unknown here.
         """
         view = self._engines_by_address.get(state.upstream)
         if view is not None:
             self._apply_engine_state(view, state, now)
         for rollout in state.rollouts:
-            if rollout.age_s is not None:
+            if rollout.age_s is not None and said_after is not None:
                 self.version_rollouts.record_age(
-                    rollout.model, rollout.version, rollout.age_s, now
+                    rollout.model, rollout.version, rollout.age_s, said_after
                 )
         neighbor = self.neighbors.get(state.cell)
         if neighbor is not None:
--- a/src/bamboolever/daemons/observers.py
+++ b/src/bamboolever/daemons/observers.py
@@ -136,26 +136,20 @@
 class VersionObserver(_LoggingObserver):
     """Passes on the version that each model's rollout targets.
 
-    ``on_version`` also receives whether the rollout started just now.
+    ``on_version`` also receives the store's revision at which it was named.
     """
 
     kind = names.VERSION_KIND
 
-    def __init__(self, on_version: Callable[[ModelVersion, bool], None]):
+    def __init__(self, on_version: Callable[[ModelVersion, int | None], None]):
         self._on_version = on_version
-        self._is_listed = False
 
     def on_listing(self, documents_: tuple[StoredDocument, ...]) -> None:
         """Pass on all versions of a complete listing."""
-        # A rollout in the first listing may have started at any earlier time.
-        self._notify(documents_, is_new=self._is_listed)
-        self._is_listed = True
+        self.on_changes(documents_)
 
     def on_changes(self, documents_: tuple[StoredDocument, ...]) -> None:
-        """Pass on the changed versions, as rollouts that started just now."""
-        self._notify(documents_, is_new=True)
-
-    def _notify(self, documents_: tuple[StoredDocument, ...], *, is_new: bool) -> None:
+        """Pass on the changed versions."""
         for document in documents_:
             if document.value is None:
                 continue
@@ -164,7 +158,41 @@
             except AdapterError as error:
                 logger.warning("version ignored", extra={"reason": str(error)})
                 continue
-            self._on_version(model_version, is_new)
+            self._on_version(model_version, document.revision)
+
+
+@final
+class RevisionObserver(KindObserver):
+    """Passes everything on to another observer, and confirmations to ``on_confirmed``.
+
+    All kinds share the store's revision, so that each confirmation of one kind also
+    says something about the objects of the others.
+    """
+
+    def __init__(self, observer: KindObserver, on_confirmed: Callable[[float], None]):
+        self._observer = observer
+        self._on_confirmed = on_confirmed
+
+    def on_listing(self, documents_: tuple[StoredDocument, ...]) -> None:
+        """Pass on a complete listing."""
+        self._observer.on_listing(documents_)
+
+    def on_changes(self, documents_: tuple[StoredDocument, ...]) -> None:
+        """Pass on changed objects."""
+        self._observer.on_changes(documents_)
+
+    def on_confirmed(self, as_of: float) -> None:
+        """Pass on that all objects were current at ``as_of``."""
+        self._observer.on_confirmed(as_of)
+        self._on_confirmed(as_of)
+
+    def on_store_restored(self) -> None:
+        """Pass on that the store came back from a copy."""
+        self._observer.on_store_restored()
+
+    def on_reachability_changed(self, is_reachable: bool, reason: str) -> None:
+        """Pass on that the store became reachable or unreachable."""
+        self._observer.on_reachability_changed(is_reachable, reason)
 
 
 def _decode(document: StoredDocument) -> UpstreamRecord | None:
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -9,6 +9,7 @@
 
 from bamboolever._exchange_protocol import ttypes
 from bamboolever.calls.engine import EngineLoad
+from bamboolever.fleet.echoes import Echo
 from bamboolever.fleet.messages import (
     AgentState,
     CellSummary,
@@ -62,6 +63,7 @@
             message.cell,
             message.agent_cell,
             _rollouts_to_wire(message.rollouts),
+            **_echo_to_wire(message),
         )
         return {"hello": hello}
     if isinstance(message, AgentState):
@@ -106,7 +108,9 @@
         ttypes.RolloutAge(
             rollout.model,
             rollout.version,
-            _UNKNOWN_AGE_MS if rollout.age_s is None else int(rollout.age_s * 1000),
+            _UNKNOWN_AGE_MS
+            if rollout.age_s is None
+            else math.ceil(rollout.age_s * 1000),
         )
         for rollout in rollouts
     ]
@@ -123,6 +127,7 @@
         message.model,
         message.cell,
         message.active,
+        **_echo_to_wire(message),
     )
 
 
@@ -182,6 +187,8 @@
             wire.cell or "",
             wire.agent_cell or "",
             _rollouts_from_wire(wire.rollouts or ()),
+            sequence=wire.sequence or 0,
+            echo=_echo_from_wire(wire),
         )
     if datagram.agent_state is not None:
         return _state_from_wire(datagram.agent_state)
@@ -243,9 +250,24 @@
         wire.model or "",
         wire.cell or "",
         wire.active or 0,
+        sequence=wire.sequence or 0,
+        echo=_echo_from_wire(wire),
     )
 
 
+def _echo_to_wire(message: Hello | AgentState) -> dict[str, int]:
+    echo = message.echo
+    return {
+        "sequence": message.sequence,
+        "echo_sequence": echo.sequence,
+        "echo_age_ms": int(echo.age_s * 1000),
+    }
+
+
+def _echo_from_wire(wire: Any) -> Echo:
+    return Echo(wire.echo_sequence or 0, (wire.echo_age_ms or 0) / 1000)
+
+
 def _map_from_wire(wire: Any) -> PieceMap:
     return PieceMap(
         wire.model,
--- a/src/bamboolever/fleet/messages.py
+++ b/src/bamboolever/fleet/messages.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from bamboolever.calls.engine import EngineLoad
+from bamboolever.fleet.echoes import Echo
 from bamboolever.net.addresses import Address
 
 
@@ -14,7 +15,8 @@
 class RolloutAge:
     """A version of a model and the seconds since its rollout started.
 
-    ``age_s`` None means that the start is unknown to the sender.
+    The rollout may have started later. ``age_s`` None means that the start is unknown
+    to the sender.
     """
 
     model: str
@@ -27,13 +29,16 @@
     """Sent by an entry to subscribe to an agent's state; the agent responds with it.
 
     ``cell`` is the entry's own cell and ``agent_cell`` that of the agent, as the entry
-    knows it. ``rollouts`` are the newest versions that the entry knows.
+    knows it. ``rollouts`` are the newest versions that the entry knows. ``sequence``
+    names this hello; ``echo`` is of the agent's last state.
     """
 
     instance_id: str
     cell: str = ""
     agent_cell: str = ""
     rollouts: tuple[RolloutAge, ...] = ()
+    sequence: int = 0
+    echo: Echo = Echo()
 
 
 @dataclass(frozen=True)
@@ -120,7 +125,7 @@
     ``model`` and ``version`` name what the upstream serves with all layers; version 0
     means nothing. ``is_switching`` means that the upstream takes no requests because
     it changes its version. ``slowdown`` is the factor by which it is slower than its
-    profile.
+    profile. ``sequence`` names this state; ``echo`` is of the entry's last hello.
     """
 
     upstream: Address
@@ -132,6 +137,8 @@
     model: str = ""
     cell: str = ""
     active: int = 0
+    sequence: int = 0
+    echo: Echo = Echo()
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/fleet/versions.py
+++ b/src/bamboolever/fleet/versions.py
@@ -1,15 +1,22 @@
 """Tracks which versions of a model may still serve new requests.
 
 A rollout makes a version the target of its model. Takes the rollouts seen in the
-store or reported by other processes, each with its start time where known. Returns
-the lowest version that may serve new requests, and when an older one expires.
+store, with the revision at which each was written, the revisions of the store that its
+responses confirm, and what other processes report. Returns the lowest version that may
+serve new requests, and when an older one expires.
+
+The start of a rollout is the latest time at which it was certainly not in the store.
+It is never later than the acknowledgement, from which the timeout counts. The latest of
+all starts that are found or reported is the best, in whatever order they arrive.
 
 Load pattern: a rollout starts under traffic, and the next one starts before the
 first has reached every engine. Engines on an older version keep serving until it
-expires, because stopping them earlier loses capacity.
+expires, because stopping them earlier loses capacity. Processes that are suspended or
+cut off meanwhile hear of the rollout late.
 """
 
 from bamboolever.fleet.messages import RolloutAge
+from bamboolever.fleet.storetimes import StoreTimes
 
 # Subtracted from the configured timeout. Covers queueing at the upstream and the
 # age of the upstream's entry in the store's list.
@@ -17,10 +24,10 @@
 # For this long before it expires, a version counts as expiring: its upstreams are not
 # filled, since a request that waits there for a slot would begin too late.
 EXPIRING_PERIOD_S = 0.25
-
-
 # Older rollouts are not reported: no process needs their start time any more.
 MAX_REPORTED_AGE_S = 60.0
+# Rollouts of which the revision is kept, so that later responses can correct the start.
+MAX_REVISIONS = 64
 
 
 class VersionRollouts:
@@ -34,27 +41,67 @@
     def __init__(self, timeout_s: float):
         self._timeout_s = timeout_s
         self._started_at: dict[str, dict[int, float | None]] = {}
-
-    def add(self, model: str, version: int, now: float, *, is_new: bool = True) -> bool:
+        self._times = StoreTimes()
+        self._revisions: dict[tuple[str, int], int] = {}
+
+    def add(
+        self,
+        model: str,
+        version: int,
+        started_at: float | None = None,
+        *,
+        revision: int | None = None,
+    ) -> bool:
         """Record a rollout; return whether its version is newer than all known ones.
 
-        ``is_new`` means that the rollout started just now. Otherwise its start time is
-        unknown.
+        It was certainly not named at ``started_at``; None if no such time is known.
+        ``revision`` is that of the store at which it was named, if known.
         """
         known = self._started_at.setdefault(model, {})
-        if known and version <= max(known):
-            return False
-        known[version] = now if is_new else None
-        return True
-
-    def record_age(self, model: str, version: int, age_s: float, now: float) -> None:
-        """Record a rollout's age in seconds, as reported by another process.
-
-        Ignored if the start time is known already.
+        is_newest = not known or version > max(known)
+        if is_newest or started_at is not None:
+            self._merge(model, version, started_at)
+        if revision is None or version not in known:
+            return is_newest
+        self._revisions[model, version] = revision
+        if len(self._revisions) > MAX_REVISIONS:
+            del self._revisions[next(iter(self._revisions))]
+        self._merge(model, version, self._times.latest_before(revision))
+        return is_newest
+
+    def confirm(self, era: int, revision: int, as_of: float) -> None:
+        """Record that the store had no higher revision at ``as_of``."""
+        self.on_store_restored(era, as_of)
+        if not self._times.confirm(era, revision, as_of):
+            return
+        for (model, version), named_at in self._revisions.items():
+            if revision < named_at:
+                self._merge(model, version, as_of)
+
+    def on_store_restored(self, era: int, now: float) -> None:
+        """Forget the revisions of older eras; the starts stay."""
+        if era > self._times.era:
+            self._revisions.clear()
+            self._times.on_restored(era, now)
+
+    def record_age(self, model: str, version: int, age_s: float, as_of: float) -> None:
+        """Record the age that another process reports of a rollout.
+
+        It said so at ``as_of`` or later.
         """
+        self._merge(model, version, as_of - age_s)
+
+    def _merge(self, model: str, version: int, started_at: float | None) -> None:
         known = self._started_at.setdefault(model, {})
-        if known.get(version) is None:
-            known[version] = now - age_s
+        starts = (known.get(version), started_at)
+        known[version] = max(
+            (start for start in starts if start is not None), default=None
+        )
+
+    def age_s(self, model: str, version: int, now: float) -> float | None:
+        """Return the age of a rollout, at most; None if its start is unknown."""
+        started_at = self._started_at.get(model, {}).get(version)
+        return None if started_at is None else now - started_at
 
     def ages(self, now: float) -> tuple[RolloutAge, ...]:
         """Return the age of each rollout to report.
--- a/src/bamboolever/platform/store.py
+++ b/src/bamboolever/platform/store.py
@@ -1,7 +1,7 @@
 """Requests that list and watch the platform's object store, and their responses."""
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -15,10 +15,14 @@
 
 @dataclass(frozen=True)
 class StoredDocument:
-    """One object of the store; ``value`` is None when it was deleted."""
+    """One object of the store; ``value`` is None when it was deleted.
+
+    ``revision`` is the store's at the object's last change; None if it is not stated.
+    """
 
     name: str
     value: Any
+    revision: int | None = None
 
 
 @dataclass(frozen=True)
@@ -129,7 +133,7 @@
             if document is None:
                 continue
             if event.get("deleted"):
-                document = StoredDocument(document.name, None)
+                document = replace(document, value=None)
             documents.append(document)
         return StoreListing(tuple(documents), int(content["at"]))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
@@ -149,4 +153,7 @@
     # An object without content is not a deletion. It gets an empty value, which the
     # decoders of stored documents do not accept.
     value = raw.get("specification")
-    return StoredDocument(name, {} if value is None else value)
+    revision = raw["metadata"].get("revision")
+    if not isinstance(revision, int) or isinstance(revision, bool):
+        revision = None
+    return StoredDocument(name, {} if value is None else value, revision)
--- a/testing/daemons/test_entryfleet.py
+++ b/testing/daemons/test_entryfleet.py
@@ -11,7 +11,11 @@
     wait_for,
 )
 
+from bamboolever.daemons.entryfleet import EntryFleet
+from bamboolever.fleet.messages import AgentState, RolloutAge
+from bamboolever.net.addresses import Address
 from bamboolever.platform.documents import decode_configuration
+from bamboolever.platform.nodefile import decode_settings
 from bamboolever.platform.standins.site import (
     ENGINE_SERVICE,
     PLAIN_SERVICE,
@@ -108,6 +112,38 @@
     assert entry.call("/stream/1", **make_stream_headers()).status == 200
 
 
+def test_age_of_a_rollout_never_counts_from_a_report_that_echoes_nothing(site):
+    """Guards against reports that lie in the socket of a suspended entry."""
+    fleet = EntryFleet(decode_settings(site.make_settings(name="e", host="e")), 1)
+    rollouts = (RolloutAge("model-1", 2, 0.5),)
+    state = AgentState(Address("e", 1), False, 1, 1.0, (), rollouts)
+    fleet.apply_agent_state(state, 104.0)
+    assert fleet.version_rollouts.age_s("model-1", 2, 104.0) is None
+    fleet.apply_agent_state(state, 104.0, 100.0)
+    assert fleet.version_rollouts.age_s("model-1", 2, 104.0) == 4.5
+
+
+def test_restarted_entry_learns_the_age_of_a_rollout_from_the_agents(
+    site, start_entry, start_agent
+):
+    start_agent(site.add_engine("engine-1", "127.0.0.2"))
+    first = start_entry(host="127.0.0.8").wait_ready(1)
+    site.set_model_version(2)
+    wait_for(lambda: _age_s(first) is not None)
+    restarted = start_entry(name="entry-2", host="127.0.0.9").wait_ready(1)
+    wait_for(lambda: _age_s(restarted) is not None)
+    assert _expires_at(restarted) <= _expires_at(first)
+
+
+def _age_s(running):
+    entry = running.entry
+    return entry.fleet.version_rollouts.age_s("model-1", 2, entry.task.now())
+
+
+def _expires_at(running):
+    return running.entry.fleet.version_rollouts.expires_at("model-1", 1)
+
+
 def test_request_that_has_not_begun_is_withdrawn_when_the_version_expires(
     site, start_entry
 ):
--- a/testing/daemons/test_observers.py
+++ b/testing/daemons/test_observers.py
@@ -4,7 +4,7 @@
 
 from bamboolever.config.watch import KindWatch, WatchTiming
 from bamboolever.config.watchgroup import WatchGroup
-from bamboolever.daemons.observers import VersionObserver
+from bamboolever.daemons.observers import RevisionObserver, VersionObserver
 from bamboolever.fleet.versions import VersionRollouts
 from bamboolever.net.addresses import Address
 
@@ -24,10 +24,13 @@
     """Guards against an entry that stands still while a version is named."""
     task, versions = ManualTask(), VersionRollouts(8.0)
     pool = ManualPool(task)
-    observer = VersionObserver(
-        lambda named, is_new: versions.add(
-            named.model, named.version, task.now(), is_new=is_new
-        )
+    observer = RevisionObserver(
+        VersionObserver(
+            lambda named, revision: versions.add(
+                named.model, named.version, revision=revision
+            )
+        ),
+        lambda as_of: versions.confirm(watch.era, watch.revision, as_of),
     )
     watch = KindWatch(
         task,
--- a/testing/fleet/test_exchange.py
+++ b/testing/fleet/test_exchange.py
@@ -6,11 +6,13 @@
 
 from bamboolever.calls.engine import EngineLoad
 from bamboolever.fleet import exchange
+from bamboolever.fleet.echoes import Echo
 from bamboolever.fleet.records import upstream_key
 from bamboolever.net.addresses import Address
 
 MESSAGES = [
     exchange.Hello("entry-1"),
+    exchange.Hello("entry-1", sequence=2**47, echo=Echo(2**48, 0.25)),
     exchange.Hello(
         "entry-1",
         "zone-a/0",
@@ -43,6 +45,9 @@
         (exchange.RolloutAge("model", 2, 1.5),),
         "model",
     ),
+    exchange.AgentState(
+        Address("10.0.0.1", 80), False, 0, 1.0, (), sequence=5, echo=Echo(6, 1.5)
+    ),
     exchange.PieceMap("model", 2, (1 << 95) | 5, True),
     exchange.PieceMap("model", 2, 0),
     exchange.PieceMap("model", 2, 5, False, 3, True),
