Withdraw requests that have not begun when their version ends

They had been sent before it, to engines that other entries filled meanwhile, and waited there for a slot. 0.4 and 0.25 s of margin stood in for that wait, which nobody can know in advance.

Change: an engine of an expiring version gets only what begins before the end by the queue that this entry knows. What was sent, may run again and has no first event is withdrawn before the end by the way to the engine (seen when the connection was opened) and one pass of it, and is placed elsewhere as a retry within attempts and budget. Where that is refused, its caller gets 502, since it may have run. What may not run twice is sent only if its deadline comes before the version's end: the engine drops it then. An engine that switched meanwhile keeps the request. The two margins are gone.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -10,6 +10,7 @@
 and after a fixed limit at the latest. The caller can then retry before its deadline.
 """
 
+import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -31,9 +32,6 @@
 RETRY_AFTER_JITTER_S = 0.8
 # A caller retries within the first third of the time until its deadline.
 MAX_RETRY_AFTER_SHARE = 0.3
-# Shortly before a version expires, its upstreams are filled only to this share of
-# their slots: a request that waits there for a slot would begin after the expiry.
-EXPIRING_VERSION_SLOT_SHARE = 0.75
 # Engines of other cells are filled only to this share of their slots: their load is
 # known with a delay, and other cells may send requests there too.
 NEIGHBOR_SLOT_SHARE = 0.75
@@ -184,9 +182,10 @@
         known: dict[str | None, Sequence[UpstreamView]],
         now: float,
     ) -> Sequence[UpstreamView]:
-        if call.tried:
+        is_bound_by_version = call.model is not None and not call.is_retry_safe
+        if call.tried or is_bound_by_version:
             return self._eligible(call, self._home, now)
-        # Without earlier attempts the answer is the same for all calls of a model.
+        # Without these the answer is the same for all calls of a model.
         if call.model not in known:
             known[call.model] = self._eligible(call, self._home, now)
         return known[call.model]
@@ -236,21 +235,27 @@
             for view in upstreams
             if view.can_accept_requests(now)
             and view.instance_id not in call.tried
-            and self._serves(view, call.model, now)
+            and self._serves(view, call, now)
         ]
         healthy = [view for view in serving if not view.is_ejected(now)]
         # If most upstreams are ejected, the cause is not theirs alone: use them all.
         return healthy if len(healthy) >= MIN_HEALTHY_SHARE * len(serving) else serving
 
-    def _serves(self, view: UpstreamView, model: str | None, now: float) -> bool:
-        if model is None:
+    def _serves(self, view: UpstreamView, call: PendingCall, now: float) -> bool:
+        view.begin_by = math.inf
+        if call.model is None:
             return True
-        version = view.served_version(model, now)
-        if version is None or version < self._versions.min_version(model, now):
+        version = view.served_version(call.model, now)
+        if version is None or version < self._versions.min_version(call.model, now):
             return False
-        if not self._versions.is_expiring(model, version, now):
+        expires_at = self._versions.expires_at(call.model, version)
+        if expires_at is None:
             return True
-        return view.active < EXPIRING_VERSION_SLOT_SHARE * view.record.slots
+        if not call.is_retry_safe:
+            # The upstream drops a request that has not begun by its deadline.
+            return call.timeout_at <= expires_at
+        view.begin_by = expires_at - view.withdrawal_lead_s
+        return now < view.begin_by
 
     def _reject(self, call: PendingCall, reason: RejectReason, now: float) -> Rejection:
         delay_s = MIN_RETRY_AFTER_S + RETRY_AFTER_JITTER_S * self._random.random()
--- a/src/bamboolever/calls/engine.py
+++ b/src/bamboolever/calls/engine.py
@@ -67,6 +67,13 @@
     return profile.steps_per_pass * step_s
 
 
+def full_pass_s(profile: EngineProfile) -> float:
+    """Return the seconds of the longest pass: all slots in use and a whole chunk."""
+    return prefill_s(profile, profile.chunk_tokens) + pass_duration_s(
+        profile, profile.slots
+    )
+
+
 def prefill_s(profile: EngineProfile, tokens: int) -> float:
     """Return the seconds to prefill ``tokens`` prompt tokens.
 
--- a/src/bamboolever/calls/placement.py
+++ b/src/bamboolever/calls/placement.py
@@ -42,7 +42,7 @@
     the seconds since the caller's first attempt, which was rejected; 0 if this is the
     first. ``tried`` holds the instance ids of upstreams that it was sent to before.
     ``is_resumed`` marks a stream that broke after its first event and continues at
-    another upstream.
+    another upstream. Unless it ``is_retry_safe``, it can't be withdrawn once sent.
     """
 
     call_id: int
@@ -55,6 +55,7 @@
     model: str | None = None
     tried: set[str] = field(default_factory=set)
     is_resumed: bool = False
+    is_retry_safe: bool = True
 
     @property
     def is_caller_retry(self) -> bool:
@@ -180,7 +181,8 @@
         """Return the upstream with the earliest predicted first event.
 
         Upstreams that would miss the latency target are left out, unless the request
-        is late even on an idle engine.
+        is late even on an idle engine, and those on which it would begin after the
+        version's end.
         """
         # A resumed stream is late in any case, but its caller already has a part of
         # it: it may use all slots.
@@ -196,6 +198,8 @@
             predicted_s = predict_first_event_s(self._profile, load, call.prompt_tokens)
             if not is_late and now + predicted_s > call.target_at:
                 continue
+            if now + predicted_s > view.begin_by:
+                continue
             score = predicted_s + self._penalty(view)
             if best is None or score < best_score:
                 best, best_score = Placement(view, predicted_s), score
--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -10,6 +10,7 @@
 """
 
 import functools
+import math
 from dataclasses import dataclass, field
 
 from bamboolever.calls.engine import EngineLoad
@@ -29,6 +30,8 @@
 CONTENDED_SLOTS = 2
 MIN_CLAIM_DELAY_S = 0.1
 CLAIM_DELAY_SPREAD_S = 0.2
+# A connection that took longer to open says little of the way to the upstream.
+MAX_ROUND_TRIP_S = 0.4
 # Agents send their state once a second, in response to a hello.
 AGENT_STATE_MAX_AGE_S = 2.5
 
@@ -62,8 +65,10 @@
     ``is_home`` is set for an upstream whose load this entry knows in detail; it is
     unset for an engine of another cell.
     ``slowdown`` is the factor by which it is slower than its profile. ``layers`` is the
-    number of layers of a complete model. ``_reported_version`` is the version in the
-    agent's last report.
+    number of layers of a complete model, and ``full_pass_s`` the seconds of an engine's
+    longest pass. ``round_trip_s`` was seen when a connection was opened. Requests must
+    begin before ``begin_by``. ``_reported_version`` is the version in the agent's last
+    report.
     """
 
     record: UpstreamRecord
@@ -79,6 +84,9 @@
     response_version: int | None = None
     slowdown: float = 1.0
     layers: int = 0
+    full_pass_s: float = 0.0
+    round_trip_s: float = 0.0
+    begin_by: float = math.inf
     _reported_version: _ReportedVersion | None = None
     _failure_count: int = 0
     _next_ejection_s: float = MIN_EJECTION_S
@@ -121,6 +129,16 @@
             self.slowdown,
         )
 
+    @property
+    def withdrawal_lead_s(self) -> float:
+        """Seconds before its end at which a version's requests are withdrawn.
+
+        This is the way to the upstream, and the pass that an engine completes before it
+        drops a cancelled request.
+        """
+        round_trip_s = min(self.round_trip_s, MAX_ROUND_TRIP_S)
+        return round_trip_s + self.slowdown * self.full_pass_s
+
     def peer_load_age_s(self, now: float) -> float:
         """Return the seconds since the load of other entries was updated."""
         return now - self.peer_load_at
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -110,6 +110,7 @@
         self._limits = HttpLimits()
         self._is_stopping = False
         self._stopped_at = 0.0
+        self._known_rollouts = 0
         self.fleet = EntryFleet(settings, int(time.time() * 1000))
         self._open_ports()
         self._watches = self._create_watches()
@@ -247,9 +248,15 @@
         self._freshness.confirm(as_of)
 
     def _on_fleet_changed(self) -> None:
+        if self.fleet.version_rollouts.rollout_count != self._known_rollouts:
+            self._on_rollouts_changed()
         if self.fleet.has_waiting_calls:
             self.calls.on_fleet_changed()
 
+    def _on_rollouts_changed(self) -> None:
+        self._known_rollouts = self.fleet.version_rollouts.rollout_count
+        self.calls.on_version_added()
+
     def _on_store_restored(self) -> None:
         now = self.task.now()
         self._freshness.on_store_restored(now)
@@ -289,6 +296,7 @@
                 },
             )
             self.exchange.send_hello_to_agents()
+            self._on_rollouts_changed()
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send new connections.
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -14,7 +14,12 @@
 from dataclasses import replace
 
 from bamboolever.calls.dispatcher import ServiceDispatcher
-from bamboolever.calls.engine import EngineLoad, add_loads, subtract_load
+from bamboolever.calls.engine import (
+    EngineLoad,
+    add_loads,
+    full_pass_s,
+    subtract_load,
+)
 from bamboolever.calls.placement import (
     OTHER_REGION_PENALTY_S,
     OTHER_ZONE_PENALTY_S,
@@ -170,6 +175,7 @@
             view = UpstreamView(record)
         view.record = record
         view.layers = self._layer_count(record.service)
+        view.full_pass_s = self._full_pass_s(record.service)
         view.is_home = cell is None or cell == self.own_cell
         return view
 
@@ -379,6 +385,12 @@
             return 0
         return service.engine.layers
 
+    def _full_pass_s(self, name: str) -> float:
+        service = self._configuration.services.get(name)
+        if service is None or service.engine is None:
+            return 0.0
+        return full_pass_s(service.engine)
+
     def _make_policy(self, name: str) -> PlacementPolicy:
         service = self._configuration.services.get(name)
         if service is None or service.engine is None:
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -145,6 +145,25 @@
             self._retry_budgets[service] = budget
         return budget
 
+    def begin_by(self, relay: CallRelay) -> float | None:
+        """Return by when the relay's attempt must have begun; None without a limit."""
+        view, model = relay.upstream, relay.metadata.model
+        if view is None or model is None:
+            return None
+        now, rollouts = self.task.now(), self._fleet.version_rollouts
+        version = view.served_version(model, now)
+        if version is None:
+            return None
+        if version < rollouts.min_version(model, now):
+            return now
+        expires_at = rollouts.expires_at(model, version)
+        return None if expires_at is None else expires_at - view.withdrawal_lead_s
+
+    def on_version_added(self) -> None:
+        """Withdraw attempts that have not begun before an older version's end."""
+        for relay in list(self._relays.values()):
+            relay.on_version_added()
+
     def count(self, name: str, **attributes: str) -> None:
         """Add 1 to the counter ``name`` with these attributes."""
         self._telemetry.count(name, 1, **attributes)
--- a/src/bamboolever/daemons/loader.py
+++ b/src/bamboolever/daemons/loader.py
@@ -229,7 +229,7 @@
         transfer_s = profile.weight_bytes / bytes_per_s if bytes_per_s > 0 else 0.0
         elapsed_s = now - self._target_started_at
         return should_finish_transfer(
-            RolloutOverlap(elapsed_s, transfer_s, self._rollouts.effective_timeout_s),
+            RolloutOverlap(elapsed_s, transfer_s, self._rollouts.timeout_s),
             is_second_half=is_second_half(self._switch_turn(newest)),
         )
 
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -24,9 +24,9 @@
 from bamboolever.calls.dispatcher import Rejection, RejectReason
 from bamboolever.calls.placement import PendingCall, Placement
 from bamboolever.calls.retry import AttemptOutcome, RetryInput, find_retry_refusal
-from bamboolever.calls.stall import find_stall_timeout_s
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.config.model import Route, RouteKind, Workspace
+from bamboolever.daemons.attempttimers import AttemptTimers
 from bamboolever.daemons.eventstream import EventStream
 from bamboolever.daemons.ownresponses import (
     FAILED_STATUS,
@@ -42,7 +42,6 @@
 from bamboolever.net.exchange import ExchangeFailure, FailureKind, ResponseHandler
 from bamboolever.net.messages import Request, ResponseHead
 from bamboolever.net.server import ServerConnection
-from bamboolever.net.timers import RearmableTimer
 from bamboolever.platform import calls as wire
 from bamboolever.platform.calls import CallMetadata, UpstreamHeaders
 
@@ -105,7 +104,13 @@
         self._timeout_timer = self._task.call_later(
             self._timeout_at - self.arrived_at, self._on_timeout
         )
-        self._stall_timer = RearmableTimer(self._task)
+        self._timers = AttemptTimers(
+            self._task,
+            route,
+            self._begin_by,
+            self._on_stall,
+            self._on_version_ended,
+        )
 
     # Placement.
 
@@ -129,10 +134,11 @@
         request = wire.forward_request(
             self._request, self._build_upstream_headers(view)
         )
-        self._arm_stall_timer()
         self._upstream_connection = self._context.pool.send(
             view.record.address, request, self
         )
+        self._note_round_trip(view)
+        self._timers.start_attempt()
 
     def on_rejected(self, rejection: Rejection) -> None:
         """End the call; called when the dispatcher finds no upstream that can serve it.
@@ -169,6 +175,7 @@
             model=self.metadata.model,
             tried=self._tried,
             is_resumed=self._stream.is_begun,
+            is_retry_safe=self.route.is_retry_safe,
         )
         self._context.enqueue(self, pending)
 
@@ -206,9 +213,14 @@
         if version is not None:
             view.response_version = version
         self._note_availability(view, head)
+        self._note_round_trip(view)
+        if not self._is_stream():
+            self._timers.on_begun()
         if wire.is_not_executed(head):
             self._attempt_outcome = AttemptOutcome.NOT_RUN
-            self._stall_timer.arm(REJECTION_BODY_TIMEOUT_S, self._end_rejected_attempt)
+            self._timers.await_rejection_end(
+                REJECTION_BODY_TIMEOUT_S, self._end_rejected_attempt
+            )
             return
         if head.is_success and not wire.is_signed(head):
             self._cancel_attempt()
@@ -243,7 +255,7 @@
         if self._attempt_outcome is None and self._is_event_stream():
             self._relay_events(data)
             return
-        self._arm_stall_timer()
+        self._timers.on_progress()
         overflow = self._response_body.add(data)
         if overflow is not None:
             self._cancel_attempt()
@@ -334,7 +346,8 @@
             self.record.status = self._first_response_head.status
             self.record.events = self._stream.event_count
             self._record_first_byte()
-            self._arm_stall_timer()
+            self._timers.on_begun()
+            self._timers.on_progress()
         if self._stream.is_over_limit:
             self._cancel_attempt()
             self._on_attempt_failed(AttemptOutcome.UNKNOWN, "event over the limit")
@@ -368,13 +381,16 @@
             return
         self._forward_response()
 
-    def _on_attempt_failed(self, outcome: AttemptOutcome, detail: str) -> None:
-        self._stall_timer.disarm()
+    def _on_attempt_failed(
+        self, outcome: AttemptOutcome, detail: str, *, is_fault: bool = True
+    ) -> None:
+        self._timers.end_attempt()
         now = self._task.now()
         view = self._upstream
         if view is not None:
             view.remove_call(self.call_id)
-            if outcome is not AttemptOutcome.NOT_RUN and view.on_failure(now):
+            is_counted = is_fault and outcome is not AttemptOutcome.NOT_RUN
+            if is_counted and view.on_failure(now):
                 self._context.count("upstream.ejected", service=self.service)
         if outcome is not AttemptOutcome.NOT_RUN:
             self._may_have_run = True
@@ -455,7 +471,7 @@
         self.record.outcome = outcome
         self.record.detail = detail
         self._timeout_timer.cancel()
-        self._stall_timer.disarm()
+        self._timers.end_attempt()
         self._response_body.take()
         if self._upstream is not None:
             self._upstream.remove_call(self.call_id)
@@ -468,12 +484,30 @@
             self._upstream_connection.cancel()
             self._upstream_connection = None
 
-    # Stalled attempts.
+    # Time limits of an attempt.
+
+    @property
+    def upstream(self) -> UpstreamView | None:
+        """The upstream of the current attempt, or of the last one."""
+        return self._upstream
+
+    def on_version_added(self) -> None:
+        """Withdraw an attempt in time for the end of an older version."""
+        self._timers.check_begin()
+
+    def _begin_by(self) -> float | None:
+        return self._context.begin_by(self)
 
-    def _arm_stall_timer(self) -> None:
-        timeout_s = find_stall_timeout_s(self.route)
-        if timeout_s is not None:
-            self._stall_timer.arm(timeout_s, self._on_stall)
+    def _note_round_trip(self, view: UpstreamView) -> None:
+        connection = self._upstream_connection
+        if connection is not None and connection.round_trip_s is not None:
+            view.round_trip_s = connection.round_trip_s
+
+    def _on_version_ended(self) -> None:
+        if self._is_done or self._upstream_connection is None:
+            return
+        self._cancel_attempt()
+        self._on_attempt_failed(AttemptOutcome.UNKNOWN, "version ended", is_fault=False)
 
     def _on_stall(self) -> None:
         if self._is_done or self._upstream_connection is None:
--- a/src/bamboolever/daemons/relaycontext.py
+++ b/src/bamboolever/daemons/relaycontext.py
@@ -80,6 +80,13 @@
         Returns None if the call may be sent again, else the reason why not.
         """
 
+    @abstractmethod
+    def begin_by(self, relay: "CallRelay") -> float | None:
+        """Return by when the relay's attempt must have begun, or None without a limit.
+
+        After that its upstream's version has expired.
+        """
+
     @abstractmethod
     def count(self, name: str, **attributes: str) -> None:
         """Add 1 to the counter ``name`` with these attributes."""
--- a/src/bamboolever/fleet/versions.py
+++ b/src/bamboolever/fleet/versions.py
@@ -18,12 +18,6 @@
 from bamboolever.fleet.messages import RolloutAge
 from bamboolever.fleet.storetimes import StoreTimes
 
-# Subtracted from the configured timeout. Covers queueing at the upstream and the
-# age of the upstream's entry in the store's list.
-EXPIRY_MARGIN_S = 0.4
-# For this long before it expires, a version counts as expiring: its upstreams are not
-# filled, since a request that waits there for a slot would begin too late.
-EXPIRING_PERIOD_S = 0.25
 # Older rollouts are not reported: no process needs their start time any more.
 MAX_REPORTED_AGE_S = 60.0
 # Rollouts of which the revision is kept, so that later responses can correct the start.
@@ -129,12 +123,17 @@
         return max(self._started_at.get(model, {}), default=None)
 
     @property
-    def effective_timeout_s(self) -> float:
+    def timeout_s(self) -> float:
         """Seconds after a rollout starts until older versions expire."""
-        return self._timeout_s - EXPIRY_MARGIN_S
+        return self._timeout_s
+
+    @property
+    def rollout_count(self) -> int:
+        """Number of known rollouts of all models."""
+        return sum(len(known) for known in self._started_at.values())
 
     def expires_at(self, model: str, version: int) -> float | None:
-        """Return when a version expires: from then on it serves no new requests.
+        """Return when a version expires: from then on no request may begin on it.
 
         The first rollout of a newer version decides. None if no newer version was
         rolled out, or if the start of such a rollout is unknown.
@@ -149,13 +148,8 @@
             return None
         return self._expiry(min(known))
 
-    def is_expiring(self, model: str, version: int, now: float) -> bool:
-        """Return whether a version has expired or will within `EXPIRING_PERIOD_S`."""
-        expires_at = self.expires_at(model, version)
-        return expires_at is not None and now >= expires_at - EXPIRING_PERIOD_S
-
     def _expiry(self, started_at: float) -> float:
-        return started_at + self.effective_timeout_s
+        return started_at + self._timeout_s
 
     def min_version(self, model: str | None, now: float) -> int:
         """Return the lowest version of a model that may serve new requests.
--- a/src/bamboolever/net/client.py
+++ b/src/bamboolever/net/client.py
@@ -28,6 +28,7 @@
 
     ``keep_alive_timeout_s`` is the idle timeout that the server announced, or None;
     ``idle_since`` is the task's time in seconds of the last complete response.
+    ``round_trip_s`` is how long the connection took to open, None before.
     """
 
     def __init__(self, pool: "ConnectionPool", address: Address):
@@ -35,6 +36,8 @@
         self._task = pool.task
         self.address = address
         self._sock = start_connecting(address, TCP_USER_TIMEOUT_S)
+        self._opened_at = self._task.now()
+        self.round_trip_s: float | None = None
         self._events = READ | WRITE
         self._task.register(self._sock, self._events, self._on_ready)
         self._http = h11.Connection(h11.CLIENT)
@@ -121,6 +124,7 @@
             self._fail(FailureKind.CONNECT, os.strerror(error))
             return False
         self._is_connecting = False
+        self.round_trip_s = self._task.now() - self._opened_at
         self._cancel_connect_timer()
         return True
 
--- a/testing/daemons/test_entryfleet.py
+++ b/testing/daemons/test_entryfleet.py
@@ -164,6 +164,7 @@
     site.set_model_version(2)
     assert read_response(connection).body == ALL_EVENTS
     wait_for(lambda: old.received_requests[-1].is_cancelled)
+    assert views_of(entry)["engine-1"]._failure_count == 0
 
 
 def test_configuration_that_does_not_decode_is_ignored(
