--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -129,6 +129,11 @@
         """Whether a call to the store is in flight."""
         return self._calls.is_any
 
+    @property
+    def revision(self) -> int | None:
+        """Revision of the store up to which all objects were passed on."""
+        return self._state.revision
+
     @property
     def is_reachable(self) -> bool:
         """Whether the store responded to the last call and is not overdue now."""
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -14,7 +14,12 @@
 from dataclasses import replace
 
 from bamboolever.calls.dispatcher import ServiceDispatcher
-from bamboolever.calls.engine import EngineLoad, add_loads, subtract_load
+from bamboolever.calls.engine import (
+    EngineLoad,
+    add_loads,
+    full_pass_s,
+    subtract_load,
+)
 from bamboolever.calls.placement import (
     OTHER_REGION_PENALTY_S,
     OTHER_ZONE_PENALTY_S,
@@ -184,6 +189,7 @@
             view = UpstreamView(record)
         view.record = record
         view.layers = self._layer_count(record.service)
+        view.full_pass_s = self._full_pass_s(record.service)
         view.is_home = cell is None or cell == self.own_cell
         return view
 
@@ -341,18 +347,21 @@
 
     # States of agents.
 
-    def apply_agent_state(self, state: AgentState, now: float) -> bool:
+    def apply_agent_state(
+        self, state: AgentState, now: float, said_after: float | None = None
+    ) -> bool:
         """Apply an agent's report on its engine, the rollouts and the known entries.
 
-        Returns whether the report has a peer that was unknown here.
+        The agent made it after ``said_after``; None if no such time is known. Returns
+        whether the report has a peer that was unknown here.
         """
         view = self._engines_by_address.get(state.upstream)
         if view is not None:
             self._apply_engine_state(view, state, now)
         for rollout in state.rollouts:
-            if rollout.age_s is not None:
+            if rollout.age_s is not None and said_after is not None:
                 self.version_rollouts.record_age(
-                    rollout.model, rollout.version, rollout.age_s, now
+                    rollout.model, rollout.version, rollout.age_s, said_after
                 )
         neighbor = self.neighbors.get(state.cell)
         if neighbor is not None:
@@ -404,6 +413,12 @@
             return 0
         return service.engine.layers
 
+    def _full_pass_s(self, name: str) -> float:
+        service = self._configuration.services.get(name)
+        if service is None or service.engine is None:
+            return 0.0
+        return full_pass_s(service.engine)
+
     def _make_policy(self, name: str) -> PlacementPolicy:
         service = self._configuration.services.get(name)
         if service is None or service.engine is None:
--- a/src/bamboolever/platform/store.py
+++ b/src/bamboolever/platform/store.py
@@ -1,7 +1,7 @@
 """Requests that list and watch the platform's object store, and their responses."""
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -134,7 +134,7 @@
             if document is None:
                 continue
             if event.get("deleted"):
-                document = StoredDocument(document.name, None, document.revision)
+                document = replace(document, value=None)
             documents.append(document)
         return StoreListing(tuple(documents), int(content["at"]))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
@@ -155,8 +155,6 @@
     # decoders of stored documents do not accept.
     value = raw.get("specification")
     revision = raw["metadata"].get("revision")
-    return StoredDocument(
-        name,
-        {} if value is None else value,
-        revision if isinstance(revision, int) else None,
-    )
+    if not isinstance(revision, int) or isinstance(revision, bool):
+        revision = None
+    return StoredDocument(name, {} if value is None else value, revision)
--- a/testing/daemons/test_entryfleet.py
+++ b/testing/daemons/test_entryfleet.py
@@ -5,18 +5,26 @@
 from dataclasses import replace
 from functools import partial
 
-from sitebuilders import make_stream_headers, views_of, wait_for
+from sitebuilders import (
+    make_headers,
+    make_stream_headers,
+    read_response,
+    views_of,
+    wait_for,
+)
 
-from bamboolever.fleet.messages import AgentState
+from bamboolever.daemons.entryfleet import EntryFleet
+from bamboolever.fleet.messages import AgentState, RolloutAge
 from bamboolever.net.addresses import Address
 from bamboolever.platform.documents import decode_configuration
+from bamboolever.platform.nodefile import decode_settings
 from bamboolever.platform.standins.site import (
     ENGINE_SERVICE,
     PLAIN_SERVICE,
     find_free_port,
 )
 from bamboolever.platform.standins.store import StoreFault
-from bamboolever.platform.standins.upstream import EVENT_COUNT, MODEL
+from bamboolever.platform.standins.upstream import EVENT_COUNT, MODEL, Behaviour
 
 ALL_EVENTS = b"".join(
     f"id: {number}\ndata: token {number}\n\n".encode()
@@ -107,6 +115,61 @@
     assert entry.call("/stream/1", **make_stream_headers()).status == 200
 
 
+def test_age_of_a_rollout_never_counts_from_a_report_that_echoes_nothing(site):
+    """Guards against reports that lie in the socket of a suspended entry."""
+    fleet = EntryFleet(decode_settings(site.make_settings(name="e", host="e")), 1)
+    rollouts = (RolloutAge("model-1", 2, 0.5),)
+    state = AgentState(Address("e", 1), False, 1, 1.0, (), rollouts)
+    fleet.apply_agent_state(state, 104.0)
+    assert fleet.version_rollouts.age_s("model-1", 2, 104.0) is None
+    fleet.apply_agent_state(state, 104.0, 100.0)
+    assert fleet.version_rollouts.age_s("model-1", 2, 104.0) == 4.5
+
+
+def test_restarted_entry_learns_the_age_of_a_rollout_from_the_agents(
+    site, start_entry, start_agent
+):
+    start_agent(site.add_engine("engine-1", "127.0.0.2"))
+    first = start_entry(host="127.0.0.8").wait_ready(1)
+    site.set_model_version(2)
+    wait_for(lambda: _age_s(first) is not None)
+    restarted = start_entry(name="entry-2", host="127.0.0.9").wait_ready(1)
+    wait_for(lambda: _age_s(restarted) is not None)
+    assert _expires_at(restarted) <= _expires_at(first)
+
+
+def _age_s(running):
+    entry = running.entry
+    return entry.fleet.version_rollouts.age_s("model-1", 2, entry.task.now())
+
+
+def _expires_at(running):
+    return running.entry.fleet.version_rollouts.expires_at("model-1", 1)
+
+
+def test_request_that_has_not_begun_is_withdrawn_when_the_version_expires(
+    site, start_entry
+):
+    """Guards against requests that an engine begins after its version's end."""
+    old = site.add_engine("engine-1", "127.0.0.2")
+    old.behaviours.append(Behaviour.MUTE)
+    entry = start_entry(version_ms=500).wait_ready(1)
+    # No time limit of a stalled attempt ends the request first.
+    routes = [dict(route, targetGapMs=10000) for route in site.configuration["routes"]]
+    site.apply_configuration(routes=routes)
+    wait_for(lambda: entry.entry._configuration.version == 2)
+    connection = entry.connect()
+    headers = make_headers(**make_stream_headers())
+    connection.request("POST", "/stream/1", b"body", headers)
+    wait_for(lambda: _count_executions([old]) == 1)
+    site.add_engine("engine-2", "127.0.0.3", version=2)
+    wait_for(lambda: "engine-2" in views_of(entry))
+    site.set_model_version(2)
+    assert read_response(connection).body == ALL_EVENTS
+    wait_for(lambda: old.received_requests[-1].is_cancelled)
+    assert views_of(entry)["engine-1"]._failure_count == 0
+
+
 def test_configuration_that_does_not_decode_is_ignored(
     site, plain_upstreams, start_entry
 ):
