Use an older version to its end for streams that cannot be resumed, too

Found while reading the withdrawal of requests: one that may not run twice was sent to an engine of an expiring version only if its own deadline came before the version's end. With a deadline of 6 s and a bound of 8 s, such streams would have had no engine from 2 s after a naming until the new version is served.

They are placed like the others, where they begin in time by the known queue, and are withdrawn like the others; the caller then gets 502, since the request may have run.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -182,10 +182,9 @@
         known: dict[str | None, Sequence[UpstreamView]],
         now: float,
     ) -> Sequence[UpstreamView]:
-        is_bound_by_version = call.model is not None and not call.is_retry_safe
-        if call.tried or is_bound_by_version:
+        if call.tried:
             return self._eligible(call, self._home, now)
-        # Without these the answer is the same for all calls of a model.
+        # Without earlier attempts the answer is the same for all calls of a model.
         if call.model not in known:
             known[call.model] = self._eligible(call, self._home, now)
         return known[call.model]
@@ -251,9 +250,6 @@
         expires_at = self._versions.expires_at(call.model, version)
         if expires_at is None:
             return True
-        if not call.is_retry_safe:
-            # The upstream drops a request that has not begun by its deadline.
-            return call.timeout_at <= expires_at
         view.begin_by = expires_at - view.withdrawal_lead_s
         return now < view.begin_by
 
--- a/src/bamboolever/calls/placement.py
+++ b/src/bamboolever/calls/placement.py
@@ -42,7 +42,7 @@
     the seconds since the caller's first attempt, which was rejected; 0 if this is the
     first. ``tried`` holds the instance ids of upstreams that it was sent to before.
     ``is_resumed`` marks a stream that broke after its first event and continues at
-    another upstream. Unless it ``is_retry_safe``, it can't be withdrawn once sent.
+    another upstream.
     """
 
     call_id: int
@@ -55,7 +55,6 @@
     model: str | None = None
     tried: set[str] = field(default_factory=set)
     is_resumed: bool = False
-    is_retry_safe: bool = True
 
     @property
     def is_caller_retry(self) -> bool:
--- a/src/bamboolever/daemons/attempttimers.py
+++ b/src/bamboolever/daemons/attempttimers.py
@@ -5,7 +5,8 @@
 
 Load pattern: engines with more requests than slots while their version expires. How
 long a request waits there is not known, as other entries send requests too. One that
-has not begun when the version ends is withdrawn and sent to another engine.
+has not begun when the version ends is withdrawn; the calling code sends it to another
+engine if it may run again.
 """
 
 from collections.abc import Callable
@@ -35,7 +36,6 @@
     ):
         self._task = task
         self._stall_timeout_s = find_stall_timeout_s(route)
-        self._is_withdrawable = route.is_retry_safe
         self._begin_by = begin_by
         self._on_stalled = on_stalled
         self._on_version_ended = on_version_ended
@@ -45,7 +45,7 @@
 
     def start_attempt(self) -> None:
         """Start both limits; call when the request is sent."""
-        self._is_waiting = self._is_withdrawable
+        self._is_waiting = True
         self.on_progress()
         self.check_begin()
 
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -177,7 +177,6 @@
             model=self.metadata.model,
             tried=self._tried,
             is_resumed=self._stream.is_begun,
-            is_retry_safe=self.route.is_retry_safe,
         )
         self._context.enqueue(self, pending)
 
--- a/testing/daemons/test_entryfleet.py
+++ b/testing/daemons/test_entryfleet.py
@@ -170,6 +170,27 @@
     assert views_of(entry)["engine-1"]._failure_count == 0
 
 
+def test_withdrawn_request_that_may_not_run_twice_ends_as_unknown(site, start_entry):
+    old = site.add_engine("engine-1", "127.0.0.2")
+    new = site.add_engine("engine-2", "127.0.0.3", version=2)
+    old.behaviours.append(Behaviour.MUTE)
+    entry = start_entry(version_ms=500).wait_ready(2)
+    changes = {"targetGapMs": 10000, "resumeStreams": False}
+    routes = [{**route, **changes} for route in site.configuration["routes"]]
+    site.apply_configuration(routes=routes)
+    wait_for(lambda: entry.entry._configuration.version == 2)
+    entry.entry.fleet._views["engine-2"].is_leaving = True
+    connection = entry.connect()
+    headers = make_headers(**make_stream_headers())
+    connection.request("POST", "/stream/1", b"body", headers)
+    wait_for(lambda: _count_executions([old]) == 1)
+    entry.entry.fleet._views["engine-2"].is_leaving = False
+    site.set_model_version(2)
+    assert read_response(connection).status == 502
+    wait_for(lambda: old.received_requests[-1].is_cancelled)
+    assert not new.received_requests
+
+
 def test_configuration_that_does_not_decode_is_ignored(
     site, plain_upstreams, start_entry
 ):
