--- a/src/bamboolever/config/storecalls.py
+++ b/src/bamboolever/config/storecalls.py
@@ -76,6 +76,15 @@
     fetch: Fetch | None = None
     _seen_bytes: int = 0
 
+    def as_of(self, received_at: float, *, has_changes: bool) -> float:
+        """Return when what a response to this watch tells was surely the newest."""
+        # A response with changes, or before the end of the wait, may have been made at
+        # any time after the request was sent, so the time of the request counts.
+        if has_changes or received_at - self.sent_at < self.wait_s:
+            return self.sent_at
+        # A response without changes was made at the end of the wait.
+        return self.sent_at + self.wait_s
+
     def has_progressed(self) -> bool:
         """Return whether enough of the response arrived since this was last asked."""
         received = self.fetch.received_bytes if self.fetch is not None else 0
--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -16,7 +16,8 @@
 from dataclasses import dataclass
 
 from bamboolever._task import IoTask, Timer
-from bamboolever.config.kindstate import KindState, Snapshot
+from bamboolever.config.kindstate import Snapshot
+from bamboolever.config.kindview import KindView
 from bamboolever.config.observer import KindObserver
 from bamboolever.config.sharing import (
     NoSharing,
@@ -32,7 +33,7 @@
 from bamboolever.net.fetch import FetchResult, Response
 from bamboolever.platform import store
 from bamboolever.platform.errors import AdapterError
-from bamboolever.platform.store import StoredDocument, StoreListing
+from bamboolever.platform.store import StoreListing
 
 logger = logging.getLogger(__name__)
 
@@ -80,10 +81,9 @@
     ):
         self._task = task
         self._kind = kind
-        self._observer = observer
+        self._view = KindView(kind, observer, group)
         self._timing = timing
         self._batch_delay_s = batch_delay_s
-        self._state = KindState()
         self._listing: ListingProgress | None = None
         # Size of the objects when they were listed last.
         self._listed_bytes = 0
@@ -108,21 +108,25 @@
     @property
     def era(self) -> int:
         """How often the store was restored, as far as this watch knows."""
-        return self._state.era or 0
+        return self._view.state.era or 0
+
+    @property
+    def _revision(self) -> int | None:
+        return self._view.state.revision
 
     @property
     def changed_revision(self) -> int:
         """Revision of the store at the last change that was watched."""
-        return self._state.changed_revision
+        return self._view.state.changed_revision
 
     @property
     def change_count(self) -> int:
         """A number that changes with the objects."""
-        return self._state.change_count
+        return self._view.state.change_count
 
     def snapshot(self) -> Snapshot | None:
         """Return all objects as they are known; None while they are not."""
-        return self._state.snapshot()
+        return self._view.state.snapshot()
 
     @property
     def is_calling(self) -> bool:
@@ -165,71 +169,13 @@
 
         Asks that process or the store if changes between are missing here.
         """
-        if self._is_stopped or self._state.revision is None:
-            return
-        if not self._is_current_era(result.era):
-            return
-        if result.is_after_outage:
-            self._observer.on_reachability_changed(False, "a peer lost the store")
-            self._observer.on_reachability_changed(True, "a peer reached the store")
-        if result.revision > self._state.revision and not self._apply_changes(result):
+        if not self._is_stopped and not self._view.apply_result(result):
             self._catch_up(result.revision, result.source)
-            return
-        if result.as_of is not None:
-            # What is known here is as new as the peer's, or newer.
-            self._confirm(result.as_of)
-
-    def _is_current_era(self, era: int) -> bool:
-        if self._state.era is not None and era > self._state.era:
-            self._group.on_restored(era)
-            return False
-        return era == self._state.era
-
-    def _apply_changes(self, result: WatchResult) -> bool:
-        known = self._state.revision
-        if result.changes is None or known is None or result.from_revision > known:
-            return False
-        documents: tuple[StoredDocument, ...] = ()
-        if result.changes:
-            try:
-                documents = store.decode_changes(result.changes).documents
-            except AdapterError as error:
-                logger.warning("store update ignored", extra={"reason": str(error)})
-                return False
-        self._apply(documents, result.revision)
-        return True
-
-    def _apply(self, documents: tuple[StoredDocument, ...], revision: int) -> None:
-        new = self._state.take_changes(documents, revision)
-        if new:
-            self._observer.on_changes(new)
-
-    def _confirm(self, as_of: float) -> None:
-        self._state.confirm(as_of)
-        self._observer.on_confirmed(as_of)
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Take over all objects as another process knows them, if they are newer."""
-        if self._is_stopped:
-            return
-        if self._state.era is None:
-            self._state.era = snapshot.era
-        if not self._is_current_era(snapshot.era):
-            return
-        known = self._state.revision
-        if snapshot.documents is not None and (
-            known is None or snapshot.revision > known
-        ):
-            self._state.take_listing(snapshot.documents, snapshot.revision)
-            self._state.on_change_known(snapshot.changed_revision)
-            self._observer.on_listing(snapshot.documents)
-        known = self._state.revision
-        if (
-            snapshot.as_of is not None
-            and known is not None
-            and known >= snapshot.revision
-        ):
-            self._confirm(snapshot.as_of)
+        if not self._is_stopped:
+            self._view.apply_snapshot(snapshot)
 
     def catch_up_to(
         self, era: int, revision: int, source: Address | None = None
@@ -238,8 +184,8 @@
 
         The update that told of it was lost.
         """
-        known = self._state.revision
-        if era == self._state.era and known is not None and revision > known:
+        known = self._revision
+        if era == self._view.state.era and known is not None and revision > known:
             self._catch_up(revision, source)
 
     def _catch_up(self, revision: int, source: Address | None) -> None:
@@ -252,35 +198,32 @@
                 return
             if snapshot is not None:
                 self.apply_snapshot(snapshot)
-            if self._state.revision is not None and self._state.revision < revision:
+            if self._revision is not None and self._revision < revision:
                 self._call_for_changes()
 
-        known = self._state.revision
-        if source is not None and known is not None:
-            self._is_asking_peer = self._sharing.ask_peer(
-                source, self._kind, self.era, known, on_snapshot
-            )
-        if not self._is_asking_peer:
+        known = self._revision
+        if source is None or known is None:
+            self._call_for_changes()
+            return
+        self._is_asking_peer = True
+        if not self._sharing.ask_peer(source, self._kind, self.era, known, on_snapshot):
+            self._is_asking_peer = False
             self._call_for_changes()
 
     def _call_for_changes(self) -> None:
         # While calls are overdue, the next one is sent when its time comes.
-        if self._calls.is_any or self._state.revision is None:
+        if self._calls.is_any or self._revision is None:
             return
         if self._task.now() - self._calls.sent_at < MIN_RETRY_DELAY_S:
             return
-        self._send_watch(self._state.revision, 0.0, is_shared=False)
+        self._send_watch(self._revision, 0.0, is_shared=False)
 
     def follow_era(self, era: int) -> None:
         """List again if the store was restored since the last response."""
-        known = self._state.era
-        if known is None or era <= known or self._is_stopped:
+        if self._is_stopped or not self._view.follow_era(era):
             return
-        logger.warning("store restored", extra={"kind": self._kind, "era": era})
-        self._state.follow_era(era)
         self._listing = ListingProgress()
         self._calls.cancel_all()
-        self._observer.on_store_restored()
         self._send_next()
 
     def retry_if_hung(self) -> None:
@@ -302,7 +245,7 @@
         wait_s = self._timing.wait_s
         if wait_s is None:
             return
-        revision = self._state.revision
+        revision = self._revision
         if revision is None:
             return
         if not self._is_reachable:
@@ -364,16 +307,12 @@
 
     def _check_era(self, response: Response) -> bool:
         era = store.response_era(response.head) or 0
-        if self._state.era is None:
-            self._state.era = era
-        if era == self._state.era:
+        if self._view.is_current_era(era):
             return True
-        if era < self._state.era:
+        if era < self.era:
             # The response was made before the store was restored.
             logger.info("older store response ignored", extra={"kind": self._kind})
             self._call_later(MIN_RETRY_DELAY_S)
-            return False
-        self._group.on_restored(era)
         return False
 
     def _on_page(
@@ -401,14 +340,13 @@
             return
         self._listing = None
         self._listed_bytes = listing.size_bytes
-        documents = tuple(listing.documents)
-        if self._state.take_listing(documents, listing.revision):
-            if self.changed_revision:
-                # A later listing may hold changes that others missed too.
-                self._state.on_change_known(listing.revision)
-            self._set_reachable()
-            self._observer.on_listing(documents)
-        self._confirm(listing.sent_at)
+        # A later listing may hold changes that others missed too.
+        changed_revision = listing.revision if self.changed_revision else 0
+        self._set_reachable()
+        self._view.apply_listing(
+            tuple(listing.documents), listing.revision, changed_revision
+        )
+        self._view.confirm(listing.sent_at)
 
     def _on_changes(self, call: StoreCall, response: Response) -> None:
         if response.head.status == store.HISTORY_GONE_STATUS:
@@ -422,15 +360,15 @@
             return
         changes = store.decode_changes(response.body)
         is_after_outage = self._on_reachable(call)
-        known = self._state.revision
+        known = self._revision
         if known is None:
             self._send_next()
             return
         is_new = changes.revision >= known
         if is_new:
-            self._apply(changes.documents, changes.revision)
-        as_of = self._as_of(call, response, changes)
-        self._confirm(as_of)
+            self._view.apply_changes(changes.documents, changes.revision)
+        as_of = call.as_of(self._task.now(), has_changes=bool(changes.documents))
+        self._view.confirm(as_of)
         if call.is_shared and is_new:
             result = WatchResult(
                 self._kind,
@@ -448,17 +386,6 @@
             return
         self._send_next()
 
-    def _as_of(
-        self, call: StoreCall, response: Response, changes: StoreListing
-    ) -> float:
-        waited_s = self._task.now() - response.sent_at
-        # A response with changes, or before the end of the wait, may have been made at
-        # any time after the request was sent, so the time of the request counts.
-        if changes.documents or waited_s < call.wait_s:
-            return response.sent_at
-        # A response without changes was made at the end of the wait.
-        return response.sent_at + call.wait_s
-
     def _on_reachable(self, call: StoreCall) -> bool:
         """Record a response; return whether the store was unreachable before."""
         self._retry_delay_s = MIN_RETRY_DELAY_S
@@ -471,12 +398,12 @@
     def _set_reachable(self) -> None:
         if not self._is_reachable:
             self._is_reachable = True
-            self._observer.on_reachability_changed(True, "answered")
+            self._view.observer.on_reachability_changed(True, "answered")
 
     def _set_unreachable(self, reason: str) -> None:
         if self._is_reachable:
             self._is_reachable = False
-            self._observer.on_reachability_changed(False, reason)
+            self._view.observer.on_reachability_changed(False, reason)
 
     def _on_failure(self, reason: str) -> None:
         if self._calls.has_current:
