Confirm nothing with a part of a change that peers pass on

Found by reading: a part of an update that is not its last one has no confirmation, and was sent with an age of 0. A peer took the configuration for current as of then, although the parts that follow, which may take away a key, were not applied, or were lost.

An age that is unknown is now sent as such (a negative number in the same field), and confirms nothing. test_part_of_an_update_confirms_nothing fails with the age of 0.

--- a/src/bamboolever/daemons/storerelay.py
+++ b/src/bamboolever/daemons/storerelay.py
@@ -141,7 +141,7 @@
     def publish(self, result: WatchResult) -> None:
         """Send the peers what a call of this entry returned."""
         now = self._now()
-        age_s = now - result.as_of if result.as_of is not None else 0.0
+        age_s = now - result.as_of if result.as_of is not None else None
         for address in self._fleet.peers.live_addresses(now):
             receipt = self._fleet.peers.receipt(address)
             if receipt is None:
@@ -182,6 +182,8 @@
         )
 
     def _as_of(self, update: StoreUpdate) -> float | None:
+        if update.confirmed_age_s is None:
+            return None
         if update.echo_started_ms != self._fleet.started_ms:
             return None
         sent_at = self._load_sent_at.get(update.echo_sequence)
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -27,6 +27,8 @@
 _FACTORY = TCompactProtocolAcceleratedFactory()
 _UNKNOWN_AGE_MS = -1
 # A store's response that expands to more is not decoded.
+UNKNOWN_AGE_MS = -1
+MAX_AGE_MS = 2**31 - 1
 MAX_CHANGES_BYTES = 2**20
 
 
@@ -143,6 +145,12 @@
     return ttypes.CellSummary(message.cell, upstreams)
 
 
+def _age_to_wire(age_s: float | None) -> int:
+    if age_s is None:
+        return UNKNOWN_AGE_MS
+    return min(MAX_AGE_MS, math.ceil(age_s * 1000))
+
+
 def _update_to_wire(message: StoreUpdate) -> Any:
     changes = message.changes
     return ttypes.StoreUpdate(
@@ -152,7 +160,7 @@
         message.revision,
         zlib.compress(changes) if changes else b"",
         changes is not None,
-        math.ceil(message.confirmed_age_s * 1000),
+        _age_to_wire(message.confirmed_age_s),
         message.echo_started_ms,
         message.echo_sequence,
         int(message.echo_age_s * 1000),
@@ -280,7 +288,7 @@
         wire.from_revision,
         wire.revision,
         changes,
-        wire.confirmed_age_ms / 1000,
+        None if wire.confirmed_age_ms < 0 else wire.confirmed_age_ms / 1000,
         wire.echo_started_ms,
         wire.echo_sequence,
         wire.echo_age_ms / 1000,
--- a/src/bamboolever/fleet/messages.py
+++ b/src/bamboolever/fleet/messages.py
@@ -93,8 +93,9 @@
 
     ``changes`` is the body of the store's response; None if it does not fit into a
     datagram, empty without changes. The objects up to ``revision`` were current
-    ``confirmed_age_s`` before this was sent. The sender has had the receiver's load
-    of ``echo_sequence``, from its start at ``echo_started_ms``, for ``echo_age_s``.
+    ``confirmed_age_s`` before this was sent, or None if that is unknown. The sender has
+    had the receiver's load of ``echo_sequence``, from its start at ``echo_started_ms``,
+    for ``echo_age_s``.
     ``is_after_outage`` means that upstreams that the store dropped may be back soon.
     """
 
@@ -103,7 +104,7 @@
     from_revision: int
     revision: int
     changes: bytes | None
-    confirmed_age_s: float
+    confirmed_age_s: float | None
     echo_started_ms: int = 0
     echo_sequence: int = 0
     echo_age_s: float = 0.0
--- a/testing/daemons/test_storerelay.py
+++ b/testing/daemons/test_storerelay.py
@@ -140,3 +140,13 @@
     follower.relay.on_update(update, watching.address, follower.now)
     (result,) = follower.applied
     assert result.as_of is None
+
+
+def test_part_of_an_update_confirms_nothing(members):
+    """Guards against keys that are trusted although a later part was lost."""
+    watching, follower = members[0], members[1]
+    watching.hear(follower, sequence=2)
+    update = watching.publish(as_of=None)[follower.address]
+    follower.relay.on_update(update, watching.address, follower.now)
+    (result,) = follower.applied
+    assert result.as_of is None
--- a/testing/fleet/test_exchange.py
+++ b/testing/fleet/test_exchange.py
@@ -30,6 +30,7 @@
     exchange.StoreUpdate("config", 2, 7, 9, b"body", 0.501, 1, 2, 0.25, True),
     exchange.StoreUpdate("config", 2, 7, 9, None, 0.001),
     exchange.StoreUpdate("config", 2, 9, 9, b"", 0.001),
+    exchange.StoreUpdate("config", 2, 9, 9, b"", None),
     exchange.EntryLoad("entry-1", 1, 2, {-5: EngineLoad(1, 2, 300)}),
     exchange.AgentState(
         Address("10.0.0.1", 80), True, 3, 1.5, (Address("10.0.0.2", 81),)
