--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -136,7 +136,7 @@
     @property
     def revision(self) -> int | None:
         """Revision of the store up to which all objects were passed on."""
-        return self._state.revision
+        return self._view.state.revision
 
     @property
     def is_reachable(self) -> bool:
