Leave a large response to the entry that reads it

On a link that is just wide enough for one entry to read each version (a cell of five on a manual clock, 310 KB every 1.3 s over 0.3 MB/s) all five were two or three versions behind: while the response arrived, the peers heard nothing for 0.7 of the bound, called the store themselves, and shared the link. The time since they were last confirmed stood in the place of whether the watching entry still reads.

That entry now says so with its loads while a response to a call for others arrives, and what it has just heard counts from when it passed it on, not from when it had asked for it. The time that counts for API keys is unchanged.

--- a/src/bamboolever/config/storecalls.py
+++ b/src/bamboolever/config/storecalls.py
@@ -130,6 +130,15 @@
         """Whether a call is in flight that is not overdue."""
         return any(not call.is_overdue for call in self._calls)
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a response to a shared call has arrived."""
+        return any(
+            call.is_shared and call.fetch is not None and call.fetch.received_bytes > 0
+            for call in self._calls
+            if not call.is_overdue
+        )
+
     @property
     def sent_at(self) -> float:
         """When the last call was sent; minus infinity before the first."""
--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -133,6 +133,11 @@
         """Whether a call to the store is in flight."""
         return self._calls.is_any
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a response that is made for others too is arriving."""
+        return self._calls.is_receiving
+
     @property
     def is_reachable(self) -> bool:
         """Whether the store responded to the last call and is not overdue now."""
--- a/src/bamboolever/daemons/storerelay.py
+++ b/src/bamboolever/daemons/storerelay.py
@@ -16,6 +16,7 @@
 from when that load was sent, on this entry's own clock.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import final
@@ -38,6 +39,8 @@
 TAKE_OVER_SHARE = 0.06
 MAX_TAKE_OVER_STEPS = 3
 MAX_REMEMBERED_LOADS = 128
+# How often the peers are told that a large response of the store is arriving.
+PROGRESS_INTERVAL_S = 0.4
 
 
 @final
@@ -69,6 +72,7 @@
         self._configuration_timeout_s = configuration_timeout_s
         self._watches: dict[str, KindWatch] = {}
         self._heard_at = now()
+        self._progress_reported_at = -math.inf
         self._load_sent_at: OrderedDict[int, float] = OrderedDict()
 
     def add_watch(self, watch: KindWatch) -> None:
@@ -109,6 +113,21 @@
         self._load_sent_at[sequence] = now
         while len(self._load_sent_at) > MAX_REMEMBERED_LOADS:
             self._load_sent_at.popitem(last=False)
+        self._report_progress(now)
+
+    def _report_progress(self, now: float) -> None:
+        """Tell the peers that a response is arriving, so that none takes over."""
+        watch = self._watches.get(self._confirmed_kind)
+        if watch is None or not watch.is_receiving:
+            return
+        snapshot = watch.snapshot()
+        if snapshot is None or now - self._progress_reported_at < PROGRESS_INTERVAL_S:
+            return
+        self._progress_reported_at = now
+        revision = snapshot.revision
+        self.publish(
+            WatchResult(watch.kind, snapshot.era, revision, revision, b"", None)
+        )
 
     def call_delay_s(self, now: float) -> float:
         """Return after how many seconds to call the store, if nothing is heard."""
@@ -165,9 +184,14 @@
         watch = self._watches.get(update.kind)
         if watch is None:
             return
-        as_of = self._as_of(update)
-        if as_of is not None and update.kind == self._confirmed_kind:
-            self._heard_at = max(self._heard_at, min(now, as_of))
+        sent_at = self._sent_at(update)
+        as_of = None
+        if sent_at is not None:
+            if update.kind == self._confirmed_kind:
+                # The peer has just heard from the store, however old what it heard is.
+                self._heard_at = max(self._heard_at, min(now, sent_at))
+            if update.confirmed_age_s is not None:
+                as_of = sent_at - update.confirmed_age_s
         watch.apply_shared(
             WatchResult(
                 update.kind,
@@ -181,12 +205,9 @@
             )
         )
 
-    def _as_of(self, update: StoreUpdate) -> float | None:
-        if update.confirmed_age_s is None:
-            return None
+    def _sent_at(self, update: StoreUpdate) -> float | None:
+        """Return the earliest time at which an update was sent, on this clock."""
         if update.echo_started_ms != self._fleet.started_ms:
             return None
-        sent_at = self._load_sent_at.get(update.echo_sequence)
-        if sent_at is None:
-            return None
-        return sent_at + update.echo_age_s - update.confirmed_age_s
+        load_sent_at = self._load_sent_at.get(update.echo_sequence)
+        return None if load_sent_at is None else load_sent_at + update.echo_age_s
--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -628,3 +628,16 @@
     assert (snapshot.revision, snapshot.changed_revision) == (6, 6)
     assert snapshot.as_of == recorder.confirmed_at
     assert recorder.watch.change_count > count
+
+
+@pytest.mark.parametrize("is_shared", [True, False])
+def test_only_a_response_for_others_counts_as_arriving_for_them(task, pool, is_shared):
+    sharing = FollowingShare(0.0 if is_shared else 60.0)
+    recorder = _start(pool, "a", WAIT_S, WatchGroup(), sharing=sharing)
+    task.advance(1.0)
+    recorder.watch.catch_up_to(0, 5)
+    assert not recorder.watch.is_receiving
+    handler = pool.sent[-1][1]
+    handler.on_head(ResponseHead(200, ()))
+    handler.on_data(b" ")
+    assert recorder.watch.is_receiving == is_shared
--- a/testing/daemons/test_storerelay.py
+++ b/testing/daemons/test_storerelay.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bamboolever.config.kindstate import Snapshot
 from bamboolever.config.sharing import WatchResult
 from bamboolever.daemons.storerelay import StoreRelay
 from bamboolever.fleet.messages import EntryLoad
@@ -33,8 +34,12 @@
             lambda message, to: self.sent.append((message, to)),
             CONFIGURATION_TIMEOUT_S,
         )
-        watch = SimpleNamespace(
-            kind="config", apply_shared=self.applied.append, is_reachable=True
+        self.watch = watch = SimpleNamespace(
+            kind="config",
+            apply_shared=self.applied.append,
+            is_reachable=True,
+            is_receiving=False,
+            snapshot=lambda: Snapshot(0, 5, 5, (), None),
         )
         self.relay.add_watch(watch)
 
@@ -142,6 +147,41 @@
     assert result.as_of is None
 
 
+def test_response_that_is_arriving_puts_the_call_of_others_off(members):
+    """Guards against entries that all read the same large response at once."""
+    (watching,) = _callers(members)
+    follower = next(member for member in members if member is not watching)
+    watching.hear(follower, sequence=2)
+    before = follower.relay.call_delay_s(follower.now)
+    for member in members:
+        member.now += 1.0
+    watching.watch.is_receiving = True
+    watching.hear(follower, sequence=3)
+    watching.relay.on_load_sent(2, watching.now)
+    updates = [message for message, to in watching.sent if to == follower.address]
+    (update,) = updates
+    assert update.confirmed_age_s is None
+    follower.relay.on_update(update, watching.address, follower.now)
+    assert follower.relay.call_delay_s(follower.now) == pytest.approx(before, abs=0.01)
+    (result,) = follower.applied
+    assert result.as_of is None
+    watching.relay.on_load_sent(3, watching.now + 0.1)
+    assert len(watching.sent) == len(members) - 1
+
+
+def test_peer_that_has_just_heard_from_the_store_is_not_passed_over(members):
+    """What it heard may be old, as a large response takes long to arrive."""
+    (watching,) = _callers(members)
+    follower = next(member for member in members if member is not watching)
+    before = follower.relay.call_delay_s(follower.now)
+    for member in members:
+        member.now += 1.5
+    watching.hear(follower, sequence=2)
+    update = watching.publish(as_of=watching.now - 1.5)[follower.address]
+    follower.relay.on_update(update, watching.address, follower.now)
+    assert follower.relay.call_delay_s(follower.now) == pytest.approx(before, abs=0.01)
+
+
 def test_part_of_an_update_confirms_nothing(members):
     """Guards against keys that are trusted although a later part was lost."""
     watching, follower = members[0], members[1]
--- a/testing/manualtask.py
+++ b/testing/manualtask.py
@@ -105,6 +105,7 @@
         self.is_cut = False
         self.revision = 1
         self.calls = []
+        self.sent_bytes = 0
         self._link_free_at = 0.0
         self._events = []
         self._waiting = []
@@ -197,5 +198,6 @@
 
     def _send_part(self, size, action):
         now = self.task.now()
+        self.sent_bytes += size
         self._link_free_at = max(now, self._link_free_at) + size / self.bytes_per_s
         self.task.call_later(self._link_free_at - now, action)
