--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -138,6 +138,11 @@
         """Revision of the store up to which all objects were passed on."""
         return self._view.state.revision
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a response that is made for others too is arriving."""
+        return self._calls.is_receiving
+
     @property
     def is_reachable(self) -> bool:
         """Whether the store responded to the last call and is not overdue now."""
