Replay the end of a version: no request begins after it

Seven entries fill twelve engines up to the end, on a model of passes and with delayed loads: no request begins late with any of five seeds.

--- a/testing/calls/test_loadreplay.py
+++ b/testing/calls/test_loadreplay.py
@@ -33,3 +33,18 @@
     without_claims = _replay(per_s)
     assert replay.late < without_claims.late / 2
     assert replay.on_time > without_claims.on_time
+
+
+def _count_begun_late(seed):
+    arrivals = make_arrivals(per_s=300, duration_s=4.0, entries=7, seed=seed)
+    options = {"entries": 7, "engines": 12, "arrivals": arrivals, "seed": seed}
+    replay = LoadReplay(**options, expires_at=3.0, **PROFILE).run()
+    begun = [call.begun_at for call in replay.calls.values() if call.begun_at]
+    return sum(begun_at > 3.0 for begun_at in begun)
+
+
+def test_no_request_begins_after_the_end_of_its_version(monkeypatch):
+    """Guards against requests that wait at engines that others fill meanwhile."""
+    assert [_count_begun_late(seed) for seed in range(5)] == [0] * 5
+    monkeypatch.setattr(LoadReplay, "_withdraw", lambda *_: None)
+    assert sum(_count_begun_late(seed) for seed in range(5)) > 0
--- a/testing/loadreplay.py
+++ b/testing/loadreplay.py
@@ -6,6 +6,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections import deque
 from dataclasses import dataclass, field
@@ -13,10 +14,16 @@
 from sitebuilders import make_pending, make_profile, make_record
 
 from bamboolever.calls.dispatcher import Assignment, ServiceDispatcher
-from bamboolever.calls.engine import EngineLoad, add_loads, pass_duration_s
+from bamboolever.calls.engine import (
+    EngineLoad,
+    add_loads,
+    full_pass_s,
+    pass_duration_s,
+)
 from bamboolever.calls.placement import PredictedLatencyPolicy
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.fleet.versions import VersionRollouts
+from bamboolever.platform.standins.upstream import MODEL
 
 LOAD_INTERVAL_S = 0.04
 HOP_S = 0.003
@@ -34,6 +41,8 @@
     prompt_tokens: int
     output_tokens: int
     first_event_at: float | None = None
+    begun_at: float | None = None
+    is_dropped: bool = False
     left_tokens: int = 0
     unread_tokens: int = 0
     is_rejected: bool = False
@@ -60,6 +69,7 @@
 
     def begin_pass(self):
         """Return the duration of the next pass and the calls that get an event."""
+        self.running = [call for call in self.running if not call.is_dropped]
         while self.queue and len(self.running) < self.profile.slots:
             self.running.append(self.queue.popleft())
         chunk = self.profile.chunk_tokens
@@ -76,9 +86,16 @@
 
 
 class LoadReplay:
-    """Entries that share engines; ``arrivals`` are calls in the order of their time."""
+    """Entries that share engines; ``arrivals`` are calls in the order of their time.
 
-    def __init__(self, *, entries, engines, arrivals, seed=0, **profile):
+    The version of all engines expires at ``expires_at``, if that is given.
+    """
+
+    def __init__(
+        self, *, entries, engines, arrivals, seed=0, expires_at=None, **profile
+    ):
+        self.expires_at = expires_at
+        self.withdrawn = 0
         self.profile = make_profile(**profile)
         self.engines = [ReplayedEngine(self.profile) for _ in range(engines)]
         self.random = random.Random(seed)
@@ -97,14 +114,21 @@
         self.expiry_at = [-1.0] * entries
 
     def _make_views(self):
-        return [
+        views = [
             UpstreamView(make_record(f"engine-{number}", slots=self.profile.slots))
             for number in range(len(self.engines))
         ]
+        for view in views:
+            view.round_trip_s = 2 * HOP_S
+            view.full_pass_s = full_pass_s(self.profile)
+        return views
 
     def _make_dispatcher(self, number, views):
         policy = PredictedLatencyPolicy(self.profile, lambda _view: 0.0)
-        dispatcher = ServiceDispatcher(policy, VersionRollouts(8.0), seed=number)
+        versions = VersionRollouts(8.0)
+        if self.expires_at is not None:
+            versions.add(MODEL, 2, self.expires_at - 8.0)
+        dispatcher = ServiceDispatcher(policy, versions, seed=number)
         dispatcher.set_upstreams(views)
         return dispatcher
 
@@ -155,6 +179,9 @@
                 continue
             number = self.views[entry].index(decision.placement.upstream)
             self.at(now + HOP_S, self._reach, number, call)
+            begin_by = decision.placement.upstream.begin_by
+            if begin_by < math.inf:
+                self.at(begin_by, self._withdraw, number, call)
             self._schedule_load(now, entry)
         self._schedule_expiry(now, entry)
 
@@ -191,8 +218,22 @@
         if self.dispatchers[entry].queue_length:
             self._place(now, entry)
 
+    def _withdraw(self, now, number, call):
+        if call.first_event_at is not None and call.first_event_at <= now:
+            return
+        self.withdrawn += 1
+        self.views[call.entry][number].remove_call(call.call_id)
+        self._schedule_load(now, call.entry)
+        self.at(now + HOP_S, self._drop, number, call)
+
     # Engines.
 
+    def _drop(self, now, number, call):
+        # A pass that is under way is completed.
+        call.is_dropped = True
+        if call in self.engines[number].queue:
+            self.engines[number].queue.remove(call)
+
     def _reach(self, now, number, call):
         call.left_tokens = call.output_tokens
         call.unread_tokens = call.prompt_tokens
@@ -215,6 +256,7 @@
         for call in writers:
             view = self.views[call.entry][number]
             if call.first_event_at is None:
+                call.begun_at = now
                 call.first_event_at = now + HOP_S
                 view.on_first_event(call.call_id)
             call.left_tokens -= self.profile.steps_per_pass
