--- a/src/bamboolever/config/sharing.py
+++ b/src/bamboolever/config/sharing.py
@@ -6,9 +6,18 @@
 """
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
 from typing import final
 
+from bamboolever.config.kindstate import Snapshot
+from bamboolever.net.addresses import Address
+from bamboolever.platform import store
+
+# Size of the parts in which changes are passed on. JSON of this size fits into one
+# datagram when it is compressed.
+MAX_PART_BYTES = 3000
+
 
 @dataclass(frozen=True)
 class WatchResult:
@@ -18,6 +27,7 @@
     that it could not be passed on. ``as_of`` is when the objects at ``revision`` were
     the newest, in seconds of the receiving process's clock; None if that is unknown.
     ``is_after_outage`` means that upstreams that the store dropped may be back soon.
+    ``source`` is the process that found it, if another one did.
     """
 
     kind: str
@@ -27,6 +37,32 @@
     changes: bytes | None
     as_of: float | None
     is_after_outage: bool = False
+    source: Address | None = None
+
+
+def split_result(result: WatchResult) -> Iterator[WatchResult]:
+    """Split a result with changes into parts that fit into a datagram, oldest first.
+
+    Only the last part is a confirmation. Yields one result without the changes if a
+    single change is too large.
+    """
+    if not result.changes:
+        yield result
+        return
+    parts = store.split_changes(result.changes, MAX_PART_BYTES)
+    if not parts:
+        yield replace(result, changes=None)
+        return
+    from_revision = result.from_revision
+    for revision, changes in parts:
+        yield replace(
+            result,
+            from_revision=from_revision,
+            revision=revision,
+            changes=changes,
+            as_of=result.as_of if revision == result.revision else None,
+        )
+        from_revision = revision
 
 
 class WatchSharing(ABC):
@@ -43,6 +79,21 @@
     def publish(self, result: WatchResult) -> None:
         """Pass on what a call of this process returned."""
 
+    def ask_peer(
+        self,
+        source: Address,
+        kind: str,
+        era: int,
+        revision: int,
+        on_snapshot: Callable[[Snapshot | None], None],
+    ) -> bool:
+        """Ask another process for all objects of a kind; return whether it is asked.
+
+        ``era`` and ``revision`` are what is known here. ``on_snapshot`` is called
+        later, with None if the process does not respond.
+        """
+        return False
+
 
 @final
 class NoSharing(WatchSharing):
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -6,15 +6,16 @@
 
 from bamboolever._task import IoTask
 from bamboolever._telemetry import Telemetry
-from bamboolever.config.model import Configuration, EngineProfile, WeightOrigin
+from bamboolever.config import storecalls
+from bamboolever.config.model import EngineProfile, WeightOrigin
 from bamboolever.config.sharing import WatchSharing
 from bamboolever.config.watch import KindWatch, WatchTiming
 from bamboolever.config.watchgroup import WatchGroup
+from bamboolever.daemons.agentconfiguration import AgentConfiguration
 from bamboolever.daemons.clock import boottime_clock
 from bamboolever.daemons.loader import EngineLoader
 from bamboolever.daemons.loadercontext import LoaderContext
 from bamboolever.daemons.observers import (
-    ConfigurationObserver,
     RevisionObserver,
     UpstreamObserver,
     VersionObserver,
@@ -32,6 +33,7 @@
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
 from bamboolever.net.datagrams import DatagramSocket
+from bamboolever.net.exchange import ExchangeFailure
 from bamboolever.net.fetch import Fetch, FetchResult, Response
 from bamboolever.net.handlers import HttpLimits
 from bamboolever.net.server import HttpServer
@@ -69,8 +71,12 @@
         self.pool = ConnectionPool(
             self.task, connect_timeout_s=CONNECT_TIMEOUT_S, max_idle_s=MAX_IDLE_S
         )
+        self._store_pool = ConnectionPool(
+            self.task,
+            connect_timeout_s=storecalls.CONNECT_TIMEOUT_S,
+            max_idle_s=MAX_IDLE_S,
+        )
         self._own_address = Address(settings.host, settings.internal_port)
-        self._configuration: Configuration | None = None
         self._upstreams = UpstreamList()
         self._rollouts = VersionRollouts(settings.bounds.version_timeout_s)
         self._loader = EngineLoader(
@@ -86,6 +92,8 @@
         self._started_at = self.task.now()
         self._refreshed_at = 0.0
         self._is_stopping = False
+        self._engine_started_ms = 0
+        self._is_engine_down = False
         self._open_ports()
         self._make_watches()
 
@@ -102,7 +110,6 @@
         self._piece_server.start()
         self._metrics_server.start()
         self._datagrams.start()
-        self._configuration_watch.start()
         self._version_watch.start()
         self._upstream_watch.start()
         self._poll_report()
@@ -124,7 +131,7 @@
         limits = HttpLimits()
         self._piece_handler = PieceHandler(
             self.task,
-            self._loader.transfer.read_piece,
+            self._loader.transfer,
             self._settings.link_bytes_per_s,
             lambda: self._loader.served_version() is not None,
         )
@@ -159,7 +166,7 @@
         ) -> KindWatch:
             return KindWatch(
                 self.task,
-                self.pool,
+                self._store_pool,
                 lambda: self._settings.store_address,
                 kind,
                 observer,
@@ -168,9 +175,6 @@
                 sharing=sharing,
             )
 
-        configuration = ConfigurationObserver(
-            self._apply_configuration, lambda _as_of: None
-        )
         upstreams = UpstreamObserver(
             self._upstreams, self.task.now, self._loader.transfer.update_peers
         )
@@ -179,7 +183,13 @@
         versions = RevisionObserver(
             VersionObserver(self._on_version), self._on_version_revision
         )
-        self._configuration_watch = watch(names.CONFIGURATION_KIND, configuration, None)
+        self._configuration = AgentConfiguration(
+            self.task,
+            self.pool,
+            self._settings.upstream_service,
+            lambda observer: watch(names.CONFIGURATION_KIND, observer, None),
+            self._loader.advance,
+        )
         self._upstream_watch = watch(names.UPSTREAM_KIND, upstreams, None)
         self._version_watch = watch(
             names.VERSION_KIND,
@@ -190,14 +200,6 @@
 
     # Updates from the store.
 
-    def _apply_configuration(self, configuration: Configuration) -> None:
-        known = self._configuration
-        if known is not None and configuration.version < known.version:
-            # A listing that may be seconds old.
-            return
-        self._configuration = configuration
-        self._loader.advance()
-
     def _on_version_revision(self, as_of: float) -> None:
         watch = self._version_watch
         if watch.revision is not None:
@@ -216,6 +218,8 @@
     def _on_hello(self, hello: Hello, sender: Address) -> None:
         now = self.task.now()
         self._subscribers.add(sender, hello.cell, now)
+        is_same_cell = hello.cell == hello.agent_cell
+        self._configuration.on_hello(sender, is_same_cell=is_same_cell)
         self._hello_echoes.on_received(sender, hello.sequence, now)
         said_after = self._state_times.said_after(hello.echo)
         for rollout in hello.rollouts:
@@ -247,18 +251,11 @@
 
     def profile(self) -> EngineProfile | None:
         """Return the engine profile of the upstream's service, or None if unknown."""
-        service = self._settings.upstream_service
-        if self._configuration is None or service is None:
-            return None
-        found = self._configuration.services.get(service)
-        return found.engine if found is not None else None
+        return self._configuration.profile
 
     def origin(self) -> WeightOrigin | None:
         """Return the origin of the weights, or None if unknown."""
-        if self._configuration is None:
-            return None
-        origins = (item.origin for item in self._configuration.services.values())
-        return next((item for item in origins if item is not None), None)
+        return self._configuration.origin
 
     def own_peer(self) -> Peer:
         """Return this agent's address, region and group."""
@@ -297,22 +294,12 @@
 
     def can_interrupt_requests(self) -> bool:
         """Return whether every request of the service can be resumed elsewhere."""
-        service = self._settings.upstream_service
-        if self._configuration is None:
-            return False
-        return all(
-            route.is_retry_safe
-            for route in self._configuration.routes
-            if any(share.service == service for share in route.targets)
-        )
+        return self._configuration.can_interrupt_requests
 
     def refresh_lists(self) -> None:
-        """Read the configuration and the list of upstreams from the store again."""
+        """Read the list of upstreams from the store again."""
         self._refreshed_at = self.task.now()
-        is_stale_ok = self._configuration is not None and self._upstreams.is_known
-        self._upstream_watch.refresh(is_stale_ok=is_stale_ok)
-        if self._configuration is None:
-            self._configuration_watch.refresh()
+        self._upstream_watch.refresh(is_stale_ok=self._upstreams.is_known)
 
     def announce_pieces(self, piece_map: PieceMap, addresses: list[Address]) -> None:
         """Send a piece map to the agents at these addresses."""
@@ -350,19 +337,26 @@
         interval_s = SWITCHING_REPORT_INTERVAL_S if is_busy else REPORT_INTERVAL_S
         self.task.call_later(interval_s, self._poll_report)
         self._refresh_if_needed()
-        if not isinstance(result, Response) or not result.head.is_success:
-            self._loader.set_report(None)
-            return
-        try:
-            self._loader.set_report(wire.decode_report_body(result.body))
-        except AdapterError as error:
-            logger.warning("report ignored", extra={"reason": str(error)})
+        report = None
+        if isinstance(result, Response) and result.head.is_success:
+            try:
+                report = wire.decode_report_body(result.body)
+            except AdapterError as error:
+                logger.warning("report ignored", extra={"reason": str(error)})
+                return
+        known = (self._engine_started_ms, self._is_engine_down)
+        if report is not None and report.started_ms is not None:
+            self._engine_started_ms = report.started_ms
+        self._is_engine_down = isinstance(result, ExchangeFailure) and result.is_refused
+        self._loader.set_report(report)
+        if known != (self._engine_started_ms, self._is_engine_down):
+            # Calls may have crashed the engine: the entries count that at once.
+            self.on_serving_changed()
 
     def _refresh_if_needed(self) -> None:
+        self._configuration.list_if_needed()
         is_due = self.task.now() - self._refreshed_at > LIST_REFRESH_INTERVAL_S
-        if is_due and (
-            self._configuration is None or self._loader.transfer.needs_pieces
-        ):
+        if is_due and self._loader.transfer.needs_pieces:
             self.refresh_lists()
 
     # Datagrams.
@@ -379,6 +373,13 @@
             self._learn_rollout(message, sender)
             self._loader.transfer.apply_piece_map(sender, message)
 
+    def _reported_version(self) -> int | None:
+        if self._loader.report is not None and self.profile() is None:
+            # The layers of a complete model are unknown until the configuration is.
+            return None
+        served = self._loader.served_version()
+        return served.version if served is not None else 0
+
     def _send_state(self, address: Address, cell: str) -> None:
         report, served = self._loader.report, self._loader.served_version()
         now = self.task.now()
@@ -390,13 +391,15 @@
         state = AgentState(
             upstream=self._engine_address,
             is_switching=self._loader.is_switching,
-            version=served.version if served is not None else 0,
+            version=self._reported_version(),
             model=served.model if served is not None else "",
             slowdown=report.slowdown if report is not None else 1.0,
             entries=entries,
             rollouts=self._rollouts.ages(now),
             cell=cell,
             active=report.running + report.queued if report is not None else 0,
+            started_ms=self._engine_started_ms,
+            is_down=self._is_engine_down,
             sequence=self._state_times.next_sequence(now),
             echo=self._hello_echoes.echo_to(address, now),
         )
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -33,6 +33,7 @@
 )
 from bamboolever.calls.dispatcher import RejectReason
 from bamboolever.calls.poison import request_digest
+from bamboolever.config import storecalls
 from bamboolever.config.freshness import Freshness
 from bamboolever.config.model import Configuration
 from bamboolever.config.routes import RouteTable
@@ -41,7 +42,7 @@
 from bamboolever.daemons.clock import boottime_clock
 from bamboolever.daemons.entryexchange import EntryExchange
 from bamboolever.daemons.entryfleet import EntryFleet
-from bamboolever.daemons.inflightcalls import CONNECT_TIMEOUT_S, InFlightCalls
+from bamboolever.daemons.inflightcalls import InFlightCalls
 from bamboolever.daemons.observers import (
     ConfigurationObserver,
     RevisionObserver,
@@ -50,6 +51,7 @@
 )
 from bamboolever.daemons.relay import CallRelay
 from bamboolever.daemons.settings import InstanceSettings
+from bamboolever.daemons.snapshots import SnapshotHandler
 from bamboolever.daemons.statushandler import StatusHandler
 from bamboolever.daemons.storerelay import WATCH_WAIT_SHARE
 from bamboolever.fleet.records import ModelVersion
@@ -71,7 +73,7 @@
 TIMER_MARGIN_S = 0.05
 # File descriptors kept for other uses than calls. A call takes two: one for its
 # caller and one for its upstream.
-RESERVED_FDS = 264
+RESERVED_FDS = 328
 # The load balancer still sends new connections for this long after a stop request.
 LOAD_BALANCER_DELAY_S = 3.0
 # Taken off the grace period, after which the platform ends the process.
@@ -102,7 +104,9 @@
         self.task = IoTask("entry", clock=boottime_clock)
         self.telemetry = Telemetry("entry")
         self._store_pool = ConnectionPool(
-            self.task, connect_timeout_s=CONNECT_TIMEOUT_S, max_idle_s=MAX_STORE_IDLE_S
+            self.task,
+            connect_timeout_s=storecalls.CONNECT_TIMEOUT_S,
+            max_idle_s=MAX_STORE_IDLE_S,
         )
         self._freshness = Freshness(settings.bounds.key_max_age_s)
         self._configuration: Configuration | None = None
@@ -129,6 +133,7 @@
             self._caller_server,
             self._readiness_server,
             self._metrics_server,
+            self._snapshot_server,
         ):
             server.start()
         self.exchange.start()
@@ -168,6 +173,12 @@
             self.is_ready,
             settings.bounds.configuration_timeout_s,
         )
+        snapshots = SnapshotHandler(
+            self.task.now, self.exchange.store_relay.snapshot_of
+        )
+        self._snapshot_server = HttpServer(
+            self.task, own_address, snapshots, limits, max_connections=64
+        )
         self.calls = InFlightCalls(
             self.task, self.telemetry, self.fleet, self.exchange, settings
         )
@@ -234,7 +245,7 @@
         self._limits.header_timeout_s = limits.header_timeout_s
         self._limits.idle_timeout_s = limits.idle_timeout_s
         self.fleet.apply_configuration(configuration)
-        self.fleet.refresh_views(self.task.now())
+        self._refresh_views()
         logger.info(
             "configuration in force",
             extra={
@@ -264,13 +275,21 @@
             self.exchange.store_relay.era, now
         )
 
-    def _on_upstreams(self) -> None:
-        is_first = not self.fleet.has_upstreams
-        self.fleet.refresh_views(self.task.now())
-        if is_first:
+    def _refresh_views(self) -> None:
+        known = set(self.fleet.agent_addresses())
+        ended = self.fleet.refresh_views(self.task.now())
+        self.calls.on_upstreams_ended(ended)
+        new = [each for each in self.fleet.agent_addresses() if each not in known]
+        if not known and new:
             # Agents respond with the ages of rollouts and the addresses of the other
             # entries. An entry that has just started cannot know these.
             self.exchange.send_hello_to_agents()
+        else:
+            # An agent that has just started waits for a hello, too.
+            self.exchange.send_hello(new)
+
+    def _on_upstreams(self) -> None:
+        self._refresh_views()
         for service in self.fleet.services():
             self.calls.on_capacity_changed(service)
         removal_at = self.fleet.upstreams.deferred_removal_at()
@@ -336,7 +355,7 @@
         digest = request_digest(
             request.method, request.target, metadata.api_key or "", request.body
         )
-        if self.exchange.crash_tracker.is_blocked(digest, now):
+        if self.exchange.crashes.tracker.is_blocked(digest, now):
             self._reject(
                 connection, metadata, UNAVAILABLE_STATUS, RejectReason.POISON.value
             )
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -4,13 +4,13 @@
 called peers, receive this entry's load at each upstream, the requests that it rejected
 and what its watches of the store returned. Of each neighbor cell, one entry receives
 this entry's load there and responds with the cell's summary. Received messages go to
-`EntryFleet`, `StoreRelay`, `RejectionHistory` and `CrashTracker`, which decide what
+`EntryFleet`, `StoreRelay`, `RejectionHistory` and `CrashReports`, which decide what
 follows from them.
 
 Load pattern: several entries share the same upstreams, so each must place, queue
 and block requests by nearly the same state. Loads and rejections are sent soon after
 a change, but at most every `MIN_LOAD_INTERVAL_S`, so that a burst of requests needs
-few datagrams. Crash reports are sent at once.
+few datagrams. Crash reports are sent at once, and repeated while they matter.
 """
 
 import logging
@@ -18,9 +18,10 @@
 
 from bamboolever._task import IoTask
 from bamboolever._telemetry import Telemetry
-from bamboolever.calls.poison import CrashTracker
 from bamboolever.calls.rejections import RejectionHistory
+from bamboolever.daemons.crashreports import CrashReports
 from bamboolever.daemons.entryfleet import EntryFleet
+from bamboolever.daemons.snapshots import CONNECT_TIMEOUT_S, MAX_IDLE_S
 from bamboolever.daemons.storerelay import StoreRelay
 from bamboolever.fleet import exchange
 from bamboolever.fleet.echoes import Echoes, SentTimes
@@ -35,6 +36,7 @@
     StoreUpdate,
 )
 from bamboolever.net.addresses import Address
+from bamboolever.net.client import ConnectionPool
 from bamboolever.net.datagrams import DatagramSocket
 from bamboolever.platform import names
 
@@ -95,9 +97,12 @@
             names.CONFIGURATION_KIND,
             self._send,
             configuration_timeout_s,
+            ConnectionPool(
+                task, connect_timeout_s=CONNECT_TIMEOUT_S, max_idle_s=MAX_IDLE_S
+            ),
         )
         self.rejection_history = RejectionHistory()
-        self.crash_tracker = CrashTracker()
+        self.crashes = CrashReports(task.now, telemetry, self._send_to_all_entries)
 
     def start(self) -> None:
         """Start to receive datagrams and to send hellos and loads periodically."""
@@ -117,6 +122,10 @@
             agents = fleet.neighbor_agent_addresses(cell, self._hello_count)
             self._send_hello(cell, agents)
 
+    def send_hello(self, addresses: list[Address]) -> None:
+        """Send a hello to some agents of the cell."""
+        self._send_hello(self._fleet.own_cell, addresses)
+
     def _send_hello(self, agent_cell: str, addresses: list[Address]) -> None:
         fleet, now = self._fleet, self._task.now()
         rollouts = fleet.version_rollouts.known_rollouts(now)
@@ -146,15 +155,6 @@
         self._unsent_rejections[digest] = first_at
         self.schedule_load_update()
 
-    def send_crash_report(self, digests: list[int]) -> None:
-        """Tell all known entries which requests may have crashed an upstream."""
-        report = CrashReport(tuple(digests))
-        self._send_to_peers(report)
-        now = self._task.now()
-        for neighbor in self._fleet.neighbors.values():
-            for address in neighbor.entries(now):
-                self._send(report, address)
-
     def _send_hello_periodically(self) -> None:
         self.send_hello_to_agents()
         self._task.call_later(HELLO_INTERVAL_S, self._send_hello_periodically)
@@ -166,6 +166,7 @@
             self._send_load()
         if now - self._summaries_asked_at >= MAX_SUMMARY_INTERVAL_S:
             self._ask_for_summaries()
+        self.crashes.repeat()
         self._task.call_later(LOAD_HEARTBEAT_S, self._send_load_heartbeat)
 
     def _send_load(self) -> None:
@@ -214,6 +215,13 @@
         for address in addresses:
             self._socket.send(data, address)
 
+    def _send_to_all_entries(self, message: Message) -> None:
+        self._send_to_peers(message)
+        now = self._task.now()
+        for neighbor in self._fleet.neighbors.values():
+            for address in neighbor.entries(now):
+                self._send(message, address)
+
     def _on_datagram(self, data: bytes, sender: Address) -> None:
         try:
             message = exchange.decode(data)
@@ -238,7 +246,7 @@
         if isinstance(message, EntryLoad):
             self._fleet.apply_peer_load(sender, message, now)
             self.store_relay.on_peer_revisions(
-                message.store_era, message.store_revisions
+                sender, message.store_era, message.store_revisions
             )
             if message.summary_cell == self._fleet.own_cell:
                 self._send(self._fleet.build_summary(sender, now), sender)
@@ -247,13 +255,15 @@
             said_after = self._hello_times.said_after(message.echo)
             if self._fleet.apply_agent_state(message, now, said_after):
                 self.schedule_load_update()
+            ended = self._fleet.find_ended(message)
+            if ended is not None:
+                self.crashes.on_upstream_ended(ended.key, "agent")
         elif isinstance(message, CellSummary):
             self._fleet.apply_summary(message, now)
         elif isinstance(message, StoreUpdate):
-            self.store_relay.on_update(message, now)
+            self.store_relay.on_update(message, sender, now)
         elif isinstance(message, Rejections):
             for digest, age_s in message.ages_s.items():
                 self.rejection_history.on_rejected(digest, now - age_s, now)
         elif isinstance(message, CrashReport):
-            for digest in message.digests:
-                self.crash_tracker.on_crash(digest, now)
+            self.crashes.apply(message)
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -89,6 +89,13 @@
         """Whether a request waits for an upstream of any service."""
         return any(each.queue_length for each in self._dispatchers.values())
 
+    @property
+    def entry_count(self) -> int:
+        """Number of entries, as if each cell had as many as this entry's."""
+        cells = self._cells.members
+        cell_count = len(cells) if self.own_cell in cells else len(cells) + 1
+        return cell_count * (1 + len(self.peers.recipients()))
+
     def needs_neighbors(self, now: float) -> bool:
         """Return whether engines of other cells are in use or may soon be."""
         return any(
@@ -118,11 +125,12 @@
 
     # Views.
 
-    def refresh_views(self, now: float) -> None:
+    def refresh_views(self, now: float) -> list[UpstreamView]:
         """Rebuild the views; called when the upstreams or the services changed.
 
         The view of an upstream that has not restarted keeps its state. Engines of
-        cells that this entry does not use have no view.
+        cells that this entry does not use have no view. Returns the former views of
+        upstreams that have ended: they are listed no more, or with a later start.
         """
         records = self.upstreams.records(now)
         self._refresh_cells(records)
@@ -140,6 +148,12 @@
             by_service.setdefault(record.service, []).append(view)
         for service in {*by_service, *self._dispatchers}:
             self.dispatcher(service).set_upstreams(by_service.get(service, []))
+        listed = {record.instance_id: record for record in records}
+        return [
+            view
+            for view in known.values()
+            if _has_ended(view.record, listed.get(view.instance_id))
+        ]
 
     def _refresh_cells(self, records: list[UpstreamRecord]) -> None:
         engines = [
@@ -356,11 +370,25 @@
             return False
         return self.peers.add_addresses(state.entries, now)
 
+    def find_ended(self, state: AgentState) -> UpstreamView | None:
+        """Return the upstream of which an agent reports that it has ended, if any.
+
+        It has if it refuses connections, or if another process runs in its place.
+        """
+        view = self._engines_by_address.get(state.upstream)
+        started_ms = view.record.started_ms if view is not None else None
+        if started_ms is None:
+            return None
+        is_replaced = state.started_ms > started_ms
+        is_gone = state.is_down and state.started_ms == started_ms
+        return view if is_replaced or is_gone else None
+
     def _apply_engine_state(
         self, view: UpstreamView, state: AgentState, now: float
     ) -> None:
         view.slowdown = max(1.0, state.slowdown)
-        view.on_served_version(state.model, state.version, now)
+        if state.version is not None:
+            view.on_served_version(state.model, state.version, now)
         view.switching_until = now + SWITCH_NOTICE_TTL_S if state.is_switching else 0.0
         neighbor = self.neighbors.get(state.cell)
         if neighbor is not None and not neighbor.has_summary(now):
@@ -405,3 +433,12 @@
         if settings.region_of(zone) == settings.region:
             return OTHER_ZONE_PENALTY_S
         return OTHER_REGION_PENALTY_S
+
+
+def _has_ended(record: UpstreamRecord, listed: UpstreamRecord | None) -> bool:
+    if listed is None:
+        return True
+    if record.started_ms is None or listed.started_ms is None:
+        return False
+    # A store that came back from a copy may list an earlier process.
+    return listed.started_ms > record.started_ms
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -7,7 +7,8 @@
 
 Load pattern: upstreams that fail many requests at once. Each retry adds load to the
 upstreams that are left, so retries are limited to a share of the first attempts. All
-entries together must keep to the contract's budget, so each spends only a part of it.
+entries together must keep to the contract's budget, so each spends the share of its own
+first attempts, and the slack is divided by the number of entries.
 """
 
 import itertools
@@ -36,9 +37,11 @@
 MAX_UPSTREAM_IDLE_S = 3.0
 # Changes of the fleet within this time cause one dispatch of the waiting calls.
 DISPATCH_DELAY_S = 0.015
-# The part of a service's retry ratio and slack that one of several entries may spend.
+# The part of a service's retry ratio that the entries spend.
 ENTRY_RETRY_SHARE = 0.6
-ENTRY_RESERVE_SHARE = 0.1
+# The part of a service's retry slack that one entry saves at most, however few others
+# it knows.
+MAX_ENTRY_RESERVE_SHARE = 0.1
 
 
 @final
@@ -135,16 +138,18 @@
     def _retry_budget(self, service: str) -> RetryBudget:
         budget = self._retry_budgets.get(service)
         if budget is None:
-            bounds = self._bounds
-            reserve = bounds.retry_slack * ENTRY_RESERVE_SHARE
-            budget = RetryBudget(
-                bounds.retry_ratio * ENTRY_RETRY_SHARE,
+            reserve = self._find_reserve()
+            budget = self._retry_budgets[service] = RetryBudget(
+                self._bounds.retry_ratio * ENTRY_RETRY_SHARE,
                 reserve=reserve,
                 max_saved=reserve,
             )
-            self._retry_budgets[service] = budget
         return budget
 
+    def _find_reserve(self) -> float:
+        share = min(MAX_ENTRY_RESERVE_SHARE, 1 / self._fleet.entry_count)
+        return self._bounds.retry_slack * share
+
     def begin_by(self, relay: CallRelay) -> float | None:
         """Return by when the relay's attempt must have begun; None without a limit."""
         view, model = relay.upstream, relay.metadata.model
@@ -168,28 +173,28 @@
         """Add 1 to the counter ``name`` with these attributes."""
         self._telemetry.count(name, 1, **attributes)
 
-    def on_broken_response(self, relay: CallRelay, upstream: UpstreamView) -> None:
+    def on_broken_response(
+        self, relay: CallRelay, upstream: UpstreamView, sent_at: float
+    ) -> None:
         """Record that ``upstream`` broke off a response; the call may be the cause."""
-        key = upstream.key
-        self._exchange.crash_tracker.on_broken_response(
-            key, relay.digest, self.task.now()
-        )
+        crashes = self._exchange.crashes
+        crashes.on_broken_response(upstream.key, relay.digest, sent_at)
 
-    def on_connect_failed(self, upstream: UpstreamView) -> None:
-        """Count a crash against the calls that may have crashed ``upstream``.
+    def on_connection_refused(self, upstream: UpstreamView) -> None:
+        """Count a crash against the calls whose responses ``upstream`` broke off."""
+        self._exchange.crashes.on_connection_refused(upstream.key)
 
-        These are the calls whose responses it broke off shortly before it became
-        unreachable. Their digests are sent to the peers.
+    def on_upstreams_ended(self, upstreams: list[UpstreamView]) -> None:
+        """Count the crashes of upstreams that are listed no more.
+
+        One that had announced its end was not crashed.
         """
-        now = self.task.now()
-        digests = self._exchange.crash_tracker.on_upstream_down(upstream.key, now)
-        if not digests:
-            return
-        logger.info(
-            "upstream down",
-            extra={"upstream": upstream.instance_id, "blamed": len(digests)},
-        )
-        self._exchange.send_crash_report(digests)
+        crashes = self._exchange.crashes
+        for upstream in upstreams:
+            if upstream.record.is_draining or upstream.is_leaving:
+                crashes.tracker.on_upstream_left(upstream.key)
+            else:
+                crashes.on_upstream_ended(upstream.key, "list")
 
     def on_upstream_closed(
         self, upstream: UpstreamView, reason: str, delay_s: float | None
@@ -206,18 +211,24 @@
         )
         self._exchange.schedule_load_update()
 
-    def on_completed(self, relay: CallRelay) -> None:
-        """Clear the crashes counted against a call that an upstream completed."""
-        self._exchange.crash_tracker.on_completed(relay.digest)
+    def on_completed(
+        self, relay: CallRelay, upstream: UpstreamView, sent_at: float
+    ) -> None:
+        """Void the crashes counted against a call that an upstream completed."""
+        crashes = self._exchange.crashes
+        crashes.on_completed(relay.digest, upstream.key, sent_at)
 
     def acquire_retry(self, relay: CallRelay) -> str | None:
         """Take one retry of a call from its service's budget.
 
         Returns None if the call may be sent again, else the reason why not.
         """
-        if self._exchange.crash_tracker.is_blocked(relay.digest, self.task.now()):
+        tracker = self._exchange.crashes.tracker
+        if tracker.is_blocked(relay.digest, self.task.now()):
             return "crashes-upstreams"
-        if not self._retry_budget(relay.service).try_take():
+        budget = self._retry_budget(relay.service)
+        budget.set_max_saved(self._find_reserve())
+        if not budget.try_take():
             return "budget-used"
         return None
 
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -19,6 +19,7 @@
     Message,
     PieceMap,
     Rejections,
+    ReportedCrash,
     RolloutAge,
     StoreUpdate,
     UpstreamSummary,
@@ -27,7 +28,10 @@
 
 _FACTORY = TCompactProtocolAcceleratedFactory()
 _UNKNOWN_AGE_MS = -1
+_UNKNOWN_VERSION = -1
 # A store's response that expands to more is not decoded.
+UNKNOWN_AGE_MS = -1
+MAX_AGE_MS = 2**31 - 1
 MAX_CHANGES_BYTES = 2**20
 
 
@@ -69,7 +73,7 @@
     if isinstance(message, AgentState):
         return {"agent_state": _state_to_wire(message)}
     if isinstance(message, CrashReport):
-        return {"crash_report": ttypes.CrashReport(list(message.digests))}
+        return {"crash_report": _crashes_to_wire(message)}
     if isinstance(message, CellSummary):
         return {"cell_summary": _summary_to_wire(message)}
     if isinstance(message, StoreUpdate):
@@ -120,17 +124,31 @@
     return ttypes.AgentState(
         str(message.upstream),
         message.is_switching,
-        message.version,
+        _UNKNOWN_VERSION if message.version is None else message.version,
         message.slowdown,
         [str(address) for address in message.entries],
         _rollouts_to_wire(message.rollouts),
         message.model,
         message.cell,
         message.active,
+        message.started_ms,
+        message.is_down,
         **_echo_to_wire(message),
     )
 
 
+def _crashes_to_wire(message: CrashReport) -> Any:
+    crashes = [
+        ttypes.Crash(crash.digest, crash.upstream, int(crash.age_s * 1000))
+        for crash in message.crashes
+    ]
+    completions = [
+        ttypes.Completion(digest, int(age_s * 1000))
+        for digest, age_s in message.completed_ages_s.items()
+    ]
+    return ttypes.CrashReport(crashes, completions, list(message.ended))
+
+
 def _summary_to_wire(message: CellSummary) -> Any:
     upstreams = [
         ttypes.UpstreamSummary(
@@ -148,6 +166,12 @@
     return ttypes.CellSummary(message.cell, upstreams)
 
 
+def _age_to_wire(age_s: float | None) -> int:
+    if age_s is None:
+        return UNKNOWN_AGE_MS
+    return min(MAX_AGE_MS, math.ceil(age_s * 1000))
+
+
 def _update_to_wire(message: StoreUpdate) -> Any:
     changes = message.changes
     return ttypes.StoreUpdate(
@@ -157,7 +181,7 @@
         message.revision,
         zlib.compress(changes) if changes else b"",
         changes is not None,
-        math.ceil(message.confirmed_age_s * 1000),
+        _age_to_wire(message.confirmed_age_s),
         message.echo_started_ms,
         message.echo_sequence,
         int(message.echo_age_s * 1000),
@@ -199,7 +223,7 @@
     if datagram.store_update is not None:
         return _update_from_wire(datagram.store_update)
     if datagram.crash_report is not None:
-        return CrashReport(tuple(datagram.crash_report.digests))
+        return _crashes_from_wire(datagram.crash_report)
     if datagram.rejections is not None:
         rejected = datagram.rejections.rejected
         return Rejections(
@@ -243,13 +267,15 @@
     return AgentState(
         parse_address(wire.upstream_address),
         wire.is_switching,
-        wire.version,
+        None if wire.version == _UNKNOWN_VERSION else wire.version,
         wire.pace,
         tuple(parse_address(text) for text in wire.entries),
         _rollouts_from_wire(wire.rollouts),
         wire.model or "",
         wire.cell or "",
         wire.active or 0,
+        started_ms=wire.upstream_started_ms or 0,
+        is_down=bool(wire.is_down),
         sequence=wire.sequence or 0,
         echo=_echo_from_wire(wire),
     )
@@ -279,6 +305,15 @@
     )
 
 
+def _crashes_from_wire(wire: Any) -> CrashReport:
+    crashes = tuple(
+        ReportedCrash(crash.digest, crash.upstream_key, crash.age_ms / 1000)
+        for crash in wire.crashes or ()
+    )
+    completed_ages_s = {each.digest: each.age_ms / 1000 for each in wire.completions}
+    return CrashReport(crashes, completed_ages_s, tuple(wire.ended))
+
+
 def _summary_from_wire(wire: Any) -> CellSummary:
     upstreams = {
         each.upstream_key: UpstreamSummary(
@@ -302,7 +337,7 @@
         wire.from_revision,
         wire.revision,
         changes,
-        wire.confirmed_age_ms / 1000,
+        None if wire.confirmed_age_ms < 0 else wire.confirmed_age_ms / 1000,
         wire.echo_started_ms,
         wire.echo_sequence,
         wire.echo_age_ms / 1000,
--- a/src/bamboolever/fleet/messages.py
+++ b/src/bamboolever/fleet/messages.py
@@ -4,7 +4,7 @@
 complete state, or names the state from which its changes go on.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bamboolever.calls.engine import EngineLoad
 from bamboolever.fleet.echoes import Echo
@@ -98,8 +98,9 @@
 
     ``changes`` is the body of the store's response; None if it does not fit into a
     datagram, empty without changes. The objects up to ``revision`` were current
-    ``confirmed_age_s`` before this was sent. The sender has had the receiver's load
-    of ``echo_sequence``, from its start at ``echo_started_ms``, for ``echo_age_s``.
+    ``confirmed_age_s`` before this was sent, or None if that is unknown. The sender has
+    had the receiver's load of ``echo_sequence``, from its start at ``echo_started_ms``,
+    for ``echo_age_s``.
     ``is_after_outage`` means that upstreams that the store dropped may be back soon.
     """
 
@@ -108,7 +109,7 @@
     from_revision: int
     revision: int
     changes: bytes | None
-    confirmed_age_s: float
+    confirmed_age_s: float | None
     echo_started_ms: int = 0
     echo_sequence: int = 0
     echo_age_s: float = 0.0
@@ -123,20 +124,25 @@
     that the upstream runs or has queued.
 
     ``model`` and ``version`` name what the upstream serves with all layers; version 0
-    means nothing. ``is_switching`` means that the upstream takes no requests because
-    it changes its version. ``slowdown`` is the factor by which it is slower than its
-    profile. ``sequence`` names this state; ``echo`` is of the entry's last hello.
+    means nothing, and None that the agent cannot tell yet. ``is_switching`` means that
+    the upstream takes no requests because it changes its version. ``slowdown`` is the
+    factor by which it is slower than its profile. ``started_ms`` is the Unix time of
+    the upstream's last known start in milliseconds, 0 if none is known; ``is_down``
+    means that this process refuses connections. ``sequence`` names this state; ``echo``
+    is of the entry's last hello.
     """
 
     upstream: Address
     is_switching: bool
-    version: int
+    version: int | None
     slowdown: float
     entries: tuple[Address, ...]
     rollouts: tuple[RolloutAge, ...] = ()
     model: str = ""
     cell: str = ""
     active: int = 0
+    started_ms: int = 0
+    is_down: bool = False
     sequence: int = 0
     echo: Echo = Echo()
 
@@ -159,11 +165,29 @@
     is_retained: bool = False
 
 
+@dataclass(frozen=True)
+class ReportedCrash:
+    """A request's digest and the key of the upstream that it crashed.
+
+    ``age_s`` is the seconds since the request was sent to the upstream.
+    """
+
+    digest: int
+    upstream: int
+    age_s: float
+
+
 @dataclass(frozen=True)
 class CrashReport:
-    """Digests of the requests that an entry suspects of crashing an upstream."""
+    """What an entry knows of requests that crash upstreams.
+
+    ``completed_ages_s`` are the seconds since an upstream completed a request, by
+    digest. ``ended`` are the keys of upstreams that refused a connection.
+    """
 
-    digests: tuple[int, ...]
+    crashes: tuple[ReportedCrash, ...] = ()
+    completed_ages_s: dict[int, float] = field(default_factory=dict)
+    ended: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/net/exchange.py
+++ b/src/bamboolever/net/exchange.py
@@ -11,8 +11,8 @@
     """Why an exchange ended without a complete response.
 
     CONNECT: no connection was established. CLOSED: the server closed the
-    connection. MALFORMED: the response is not valid HTTP or over a size limit, or the
-    server sends too much that is no response to the request.
+    connection. MALFORMED: the response is not valid HTTP, or the server sends too much
+    that is no response to the request. TOO_LARGE: the body is over the caller's limit.
     SILENT: the server did not respond in time, did not acknowledge sent data or is
     unreachable. RESET: the socket reported any other error. CANCELLED is never
     reported.
@@ -22,6 +22,7 @@
     CLOSED = "closed"
     RESET = "reset"
     MALFORMED = "malformed"
+    TOO_LARGE = "too large"
     SILENT = "silent"
     CANCELLED = "cancelled"
 
@@ -32,12 +33,14 @@
 
     ``is_request_sent`` is true when at least one byte of the request was written
     to the socket. Otherwise the server cannot have executed the request.
-    ``detail`` is a text for logs.
+    ``detail`` is a text for logs. ``is_refused`` is true when nothing listens at the
+    server's address.
     """
 
     kind: FailureKind
     is_request_sent: bool
     detail: str
+    is_refused: bool = False
 
 
 class ResponseHandler(ABC):
--- a/src/bamboolever/platform/store.py
+++ b/src/bamboolever/platform/store.py
@@ -17,7 +17,7 @@
 class StoredDocument:
     """One object of the store; ``value`` is None when it was deleted.
 
-    ``revision`` is the store's at the object's last change; None if it is not stated.
+    ``revision`` is that of its last change, or None if it is not stated.
     """
 
     name: str
@@ -107,9 +107,10 @@
         if event_size > max_bytes:
             return []
         if not parts or size + event_size > max_bytes:
-            parts.append((revision, []))
+            parts.append((max([revision, *(last for last, _ in parts[-1:])]), []))
             size = 0
-        parts[-1] = (revision, [*parts[-1][1], event])
+        # A deletion may state the revision of an earlier change.
+        parts[-1] = (max(revision, parts[-1][0]), [*parts[-1][1], event])
         size += event_size
     if parts:
         parts[-1] = (at, parts[-1][1])
--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -4,21 +4,23 @@
 from itertools import pairwise
 
 import pytest
-from manualtask import ManualPool, ManualTask
+from manualtask import ManualPool, ManualTask, SlowStore
 
+from bamboolever.config.kindstate import Snapshot
 from bamboolever.config.observer import KindObserver
 from bamboolever.config.sharing import WatchResult, WatchSharing
-from bamboolever.config.watch import (
+from bamboolever.config.storecalls import (
     HUNG_CALL_S,
-    MAX_PROBE_TIMEOUT_S,
-    MAX_RETRY_DELAY_S,
-    MIN_PROBE_TIMEOUT_S,
+    MAX_PROBE_OVERDUE_S,
+    MIN_PROBE_OVERDUE_S,
+    MIN_PROGRESS_BYTES,
     RESPONSE_MARGIN_S,
-    KindWatch,
-    WatchTiming,
 )
+from bamboolever.config.watch import MAX_RETRY_DELAY_S, KindWatch, WatchTiming
 from bamboolever.config.watchgroup import WatchGroup
 from bamboolever.net.addresses import Address
+from bamboolever.net.messages import ResponseHead
+from bamboolever.platform.store import StoredDocument
 
 WAIT_S = 2.0
 
@@ -28,11 +30,13 @@
         self.reachability = []
         self.restores = 0
         self.listings = 0
+        self.listed_names = []
         self.changed_names = []
         self.confirmed_at = None
 
     def on_listing(self, documents):
         self.listings += 1
+        self.listed_names = [document.name for document in documents]
 
     def on_changes(self, documents):
         self.changed_names += [document.name for document in documents]
@@ -122,8 +126,8 @@
     sent_before = len(pool.sent)
     task.advance(20.0)
     probes = len(pool.sent) - sent_before
-    longest_s = MAX_PROBE_TIMEOUT_S + MAX_RETRY_DELAY_S
-    shortest_s = MIN_PROBE_TIMEOUT_S
+    longest_s = MAX_PROBE_OVERDUE_S + MAX_RETRY_DELAY_S
+    shortest_s = MIN_PROBE_OVERDUE_S
     assert 20.0 / longest_s - 1 <= probes <= 20.0 / shortest_s
 
 
@@ -286,3 +290,341 @@
     assert recorder.changed_names == ["x"]
     assert recorder.watch.changed_revision == 5
     assert len(pool.sent) == 2
+
+
+# A configuration of 1,600 routes, and a link between regions that others use too.
+LARGE_BYTES = 310_000
+LINK_BYTES_PER_S = 800_000
+
+
+def _watch_at(store, kind="a", group=None):
+    recorder = Recorder()
+    watch = KindWatch(
+        store.task,
+        store,
+        lambda: Address("127.0.0.1", 7000),
+        kind,
+        recorder,
+        WatchTiming(WAIT_S),
+        group=group or WatchGroup(),
+    )
+    recorder.watch = watch
+    watch.start()
+    return recorder
+
+
+def test_watch_that_fell_behind_catches_up_while_the_history_grows(task):
+    """Guards against an entry that stayed on an old configuration for 18 seconds.
+
+    The response to its watch held each version since, and with each one took longer
+    than the timeout, after which it began anew.
+    """
+    store = SlowStore(task, response_s=0.02, bytes_per_s=LINK_BYTES_PER_S)
+    recorder = _watch_at(store)
+    store.put("main", LARGE_BYTES)
+    task.advance(5.0)
+    store.is_cut = True
+    for _ in range(7):
+        store.put("main", LARGE_BYTES)
+        task.advance(1.3)
+    store.is_cut = False
+    for _ in range(5):
+        task.advance(1.3)
+        store.put("main", LARGE_BYTES)
+    task.advance(3.0)
+    assert recorder.watch.changed_revision == store.revision
+
+
+def test_large_response_that_keeps_arriving_is_not_given_up(task):
+    """Guards against a listing that no entry ever got whole over a narrow link."""
+    store = SlowStore(task, response_s=0.02, bytes_per_s=LARGE_BYTES / 4)
+    store.put("main", LARGE_BYTES)
+    recorder = _watch_at(store)
+    task.advance(5.0)
+    assert recorder.listings == 1
+    assert not store.cancelled
+
+
+@pytest.mark.parametrize("response_s", [1.34, 3.0])
+def test_slow_store_is_followed(task, response_s):
+    """Guards against calls that were cancelled although they would be answered."""
+    store = SlowStore(task, response_s=0.02)
+    group = WatchGroup()
+    recorder, *_ = [_watch_at(store, kind, group) for kind in ("a", "b", "c")]
+    task.advance(5.0)
+    store.response_s = response_s
+    task.advance(3 * response_s)
+    store.put("x")
+    task.advance(4 * response_s)
+    assert "x" in recorder.changed_names
+
+
+def test_silent_store_is_used_again_soon_after_it_is_back(task):
+    """Calls that were sent while it was silent never get a response."""
+    store = SlowStore(task, response_s=0.02)
+    recorder = _watch_at(store)
+    task.advance(5.0)
+    store.is_cut = True
+    task.advance(30.0)
+    assert recorder.reachability == [True, False]
+    assert len(store.in_flight) <= 3
+    store.is_cut = False
+    store.put("x")
+    task.advance(MAX_PROBE_OVERDUE_S + MAX_RETRY_DELAY_S)
+    assert recorder.changed_names == ["x"]
+    assert recorder.reachability == [True, False, True]
+    assert len(store.in_flight) == 1
+
+
+def test_store_that_is_slow_as_a_rule_is_not_called_more_often(task):
+    store = SlowStore(task, response_s=3.0)
+    recorder = _watch_at(store)
+    task.advance(20.0)
+    changes, calls = len(recorder.reachability), len(store.calls)
+    task.advance(20.0)
+    assert len(recorder.reachability) == changes
+    assert len(store.calls) - calls <= 20.0 / (WAIT_S + 3.0) + 1
+    assert recorder.confirmed_at >= task.now() - WAIT_S - 2 * 3.0
+
+
+def test_lost_response_is_asked_for_again_beside_the_call(task):
+    store = SlowStore(task, response_s=0.02)
+    recorder = _watch_at(store)
+    task.advance(0.5)
+    store.is_cut = True
+    task.advance(WAIT_S)
+    store.is_cut = False
+    store.put("x")
+    task.advance(RESPONSE_MARGIN_S + MAX_RETRY_DELAY_S)
+    assert recorder.changed_names == ["x"]
+
+
+def test_response_that_brings_a_byte_now_and_then_holds_nothing_up(task, pool):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    handler = pool.sent[-1][1]
+    handler.on_head(ResponseHead(200, ()))
+    for _ in range(100):
+        handler.on_data(b" ")
+        task.advance(0.1)
+    assert recorder.reachability == [True, False]
+    pool.respond(-1, events=[_event("x", 3)], at=3)
+    assert recorder.changed_names == ["x"]
+
+
+def test_older_response_after_a_newer_one_changes_nothing(task, pool):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    late = pool.sent[-1][1]
+    _advance_to_probe(task, pool)
+    late.on_head(ResponseHead(200, ()))
+    late.on_data(b" " * MIN_PROGRESS_BYTES)
+    pool.respond(-1, events=[_event("x", 3), _event("y", 5)], at=5)
+    confirmed_at = recorder.confirmed_at
+    assert confirmed_at > task.now() - 0.1
+    late.on_data(json.dumps({"events": [_event("x", 3)], "at": 3}).encode())
+    late.on_end()
+    assert recorder.changed_names == ["x", "y"]
+    changes = json.dumps({"events": [_event("z", 6)], "at": 6}).encode()
+    recorder.watch.apply_shared(_result(from_revision=5, revision=6, changes=changes))
+    assert recorder.changed_names == ["x", "y", "z"]
+
+
+def test_changes_that_are_known_already_are_not_applied_again(task, pool):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    recorder.watch.apply_shared(_result())
+    pool.respond(-1, events=[_event("x", 3), _event("y", 4)], at=4)
+    assert recorder.changed_names == ["x", "y"]
+
+
+def _item(name, revision):
+    return _event(name, revision)["object"]
+
+
+def test_page_that_arrives_twice_is_listed_once(task, pool):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    pool.respond(-1, status=410)
+    late = pool.sent[-1][1]
+    task.advance(MIN_PROBE_OVERDUE_S + MAX_RETRY_DELAY_S)
+    late.on_head(ResponseHead(200, ()))
+    late.on_data(b" " * MIN_PROGRESS_BYTES)
+    page = {"items": [_item("m", 2)], "hasMore": True, "at": 4}
+    pool.respond(-1, **page)
+    late.on_data(json.dumps(page).encode())
+    late.on_end()
+    pool.respond(-1, items=[_item("n", 3)], at=4)
+    assert recorder.listed_names == ["m", "n"]
+
+
+def test_listing_that_is_older_than_a_peers_update_changes_nothing(task, pool):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    pool.respond(-1, status=410)
+    recorder.watch.apply_shared(_result())
+    pool.respond(-1, items=[], at=2)
+    assert recorder.changed_names == ["x"]
+    assert recorder.listings == 1
+    assert pool.targets[-1] == "/-/objects/a?watch=3&waitMs=2000"
+
+
+def test_long_history_is_listed_in_its_place(task):
+    """The work to catch up must not grow with the versions that were missed."""
+    store = SlowStore(task, response_s=0.02, bytes_per_s=LARGE_BYTES)
+    store.put("main", LARGE_BYTES)
+    recorder = _watch_at(store)
+    task.advance(5.0)
+    store.is_cut = True
+    for _ in range(20):
+        store.put("main", LARGE_BYTES)
+        task.advance(1.0)
+    store.is_cut = False
+    task.advance(MAX_PROBE_OVERDUE_S + MAX_RETRY_DELAY_S + 1.5)
+    assert recorder.listings == 2
+    assert recorder.watch.is_reachable
+
+
+def test_change_between_two_pages_of_a_listing_is_not_missed(task, pool):
+    """The watch went on from the revision of the last page."""
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    pool.respond(-1, status=410)
+    pool.respond(-1, items=[_item("m", 2)], hasMore=True, at=10)
+    pool.respond(-1, items=[], at=12)
+    assert recorder.listings == 2
+    assert pool.targets[-1] == "/-/objects/a?watch=10&waitMs=2000"
+
+
+class AskingShare(FollowingShare):
+    """Follows others, and asks the process that told of a change."""
+
+    def __init__(self):
+        super().__init__(delay_s=60.0)
+        self.asked = []
+
+    def ask_peer(self, source, kind, era, revision, on_snapshot):
+        self.asked.append((source, kind, era, revision))
+        self.answer = on_snapshot
+        return True
+
+
+PEER = Address("10.0.0.2", 7700)
+
+
+def _snapshot(*names, **changes):
+    documents = tuple(StoredDocument(name, {}, 3) for name in names)
+    return Snapshot(
+        **{
+            "era": 0,
+            "revision": 3,
+            "changed_revision": 3,
+            "as_of": 99.0,
+            "documents": documents,
+            **changes,
+        }
+    )
+
+
+@pytest.fixture
+def sharing():
+    return AskingShare()
+
+
+@pytest.fixture
+def follower(task, pool, sharing):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup(), sharing=sharing)
+    recorder.confirmed_at = None
+    task.advance(1.0)
+    return recorder
+
+
+def test_change_too_large_for_a_datagram_is_had_from_the_peer(pool, follower, sharing):
+    """Guards against each entry reading it over the narrow link to the store."""
+    update = _result(changes=None, source=PEER)
+    follower.watch.apply_shared(update)
+    follower.watch.apply_shared(update)
+    assert sharing.asked == [(PEER, "a", 0, 1)]
+    assert follower.confirmed_at is None
+    sharing.answer(_snapshot("x", "y"))
+    assert follower.listed_names == ["x", "y"]
+    assert follower.confirmed_at == 99.0
+    assert follower.watch.changed_revision == 3
+    assert pool.targets == ["/-/objects/a"]
+
+
+def test_missed_change_is_had_from_the_peer_that_knows_of_it(pool, follower, sharing):
+    follower.watch.catch_up_to(0, 3, PEER)
+    sharing.answer(_snapshot("x"))
+    follower.watch.catch_up_to(0, 3, PEER)
+    assert follower.listed_names == ["x"]
+    assert len(sharing.asked) == 1
+    assert pool.targets == ["/-/objects/a"]
+
+
+@pytest.mark.parametrize(
+    "snapshot",
+    [None, _snapshot(revision=2), _snapshot(documents=None, revision=1)],
+    ids=["gone", "behind", "nothing new"],
+)
+def test_store_is_called_if_the_peer_does_not_have_the_change(
+    pool, follower, sharing, snapshot
+):
+    follower.watch.apply_shared(_result(changes=None, source=PEER))
+    sharing.answer(snapshot)
+    revision = 2 if snapshot is not None and snapshot.documents is not None else 1
+    assert pool.targets[1:] == [f"/-/objects/a?watch={revision}&waitMs=0"]
+
+
+def test_entry_that_the_store_turns_away_follows_its_peers(task, pool, sharing):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    recorder.watch._sharing = sharing
+    _advance_to_probe(task, pool)
+    recorder.watch.apply_shared(_result(changes=None, source=PEER))
+    sharing.answer(_snapshot("x"))
+    assert recorder.listed_names == ["x"]
+    assert recorder.confirmed_at == 99.0
+
+
+def test_older_snapshot_changes_nothing(follower):
+    follower.watch.apply_shared(_result(as_of=None))
+    follower.watch.apply_snapshot(_snapshot("old", revision=2, as_of=98.0))
+    follower.watch.apply_snapshot(_snapshot("old", era=-1, revision=9))
+    assert (follower.changed_names, follower.listings) == (["x"], 1)
+    assert follower.confirmed_at == 98.0
+
+
+def test_snapshot_of_a_newer_state_without_objects_confirms_nothing(follower):
+    follower.watch.apply_snapshot(_snapshot(documents=None, revision=9))
+    assert follower.confirmed_at is None
+
+
+def test_snapshot_of_a_restored_store_causes_a_new_listing(pool, follower):
+    follower.watch.apply_snapshot(_snapshot("x", era=1))
+    assert (follower.listings, follower.restores) == (1, 1)
+    assert pool.targets[1:] == ["/-/objects/a"]
+
+
+def test_process_that_knows_nothing_can_begin_with_a_snapshot(task, pool):
+    recorder = Recorder()
+    watch = KindWatch(
+        task,
+        pool,
+        lambda: PEER,
+        "a",
+        recorder,
+        WatchTiming(None),
+        group=WatchGroup(),
+    )
+    assert watch.snapshot() is None
+    watch.apply_snapshot(_snapshot("x", era=2))
+    assert recorder.listed_names == ["x"]
+    assert watch.era == 2
+    assert pool.targets == []
+
+
+def test_watch_passes_on_what_it_knows(task, pool):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    count = recorder.watch.change_count
+    pool.respond(-1, events=[_event("x", 3), _event("y", 4)], at=4)
+    deleted = {**_event("x", 5), "deleted": True}
+    pool.respond(-1, events=[deleted], at=6)
+    snapshot = recorder.watch.snapshot()
+    assert [document.name for document in snapshot.documents] == ["y"]
+    assert (snapshot.revision, snapshot.changed_revision) == (6, 6)
+    assert snapshot.as_of == recorder.confirmed_at
+    assert recorder.watch.change_count > count
--- a/testing/daemons/test_entryfleet.py
+++ b/testing/daemons/test_entryfleet.py
@@ -2,6 +2,8 @@
 
 import json
 import threading
+from dataclasses import replace
+from functools import partial
 
 from sitebuilders import (
     make_headers,
@@ -19,9 +21,10 @@
 from bamboolever.platform.standins.site import (
     ENGINE_SERVICE,
     PLAIN_SERVICE,
+    find_free_port,
 )
 from bamboolever.platform.standins.store import StoreFault
-from bamboolever.platform.standins.upstream import EVENT_COUNT, Behaviour
+from bamboolever.platform.standins.upstream import EVENT_COUNT, MODEL, Behaviour
 
 ALL_EVENTS = b"".join(
     f"id: {number}\ndata: token {number}\n\n".encode()
@@ -167,6 +170,27 @@
     assert views_of(entry)["engine-1"]._failure_count == 0
 
 
+def test_withdrawn_request_that_may_not_run_twice_ends_as_unknown(site, start_entry):
+    old = site.add_engine("engine-1", "127.0.0.2")
+    new = site.add_engine("engine-2", "127.0.0.3", version=2)
+    old.behaviours.append(Behaviour.MUTE)
+    entry = start_entry(version_ms=500).wait_ready(2)
+    changes = {"targetGapMs": 10000, "resumeStreams": False}
+    routes = [{**route, **changes} for route in site.configuration["routes"]]
+    site.apply_configuration(routes=routes)
+    wait_for(lambda: entry.entry._configuration.version == 2)
+    entry.entry.fleet._views["engine-2"].is_leaving = True
+    connection = entry.connect()
+    headers = make_headers(**make_stream_headers())
+    connection.request("POST", "/stream/1", b"body", headers)
+    wait_for(lambda: _count_executions([old]) == 1)
+    entry.entry.fleet._views["engine-2"].is_leaving = False
+    site.set_model_version(2)
+    assert read_response(connection).status == 502
+    wait_for(lambda: old.received_requests[-1].is_cancelled)
+    assert not new.received_requests
+
+
 def test_configuration_that_does_not_decode_is_ignored(
     site, plain_upstreams, start_entry
 ):
@@ -235,8 +259,61 @@
     entries = [each.entry for each in running]
     wait_for(lambda: all(len(each.fleet.peers.recipients()) == 2 for each in entries))
     watches = [watch for each in entries for watch in each._watches]
-    wait_for(lambda: sum(watch._fetch is not None for watch in watches) == 3)
+    wait_for(lambda: sum(watch.is_calling for watch in watches) == 3)
     site.add_plain_upstream("plain-3")
     wait_for(lambda: all("plain-3" in views_of(each) for each in running))
-    wait_for(lambda: sum(watch._fetch is not None for watch in watches) == 3)
-    assert sum(each._watches[0]._fetch is not None for each in entries) == 1
+    wait_for(lambda: sum(watch.is_calling for watch in watches) == 3)
+    assert sum(each._watches[0].is_calling for each in entries) == 1
+
+
+def test_agent_that_cannot_tell_the_version_keeps_its_engine_in_use(
+    engines, start_entry
+):
+    """An agent that had just started reported that its engine serves nothing."""
+    entry = start_entry().wait_ready(len(engines)).entry
+    now = entry.task.now()
+    for engine in engines:
+        state = AgentState(engine.address, False, None, 1.0, ())
+        entry.fleet.apply_agent_state(state, now)
+    assert {
+        view.served_version(MODEL, now) for view in entry.fleet._views.values()
+    } == {1}
+
+
+def test_agent_cannot_tell_the_version_before_it_knows_the_configuration(
+    engines, start_agent
+):
+    agent = start_agent(engines[0]).agent
+    wait_for(lambda: agent._loader.report)
+    assert agent.profile() is None
+    assert agent._reported_version() is None
+
+
+def test_large_configuration_reaches_entries_that_the_store_turns_away(
+    site, start_entry, start_agent
+):
+    """Guards against entries that stay on an old version while their peers are current.
+
+    The change is larger than a datagram.
+    """
+    for number in (2, 3):
+        engine = site.add_engine(f"engine-{number}", f"127.0.0.{number}")
+        start_agent(engine, f"agent-{number}")
+    running = [
+        start_entry(name=f"entry-{number}", host=f"127.0.0.{number}").wait_ready(2)
+        for number in (7, 8, 9)
+    ]
+    entries = [each.entry for each in running]
+    wait_for(lambda: all(len(each.fleet.peers.recipients()) == 2 for each in entries))
+    watches = [watch for each in entries for watch in each._watches]
+    wait_for(lambda: sum(watch.is_calling for watch in watches) == 3)
+    closed_address = Address("127.0.0.1", find_free_port())
+    for each in entries:
+        if not each._watches[0].is_calling:
+            settings = replace(each._settings, store_address=closed_address)
+            each.task.send(partial(each.apply_settings, settings))
+    first = site.configuration["routes"][0]
+    routes = [{**first, "pathPrefix": f"/large/{number}/"} for number in range(500)]
+    site.apply_configuration(routes=routes)
+    wait_for(lambda: all(each._configuration.version == 2 for each in entries))
+    assert all(len(each._configuration.routes) == 500 for each in entries)
--- a/testing/fleet/test_exchange.py
+++ b/testing/fleet/test_exchange.py
@@ -32,6 +32,7 @@
     exchange.StoreUpdate("config", 2, 7, 9, b"body", 0.501, 1, 2, 0.25, True),
     exchange.StoreUpdate("config", 2, 7, 9, None, 0.001),
     exchange.StoreUpdate("config", 2, 9, 9, b"", 0.001),
+    exchange.StoreUpdate("config", 2, 9, 9, b"", None),
     exchange.EntryLoad("entry-1", 1, 2, {-5: EngineLoad(1, 2, 300)}),
     exchange.AgentState(
         Address("10.0.0.1", 80), True, 3, 1.5, (Address("10.0.0.2", 81),)
@@ -45,13 +46,22 @@
         (exchange.RolloutAge("model", 2, 1.5),),
         "model",
     ),
+    exchange.AgentState(Address("10.0.0.1", 80), False, None, 1.0, ()),
     exchange.AgentState(
         Address("10.0.0.1", 80), False, 0, 1.0, (), sequence=5, echo=Echo(6, 1.5)
     ),
     exchange.PieceMap("model", 2, (1 << 95) | 5, True),
     exchange.PieceMap("model", 2, 0),
     exchange.PieceMap("model", 2, 5, False, 3, True),
-    exchange.CrashReport((-1, 5)),
+    exchange.AgentState(
+        Address("10.0.0.1", 80), False, 0, 1.0, (), started_ms=2**41, is_down=True
+    ),
+    exchange.CrashReport(),
+    exchange.CrashReport(
+        (exchange.ReportedCrash(-(2**63), -5, 1.25), exchange.ReportedCrash(5, 6, 0.0)),
+        {-9: 1.25, 3: 0.0},
+        (-7, 8),
+    ),
     exchange.Rejections({-9: 1.25, 3: 0.0}),
 ]
 
