--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -43,11 +43,14 @@
 
 logger = logging.getLogger(__name__)
 
+# A lost opening packet is sent again after a second; this outlasts one loss.
 CONNECT_TIMEOUT_S = 1.5
+# Origin and engines allow few connections, so idle ones are not kept for longer.
 MAX_IDLE_S = 4.0
 VERSION_WAIT_S = 25.0
 REPORT_INTERVAL_S = 0.25
 SWITCHING_REPORT_INTERVAL_S = 0.05
+# The engine is on the same machine: no response means that it does not run.
 REPORT_TIMEOUT_S = 0.5
 LIST_REFRESH_INTERVAL_S = 2.0
 # A transfer starts without the list of agents if the store has not sent it by then.
--- a/src/bamboolever/daemons/loader.py
+++ b/src/bamboolever/daemons/loader.py
@@ -37,6 +37,8 @@
 
 logger = logging.getLogger(__name__)
 
+# The engine is on the same machine. An order without a response may have been accepted,
+# which its reports show.
 ORDER_TIMEOUT_S = 1.0
 # Pause after an order that the engine refused or did not respond to.
 ORDER_RETRY_S = 0.2
--- a/src/bamboolever/daemons/staging.py
+++ b/src/bamboolever/daemons/staging.py
@@ -13,6 +13,7 @@
 
 logger = logging.getLogger(__name__)
 
+# The engine is on the same machine: no response means that it does not run.
 REQUEST_TIMEOUT_S = 1.0
 MAX_PARALLEL_READS = 4
 
--- a/src/bamboolever/daemons/swarm.py
+++ b/src/bamboolever/daemons/swarm.py
@@ -30,7 +30,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Bounds a source that sends a piece little by little, so that another one is used.
 FETCH_TIMEOUT_S = 6.0
+# A source that sends nothing for longer is taken to be lost, or too busy to send soon.
 FETCH_STALL_TIMEOUT_S = 1.5
 PLAN_INTERVAL_S = 0.1
 # Piece maps that arrive within this time cause one plan.
