--- a/testing/daemons/test_loader.py
+++ b/testing/daemons/test_loader.py
@@ -123,3 +123,17 @@
     context.task.advance(0.5)
     _start_rollout(loader, context, SECOND)
     assert loader.transfer.started[-1] == SECOND.version
+
+
+def test_transfer_is_kept_while_the_newer_version_cannot_be_fetched(loader, context):
+    """Guards against engines that had neither of two versions.
+
+    All agents dropped a version after two seconds of its transfer for the next one.
+    The origin was down by then, so no engine served once the oldest version expired.
+    """
+    _start_rollout(loader, context, FIRST)
+    context.task.advance(0.5)
+    _start_rollout(loader, context, SECOND)
+    context.task.advance(2.0)
+    loader.advance()
+    assert set(loader.transfer.started) == {FIRST.version}
