Tell by time whether a response of the store still arrives

A listing of 310 KB at 80 KB/s never ended while other watches were answered four times a second. Where all three calls in flight had just brought bytes, the next one was not sent and nothing looked again. A second response over the limit threw away a listing in progress.

A fetch records when it last brought 4 KB; no look changes anything. A call without room is reported as overdue, which tries again later. A listing in progress goes on.

--- a/src/bamboolever/config/storecalls.py
+++ b/src/bamboolever/config/storecalls.py
@@ -38,8 +38,7 @@
 # Limit for the connection to the store. A packet of the handshake that is lost on a
 # full link is sent again after 1 s.
 CONNECT_TIMEOUT_S = 2.5
-# A response that brings less between two looks at it stalls.
-MIN_PROGRESS_BYTES = 4096
+TIMER_TOLERANCE_S = 0.001
 
 
 @dataclass
@@ -74,7 +73,6 @@
     is_shared: bool = False
     is_overdue: bool = False
     fetch: Fetch | None = None
-    _seen_bytes: int = 0
 
     def as_of(self, received_at: float, *, has_changes: bool) -> float:
         """Return when what a response to this watch tells was surely the newest."""
@@ -85,12 +83,14 @@
         # A response without changes was made at the end of the wait.
         return self.sent_at + self.wait_s
 
-    def has_progressed(self) -> bool:
-        """Return whether enough of the response arrived since this was last asked."""
-        received = self.fetch.received_bytes if self.fetch is not None else 0
-        has_progressed = received - self._seen_bytes >= MIN_PROGRESS_BYTES
-        self._seen_bytes = received
-        return has_progressed
+    @property
+    def progressed_at(self) -> float:
+        """When something of the response arrived last, or the call was sent."""
+        return self.sent_at if self.fetch is None else self.fetch.progressed_at
+
+    def silent_s(self, now: float) -> float:
+        """Return for how long the call is silent, its wait at the store left out."""
+        return now - max(self.sent_at + self.wait_s, self.progressed_at)
 
 
 class StoreCalls:
@@ -145,8 +145,12 @@
         return self._sent_at
 
     def send(self, call: StoreCall, request: Request, max_bytes: int) -> None:
-        """Send a call unless `MAX_CALLS` are in flight and none of them stalls."""
+        """Send a call, or report one as overdue while all in flight bring bytes.
+
+        At most `MAX_CALLS` are in flight; one that stalls makes room.
+        """
         if not self._make_room():
+            self._on_overdue("responses are still arriving")
             return
         self._sent_at = call.sent_at
         self._calls.append(call)
@@ -158,7 +162,7 @@
             timeout_s=None,
             max_bytes=max_bytes,
         )
-        self._check_later(call, call.wait_s + self._overdue_s(call))
+        self._check_later(call, self._overdue_s(call))
 
     def on_answered(self, answered: StoreCall) -> None:
         """Cancel overdue calls older than one that was answered, unless they progress.
@@ -168,7 +172,7 @@
         self._probe_overdue_s = MIN_PROBE_OVERDUE_S
         for call in list(self._calls):
             is_older = call.sent_at <= answered.sent_at
-            if is_older and call.is_overdue and not call.has_progressed():
+            if is_older and call.is_overdue and self._stalls(call):
                 self._drop(call)
 
     def doubt(self) -> None:
@@ -178,9 +182,9 @@
         arrives, or which have not waited for as long as responses take, are left.
         """
         usual_s = max(HUNG_CALL_S, self._response_times.longest_s)
+        now = self._task.now()
         for call in self._calls:
-            is_late = self._task.now() - call.sent_at >= usual_s
-            if is_late and not call.has_progressed():
+            if now - call.progressed_at >= usual_s:
                 call.is_overdue = True
 
     def cancel_all(self) -> None:
@@ -200,11 +204,14 @@
         if len(self._calls) < MAX_CALLS:
             return True
         for call in self._calls:
-            if call.is_overdue and not call.has_progressed():
+            if call.is_overdue and self._stalls(call):
                 self._drop(call)
                 return True
         return False
 
+    def _stalls(self, call: StoreCall) -> bool:
+        return call.silent_s(self._task.now()) >= self._response_times.overdue_s
+
     def _drop(self, call: StoreCall) -> None:
         self._calls.remove(call)
         if call.fetch is not None:
@@ -220,15 +227,17 @@
         )
         return max(overdue_s, usual_s)
 
-    def _check_later(self, call: StoreCall, delay_s: float) -> None:
+    def _check_later(self, call: StoreCall, limit_s: float) -> None:
         def check() -> None:
             if call.is_overdue or call not in self._calls:
                 return
-            if call.has_progressed():
+            silent_s = call.silent_s(self._task.now())
+            if silent_s < limit_s - TIMER_TOLERANCE_S:
                 self._check_later(call, self._response_times.overdue_s)
                 return
             call.is_overdue = True
             if not self.has_current:
-                self._on_overdue(f"no response for {delay_s:.1f} s")
+                self._on_overdue(f"no response for {silent_s:.1f} s")
 
-        self._task.call_later(delay_s, check)
+        delay_s = limit_s - call.silent_s(self._task.now())
+        self._task.call_later(max(TIMER_TOLERANCE_S, delay_s), check)
--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -312,7 +312,8 @@
             "listing in place of a long history",
             extra={"kind": self._kind, "revision": call.revision},
         )
-        self._listing = ListingProgress()
+        if self._listing is None:
+            self._listing = ListingProgress()
         self._send_next()
 
     def _check_era(self, response: Response) -> bool:
--- a/src/bamboolever/net/fetch.py
+++ b/src/bamboolever/net/fetch.py
@@ -11,6 +11,9 @@
 from bamboolever.net.messages import Request, ResponseHead
 from bamboolever.net.timers import RearmableTimer
 
+# Fewer bytes than this since the last progress are none.
+MIN_PROGRESS_BYTES = 4096
+
 
 @dataclass(frozen=True)
 class Response:
@@ -51,6 +54,8 @@
         self._sent_at = task.now()
         self._connection: ClientConnection | None = None
         self._head_at = 0.0
+        self._progressed_at = self._sent_at
+        self._counted_bytes = 0
         self._timer: Timer | None = None
         if timeout_s is not None:
             self._timer = task.call_later(timeout_s, self._on_timeout)
@@ -91,6 +96,11 @@
         """How many bytes of the body have arrived."""
         return len(self._body)
 
+    @property
+    def progressed_at(self) -> float:
+        """When the head or the last `MIN_PROGRESS_BYTES` arrived, or it was sent."""
+        return self._progressed_at
+
     def cancel(self) -> None:
         """Abort the exchange; ``on_result`` is not called."""
         if self._is_done:
@@ -101,7 +111,7 @@
     def on_head(self, head: ResponseHead) -> None:
         """Store the head until the response is complete; fail if it names too much."""
         self._head = head
-        self._head_at = self._task.now()
+        self._head_at = self._progressed_at = self._task.now()
         length = head.get(b"content-length")
         if length is not None and length.isdigit() and int(length) > self._max_bytes:
             self._fail(FailureKind.TOO_LARGE, "the response is over the limit")
@@ -111,6 +121,7 @@
         if self._is_done:
             return
         self._body += data
+        self._note_progress()
         self._restart_stall_timer()
         if len(self._body) > self._max_bytes:
             self._fail(FailureKind.TOO_LARGE, "the response is over the limit")
@@ -129,6 +140,11 @@
         self._connection = None
         self._finish(failure)
 
+    def _note_progress(self) -> None:
+        if len(self._body) - self._counted_bytes >= MIN_PROGRESS_BYTES:
+            self._counted_bytes = len(self._body)
+            self._progressed_at = self._task.now()
+
     def _on_timeout(self) -> None:
         self._fail(FailureKind.SILENT, "no response before the timeout")
 
--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -13,12 +13,12 @@
     HUNG_CALL_S,
     MAX_PROBE_OVERDUE_S,
     MIN_PROBE_OVERDUE_S,
-    MIN_PROGRESS_BYTES,
     RESPONSE_MARGIN_S,
 )
 from bamboolever.config.watch import MAX_RETRY_DELAY_S, KindWatch, WatchTiming
 from bamboolever.config.watchgroup import WatchGroup
 from bamboolever.net.addresses import Address
+from bamboolever.net.fetch import MIN_PROGRESS_BYTES
 from bamboolever.net.messages import ResponseHead
 from bamboolever.platform.store import StoredDocument
 
@@ -641,3 +641,29 @@
     handler.on_head(ResponseHead(200, ()))
     handler.on_data(b" ")
     assert recorder.watch.is_receiving == is_shared
+
+
+def test_slow_listing_is_kept_however_often_other_watches_are_answered(task):
+    """Each look at the progress of a call must not count as progress."""
+    store = SlowStore(task, response_s=0.02, bytes_per_s=80_000)
+    store.put("main", LARGE_BYTES)
+    recorder = _watch_at(store)
+    for _ in range(60):
+        task.advance(0.1)
+        recorder.watch.retry_if_hung()
+    assert recorder.listings == 1
+    assert not store.cancelled
+
+
+def test_listing_in_place_of_a_history_is_not_begun_twice(task, pool):
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    first = pool.sent[-1][1]
+    _advance_to_probe(task, pool)
+    second = pool.sent[-1][1]
+    too_large = ResponseHead(200, ((b"content-length", b"99999999"),))
+    second.on_head(too_large)
+    assert pool.targets[-1] == "/-/objects/a"
+    first.on_head(too_large)
+    pool.respond(-1, items=[_item("m", 9)], at=9)
+    assert recorder.listings == 2
+    assert pool.targets[-1] == "/-/objects/a?watch=9&waitMs=2000"
