Bound how long a slow response of the store keeps peers from calling it

Found by the review: while bytes trickled in, the entry that watches for its cell told its peers so each 0.4 s, and none of them ever called the store. Progress now counts for a quarter of the contract's time after the last confirmation. The test of it moves its clock by that quarter in place of one second; the bound has a test of its own, which failed before.

Parts of a change whose revisions do not rise are no longer passed on singly: deletions may state the revision before them, and peers skipped such parts and kept the objects. They get all objects in place of them. The test failed before.

--- a/src/bamboolever/config/sharing.py
+++ b/src/bamboolever/config/sharing.py
@@ -8,6 +8,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
+from itertools import pairwise
 from typing import final
 
 from bamboolever.config.kindstate import Snapshot
@@ -44,13 +45,14 @@
     """Split a result with changes into parts that fit into a datagram, oldest first.
 
     Only the last part is a confirmation. Yields one result without the changes if a
-    single change is too large.
+    single change is too large, or if the revisions do not show which part is missing
+    when one is lost.
     """
     if not result.changes:
         yield result
         return
     parts = store.split_changes(result.changes, MAX_PART_BYTES)
-    if not parts:
+    if not _rises(result.from_revision, [revision for revision, _ in parts]):
         yield replace(result, changes=None)
         return
     from_revision = result.from_revision
@@ -65,6 +67,12 @@
         from_revision = revision
 
 
+def _rises(start: int, revisions: list[int]) -> bool:
+    return bool(revisions) and all(
+        earlier < later for earlier, later in pairwise([start, *revisions])
+    )
+
+
 class WatchSharing(ABC):
     """Decides whether a process calls the store itself, and passes on what it finds."""
 
--- a/src/bamboolever/daemons/storerelay.py
+++ b/src/bamboolever/daemons/storerelay.py
@@ -39,8 +39,10 @@
 TAKE_OVER_SHARE = 0.06
 MAX_TAKE_OVER_STEPS = 3
 MAX_REMEMBERED_LOADS = 128
-# How often the peers are told that a large response of the store is arriving.
+# How often the peers are told that a large response of the store is arriving, and for
+# which share of that time they put their own calls off for it.
 PROGRESS_INTERVAL_S = 0.4
+MAX_PROGRESS_SHARE = 0.25
 
 
 @final
@@ -72,6 +74,7 @@
         self._configuration_timeout_s = configuration_timeout_s
         self._watches: dict[str, KindWatch] = {}
         self._heard_at = now()
+        self._confirmation_heard_at = self._heard_at
         self._progress_reported_at = -math.inf
         self._load_sent_at: OrderedDict[int, float] = OrderedDict()
 
@@ -188,8 +191,7 @@
         as_of = None
         if sent_at is not None:
             if update.kind == self._confirmed_kind:
-                # The peer has just heard from the store, however old what it heard is.
-                self._heard_at = max(self._heard_at, min(now, sent_at))
+                self._on_heard(update, min(now, sent_at))
             if update.confirmed_age_s is not None:
                 as_of = sent_at - update.confirmed_age_s
         watch.apply_shared(
@@ -205,6 +207,20 @@
             )
         )
 
+    def _on_heard(self, update: StoreUpdate, sent_at: float) -> None:
+        """Record that a peer has just heard from the store.
+
+        How old what it heard is does not matter. A response that is still arriving
+        counts for a while only, since the peer's link may be too slow for it.
+        """
+        if update.confirmed_age_s is not None:
+            self._confirmation_heard_at = max(self._confirmation_heard_at, sent_at)
+            self._heard_at = max(self._heard_at, sent_at)
+            return
+        limit_s = MAX_PROGRESS_SHARE * self._configuration_timeout_s
+        progress_at = min(sent_at, self._confirmation_heard_at + limit_s)
+        self._heard_at = max(self._heard_at, progress_at)
+
     def _sent_at(self, update: StoreUpdate) -> float | None:
         """Return the earliest time at which an update was sent, on this clock."""
         if update.echo_started_ms != self._fleet.started_ms:
