Keep a version's start when its object is written again

Found by the review: the start moved to the latest confirmation before the second writing, past the bound. The first revision of a version counts. The test failed before.

--- a/src/bamboolever/fleet/versions.py
+++ b/src/bamboolever/fleet/versions.py
@@ -57,10 +57,12 @@
             self._merge(model, version, started_at)
         if revision is None or version not in known:
             return is_newest
-        self._revisions[model, version] = revision
+        # An object that is written again was named at its first revision.
+        named_at = min(revision, self._revisions.get((model, version), revision))
+        self._revisions[model, version] = named_at
         if len(self._revisions) > MAX_REVISIONS:
             del self._revisions[next(iter(self._revisions))]
-        self._merge(model, version, self._times.latest_before(revision))
+        self._merge(model, version, self._times.latest_before(named_at))
         return is_newest
 
     def confirm(self, era: int, revision: int, as_of: float) -> None:
--- a/testing/fleet/test_versions.py
+++ b/testing/fleet/test_versions.py
@@ -146,3 +146,12 @@
     assert ages[0] == ages[1]
     assert ages[0] is None or ages[0] >= 100.0 - NAMED_AT - 1e-9
     assert versions.min_version("m", NAMED_AT + 8.0) == 2
+
+
+def test_version_that_is_written_again_keeps_its_start():
+    versions = VersionRollouts(8.0)
+    versions.confirm(0, 10, 100.0)
+    versions.add("model", 2, revision=11)
+    versions.confirm(0, 20, 104.0)
+    versions.add("model", 2, revision=21)
+    assert versions.expires_at("model", 1) == 108.0
