Count no crash of an upstream that announced its end, nor by a delayed report

Only the list checked that an upstream was draining; a refused connection or its agent's report counts as a crash before that, so that a request in flight at three planned ends was blocked. A report that lay in a suspended entry's socket made a crash look newer than the completion that voids it, and a later, exact report did not correct it.

--- a/src/bamboolever/calls/poison.py
+++ b/src/bamboolever/calls/poison.py
@@ -136,7 +136,11 @@
 
     def add_crash(self, crash: Crash, now: float) -> bool:
         """Add a crash; return whether it is new, not too old and not void."""
-        if now - crash.sent_at > CRASH_MAX_AGE_S or self._is_void(crash):
+        if self._is_void(crash):
+            # An earlier report of it was delayed, and looked newer than it was.
+            self._remove_crash(crash)
+            return False
+        if now - crash.sent_at > CRASH_MAX_AGE_S:
             return False
         crashes = self._crashes.setdefault(crash.digest, {})
         known = crashes.get(crash.upstream)
@@ -151,6 +155,12 @@
         _limit(self._crashes, MAX_TRACKED_REQUESTS)
         return True
 
+    def _remove_crash(self, crash: Crash) -> None:
+        crashes = self._crashes.get(crash.digest, {})
+        crashes.pop(crash.upstream, None)
+        if not crashes:
+            self._crashes.pop(crash.digest, None)
+
     def add_completion(self, digest: int, at: float) -> bool:
         """Void the crashes by a request that an upstream completed at ``at``.
 
--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -104,6 +104,11 @@
         """Key that identifies the upstream to other entries until it restarts."""
         return upstream_key(self.record.instance_id, self.record.started_ms)
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether the upstream announced its end, in the list or in a response."""
+        return self.record.is_draining or self.is_leaving
+
     @property
     def own_load(self) -> EngineLoad:
         """Requests of this entry alone; the slowdown is left out."""
@@ -149,7 +154,7 @@
         It does not while it drains, shuts down or switches versions, nor before the
         end of a Retry-After that it stated.
         """
-        if self.record.is_draining or self.is_leaving:
+        if self.is_ending:
             return False
         return now >= max(self.switching_until, self.closed_until)
 
--- a/src/bamboolever/daemons/crashreports.py
+++ b/src/bamboolever/daemons/crashreports.py
@@ -94,8 +94,7 @@
             completed_at = self.tracker.completed_at(each.digest)
             if completed_at is not None and crash.sent_at <= completed_at:
                 missed[each.digest] = now - completed_at
-            else:
-                self.tracker.add_crash(crash, now)
+            self.tracker.add_crash(crash, now)
         for upstream in report.ended:
             self.on_upstream_ended(upstream, "peer")
         if missed:
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -256,7 +256,9 @@
             if self._fleet.apply_agent_state(message, now, said_after):
                 self.schedule_load_update()
             ended = self._fleet.find_ended(message)
-            if ended is not None:
+            if ended is not None and ended.is_ending:
+                self.crashes.tracker.on_upstream_left(ended.key)
+            elif ended is not None:
                 self.crashes.on_upstream_ended(ended.key, "agent")
         elif isinstance(message, CellSummary):
             self._fleet.apply_summary(message, now)
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -181,8 +181,15 @@
         crashes.on_broken_response(upstream.key, relay.digest, sent_at)
 
     def on_connection_refused(self, upstream: UpstreamView) -> None:
-        """Count a crash against the calls whose responses ``upstream`` broke off."""
-        self._exchange.crashes.on_connection_refused(upstream.key)
+        """Count a crash against the calls whose responses ``upstream`` broke off.
+
+        One that had announced its end was not crashed.
+        """
+        crashes = self._exchange.crashes
+        if upstream.is_ending:
+            crashes.tracker.on_upstream_left(upstream.key)
+            return
+        crashes.on_connection_refused(upstream.key)
 
     def on_upstreams_ended(self, upstreams: list[UpstreamView]) -> None:
         """Count the crashes of upstreams that are listed no more.
@@ -191,7 +198,7 @@
         """
         crashes = self._exchange.crashes
         for upstream in upstreams:
-            if upstream.record.is_draining or upstream.is_leaving:
+            if upstream.is_ending:
                 crashes.tracker.on_upstream_left(upstream.key)
             else:
                 crashes.on_upstream_ended(upstream.key, "list")
--- a/testing/calls/test_poison.py
+++ b/testing/calls/test_poison.py
@@ -200,3 +200,19 @@
     assert first == request_digest(b"POST", b"/a", "key", b"body")
     assert first != request_digest(b"POST", b"/a", "other", b"body")
     assert first != request_digest(b"POST", b"/a", "key", b"bodz")
+
+
+def test_delayed_report_of_a_void_crash_is_corrected_by_a_later_one():
+    """Guards against blocks that a report from a suspended entry's socket brings back.
+
+    A delay makes the crash look newer than the completion that voids it.
+    """
+    tracker = CrashTracker()
+    tracker.add_completion(POISON, 10.0)
+    for upstream in range(3):
+        assert tracker.add_crash(Crash(POISON, upstream, 13.5), 14.0)
+    assert tracker.is_blocked(POISON, 14.0)
+    for upstream in range(3):
+        assert not tracker.add_crash(Crash(POISON, upstream, 9.7), 14.1)
+    assert not tracker.is_blocked(POISON, 14.1)
+    assert tracker.near_block(14.1) == []
--- a/testing/daemons/test_inflightcalls.py
+++ b/testing/daemons/test_inflightcalls.py
@@ -181,3 +181,19 @@
     expected = [keys[upstream.instance_id] for upstream in silent]
     assert len(expected) == 1
     assert [crash.upstream for crash in _crashed(entry)] == expected
+
+
+def test_refused_connection_of_a_draining_upstream_is_no_crash(
+    site, plain_upstreams, start_entry
+):
+    entry = start_entry().wait_ready(2)
+    _break_lookup(entry, plain_upstreams)
+    for upstream in plain_upstreams:
+        site.put_upstream(upstream, PLAIN_SERVICE, state="draining")
+    wait_for(lambda: all(view.record.is_draining for view in views_of(entry).values()))
+    calls = entry.entry.calls
+    for view in views_of(entry).values():
+        entry.entry.task.send(lambda view=view: calls.on_connection_refused(view))
+        site.store.delete("servers", view.instance_id)
+    wait_for(lambda: not views_of(entry))
+    assert not _crashed(entry)
