--- a/testing/daemons/test_entryfleet.py
+++ b/testing/daemons/test_entryfleet.py
@@ -247,8 +247,8 @@
     wait_for(lambda: "plain-1" not in views_of(entry))
 
 
-def test_entries_of_a_cell_share_one_watch_of_the_store(site, start_entry, start_agent):
-    """Guards against store calls that grow with the number of entries."""
+def _start_cell(site, start_entry, start_agent):
+    """Start three entries that know each other, one of which watches the store."""
     for number in (2, 3):
         engine = site.add_engine(f"engine-{number}", f"127.0.0.{number}")
         start_agent(engine, f"agent-{number}")
@@ -260,6 +260,14 @@
     wait_for(lambda: all(len(each.fleet.peers.recipients()) == 2 for each in entries))
     watches = [watch for each in entries for watch in each._watches]
     wait_for(lambda: sum(watch.is_calling for watch in watches) == 3)
+    return running
+
+
+def test_entries_of_a_cell_share_one_watch_of_the_store(site, start_entry, start_agent):
+    """Guards against store calls that grow with the number of entries."""
+    running = _start_cell(site, start_entry, start_agent)
+    entries = [each.entry for each in running]
+    watches = [watch for each in entries for watch in each._watches]
     site.add_plain_upstream("plain-3")
     wait_for(lambda: all("plain-3" in views_of(each) for each in running))
     wait_for(lambda: sum(watch.is_calling for watch in watches) == 3)
@@ -296,17 +304,8 @@
 
     The change is larger than a datagram.
     """
-    for number in (2, 3):
-        engine = site.add_engine(f"engine-{number}", f"127.0.0.{number}")
-        start_agent(engine, f"agent-{number}")
-    running = [
-        start_entry(name=f"entry-{number}", host=f"127.0.0.{number}").wait_ready(2)
-        for number in (7, 8, 9)
-    ]
+    running = _start_cell(site, start_entry, start_agent)
     entries = [each.entry for each in running]
-    wait_for(lambda: all(len(each.fleet.peers.recipients()) == 2 for each in entries))
-    watches = [watch for each in entries for watch in each._watches]
-    wait_for(lambda: sum(watch.is_calling for watch in watches) == 3)
     closed_address = Address("127.0.0.1", find_free_port())
     for each in entries:
         if not each._watches[0].is_calling:
