Put the calls of peers off by rank while a response of the store is arriving

The first in rank may now call after that time, the second after twice, the third and the others after three times: a slow link of the one that watches is made up for by one call, and none waits for ever. test_response_that_is_arriving_puts_the_call_of_others_off has its second back.

--- a/src/bamboolever/daemons/storerelay.py
+++ b/src/bamboolever/daemons/storerelay.py
@@ -40,9 +40,10 @@
 MAX_TAKE_OVER_STEPS = 3
 MAX_REMEMBERED_LOADS = 128
 # How often the peers are told that a large response of the store is arriving, and for
-# which share of that time they put their own calls off for it.
+# which share of that time each rank puts its own call off for it. Calls of all at once
+# would take the link from the response that is arriving.
 PROGRESS_INTERVAL_S = 0.4
-MAX_PROGRESS_SHARE = 0.25
+MAX_PROGRESS_SHARE = 1.0
 
 
 @final
@@ -74,7 +75,7 @@
         self._configuration_timeout_s = configuration_timeout_s
         self._watches: dict[str, KindWatch] = {}
         self._heard_at = now()
-        self._confirmation_heard_at = self._heard_at
+        self._progress_at = self._heard_at
         self._progress_reported_at = -math.inf
         self._load_sent_at: OrderedDict[int, float] = OrderedDict()
 
@@ -142,7 +143,17 @@
             return 0.0
         steps = min(rank, MAX_TAKE_OVER_STEPS)
         share = SILENCE_SHARE + steps * TAKE_OVER_SHARE
-        return max(0.0, self._heard_at + share * self._configuration_timeout_s - now)
+        heard_at = self._last_heard_at(steps)
+        return max(0.0, heard_at + share * self._configuration_timeout_s - now)
+
+    def _last_heard_at(self, steps: int) -> float:
+        """Return when a peer heard from the store last.
+
+        A response that is still arriving counts for a while only, longer with each
+        rank, since the link of the entry that receives it may be too slow for it.
+        """
+        limit_s = steps * MAX_PROGRESS_SHARE * self._configuration_timeout_s
+        return max(self._heard_at, min(self._progress_at, self._heard_at + limit_s))
 
     def ask_peer(
         self,
@@ -210,16 +221,12 @@
     def _on_heard(self, update: StoreUpdate, sent_at: float) -> None:
         """Record that a peer has just heard from the store.
 
-        How old what it heard is does not matter. A response that is still arriving
-        counts for a while only, since the peer's link may be too slow for it.
+        How old what it heard is does not matter.
         """
         if update.confirmed_age_s is not None:
-            self._confirmation_heard_at = max(self._confirmation_heard_at, sent_at)
             self._heard_at = max(self._heard_at, sent_at)
-            return
-        limit_s = MAX_PROGRESS_SHARE * self._configuration_timeout_s
-        progress_at = min(sent_at, self._confirmation_heard_at + limit_s)
-        self._heard_at = max(self._heard_at, progress_at)
+        else:
+            self._progress_at = max(self._progress_at, sent_at)
 
     def _sent_at(self, update: StoreUpdate) -> float | None:
         """Return the earliest time at which an update was sent, on this clock."""
--- a/testing/daemons/test_storerelay.py
+++ b/testing/daemons/test_storerelay.py
@@ -6,7 +6,7 @@
 
 from bamboolever.config.kindstate import Snapshot
 from bamboolever.config.sharing import WatchResult
-from bamboolever.daemons.storerelay import MAX_PROGRESS_SHARE, StoreRelay
+from bamboolever.daemons.storerelay import StoreRelay
 from bamboolever.fleet.messages import EntryLoad
 from bamboolever.fleet.peers import PeerLoads
 from bamboolever.net.addresses import Address
@@ -154,7 +154,7 @@
     watching.hear(follower, sequence=2)
     before = follower.relay.call_delay_s(follower.now)
     for member in members:
-        member.now += MAX_PROGRESS_SHARE * CONFIGURATION_TIMEOUT_S
+        member.now += 1.0
     watching.watch.is_receiving = True
     watching.hear(follower, sequence=3)
     watching.relay.on_load_sent(2, watching.now)
