Ask the peer that is ahead while the own call to the store brings nothing

The store had been silent from 18 to 26 s.

The calls of the outage had been answered seconds late, so that by the response times seen it was overdue only after up to 6 s more; and while a call is in flight, what peers know was left aside. Again an estimate in place of a fact: the peer says that it is ahead.

A peer that is ahead is asked once the own call brought no byte for 0.5 s.

--- a/src/bamboolever/config/storecalls.py
+++ b/src/bamboolever/config/storecalls.py
@@ -139,6 +139,17 @@
             if not call.is_overdue
         )
 
+    @property
+    def is_arriving(self) -> bool:
+        """Whether a part of a response has just arrived."""
+        now = self._task.now()
+        return any(
+            call.fetch is not None
+            and call.fetch.received_bytes > 0
+            and now - call.progressed_at < HUNG_CALL_S
+            for call in self._calls
+        )
+
     @property
     def sent_at(self) -> float:
         """When the last call was sent; minus infinity before the first."""
--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -25,7 +25,12 @@
     WatchSharing,
     split_result,
 )
-from bamboolever.config.storecalls import ListingProgress, StoreCall, StoreCalls
+from bamboolever.config.storecalls import (
+    HUNG_CALL_S,
+    ListingProgress,
+    StoreCall,
+    StoreCalls,
+)
 from bamboolever.config.watchgroup import WatchGroup
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
@@ -94,6 +99,9 @@
         self._is_reachable = False
         self._is_stopped = False
         self._is_asking_peer = False
+        # The revision at which a peer was first known to be ahead, and since when.
+        self._behind_at: int | None = None
+        self._behind_since = 0.0
         self._calls = StoreCalls(
             task,
             pool,
@@ -199,7 +207,7 @@
             self._catch_up(revision, source)
 
     def _catch_up(self, revision: int, source: Address | None) -> None:
-        if self._is_asking_peer or (self._calls.is_any and self._is_reachable):
+        if self._is_asking_peer or self._awaits_own_call():
             return
 
         def on_snapshot(snapshot: Snapshot | None) -> None:
@@ -220,6 +228,16 @@
             self._is_asking_peer = False
             self._call_for_changes()
 
+    def _awaits_own_call(self) -> bool:
+        """Return whether a call in flight may soon bring a change that a peer has."""
+        if not self._calls.is_any or not self._is_reachable:
+            return False
+        now = self._task.now()
+        if self._behind_at != self._revision:
+            self._behind_at, self._behind_since = self._revision, now
+        is_recent = now - self._behind_since < HUNG_CALL_S
+        return is_recent or self._calls.is_arriving
+
     def _call_for_changes(self) -> None:
         # While calls are overdue, the next one is sent when its time comes.
         if self._calls.is_any or self._revision is None:
--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -667,3 +667,37 @@
     pool.respond(-1, items=[_item("m", 9)], at=9)
     assert recorder.listings == 2
     assert pool.targets[-1] == "/-/objects/a?watch=9&waitMs=2000"
+
+
+def test_peer_that_is_ahead_is_asked_beside_a_call_that_is_lost(task, pool, sharing):
+    """Guards against an entry whose only call was lost as the store came back.
+
+    The calls of the outage had been answered late, so that it counted as overdue only
+    seconds later; its peers had the change all the while.
+    """
+    sharing.delay_s = 0.0
+    recorder = _start(pool, "a", WAIT_S, WatchGroup(), sharing=sharing)
+    assert recorder.watch.is_calling
+    recorder.watch.catch_up_to(0, 3, PEER)
+    task.advance(HUNG_CALL_S - 0.01)
+    recorder.watch.catch_up_to(0, 3, PEER)
+    assert not sharing.asked
+    task.advance(0.02)
+    recorder.watch.catch_up_to(0, 3, PEER)
+    assert sharing.asked == [(PEER, "a", 0, 1)]
+    sharing.answer(_snapshot("x"))
+    assert recorder.listed_names == ["x"]
+
+
+def test_peer_that_is_ahead_is_not_asked_while_the_own_response_arrives(
+    task, pool, sharing
+):
+    sharing.delay_s = 0.0
+    recorder = _start(pool, "a", WAIT_S, WatchGroup(), sharing=sharing)
+    handler = pool.sent[-1][1]
+    handler.on_head(ResponseHead(200, ()))
+    for _ in range(10):
+        handler.on_data(b" " * MIN_PROGRESS_BYTES)
+        recorder.watch.catch_up_to(0, 3, PEER)
+        task.advance(0.1)
+    assert not sharing.asked
