--- a/src/bamboolever/daemons/calllog.py
+++ b/src/bamboolever/daemons/calllog.py
@@ -66,7 +66,8 @@
     ) -> None:
         """Count and log a failed attempt.
 
-        ``retry_decision`` is "sent-again", or the reason why there is no retry.
+        ``retry_decision`` is "sent-again", or the reason why there is no retry. The
+        line names the parts of the prompt, and how far the upstream had come with it.
         """
         self._telemetry.count("call.retry", outcome=outcome, decision=retry_decision)
         upstreams = relay.record.upstreams
@@ -79,6 +80,9 @@
                 "detail": detail,
                 "decision": retry_decision,
                 "attempts": len(upstreams),
+                "parts": relay.metadata.shared_parts,
+                "has_begun": relay.record.body_framing is not None,
+                "events": relay.attempt_events,
             },
         )
 
--- a/src/bamboolever/daemons/eventstream.py
+++ b/src/bamboolever/daemons/eventstream.py
@@ -38,6 +38,11 @@
         """How much of the next event the current attempt has received."""
         return self._splitter.partial_event_bytes
 
+    @property
+    def attempt_events(self) -> int:
+        """How many events of the current attempt were forwarded."""
+        return self._splitter.event_count
+
     @property
     def is_over_limit(self) -> bool:
         """Whether the next event is larger than `MAX_EVENT_BYTES`."""
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -130,6 +130,7 @@
         self.record.upstreams.append(view.instance_id)
         self.record.predicted_s = placement.predicted_s
         self._response_head = None
+        self.record.body_framing = None
         self._attempt_outcome = None
         self._response_body.take()
         self._stream.begin_attempt()
@@ -493,6 +494,11 @@
         """The upstream of the current attempt, or of the last one."""
         return self._upstream
 
+    @property
+    def attempt_events(self) -> int:
+        """How many events of the current attempt's stream were forwarded."""
+        return self._stream.attempt_events
+
     def on_version_added(self) -> None:
         """Withdraw an attempt in time for the end of an older version."""
         self._timers.check_begin()
--- a/src/bamboolever/platform/calls.py
+++ b/src/bamboolever/platform/calls.py
@@ -31,8 +31,10 @@
 class CallMetadata:
     """Routing data and header values of a caller's request.
 
-    ``remaining_s`` is the number of seconds for which the caller still waits. Values
-    that are absent or do not decode are None; an absent host is empty.
+    ``remaining_s`` is the number of seconds for which the caller still waits.
+    ``shared_parts`` are the ids of the parts of the prompt that other requests may
+    share: all but the last, in lower case. Values that are absent or do not decode are
+    None; an absent host is empty.
     """
 
     attempt_id: bytes | None
@@ -44,6 +46,7 @@
     prompt_tokens: int | None = None
     max_output_tokens: int | None = None
     last_event_id: bytes | None = None
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -75,6 +78,7 @@
         prompt_tokens=prompt,
         max_output_tokens=output_tokens,
         last_event_id=request.get(names.LAST_EVENT_ID.lower()),
+        shared_parts=_parse_shared_parts(request.get(names.PREFIX.lower())),
     )
 
 
@@ -188,6 +192,14 @@
     return int(parts[0]), int(parts[1])
 
 
+def _parse_shared_parts(value: bytes | None) -> tuple[str, ...]:
+    if value is None:
+        return ()
+    parts = value.decode("latin-1").lower().split(",")
+    ids = (part.partition(":")[0].strip() for part in parts[:-1])
+    return tuple(dict.fromkeys(part_id for part_id in ids if part_id))
+
+
 def _parse_non_negative(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/testing/platform/test_calls.py
+++ b/testing/platform/test_calls.py
@@ -1,5 +1,6 @@
 """Decoding and forwarding of requests and responses in the platform's format."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -36,6 +37,24 @@
     assert (metadata.prompt_tokens, metadata.max_output_tokens) == (1460, 80)
 
 
+@pytest.mark.parametrize(
+    ("value", "shared"),
+    [
+        (b"5c1e07a2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        (b"5C1E07A2:800, 91BD3F06:410 ,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        (b"e4402b7d:250", ()),
+        (b"a:1,a:1,b:2", ("a",)),
+        (b"", ()),
+        (b",:,,", ()),
+        (b"\xff,b:1", ("\xff",)),
+    ],
+)
+def test_parts_that_other_requests_may_share_are_all_but_the_last(value, shared):
+    headers = ((b"Bamboolever-Prompt-Prefix", value),)
+    request = Request(b"POST", b"/", headers, b"")
+    assert calls.decode_call(request).shared_parts == shared
+
+
 def test_forwarded_request_keeps_the_callers_headers():
     upstream_headers = calls.UpstreamHeaders("i-1", 1.5, workspace="w")
     sent = calls.forward_request(REQUEST, upstream_headers)
