--- a/src/bamboolever/platform/standins/upstream.py
+++ b/src/bamboolever/platform/standins/upstream.py
@@ -78,7 +78,8 @@
 
     ``behaviours`` holds the behaviours for the next calls, in order; further calls
     succeed. While ``is_leaving``, responses say so. An order takes ``load_s`` seconds,
-    during which no calls are executed.
+    during which no calls are executed. A request whose prompt has ``crashing_part``
+    among its parts ends the upstream as soon as its response has begun.
     """
 
     def __init__(
@@ -99,6 +100,8 @@
         self._load_s = load_s
         self._is_loading = False
         self.is_leaving = False
+        self.crashing_part: bytes | None = None
+        self.is_crashed = False
         self.received_requests: list[ReceivedRequest] = []
         self.behaviours: collections.deque[Behaviour] = collections.deque()
 
@@ -109,7 +112,8 @@
 
     def stop(self) -> None:
         """Close every connection and stop the thread."""
-        self.task.send(self._server.close)
+        if not self.is_crashed:
+            self.task.send(self._server.close)
         self.task.stop()
 
     def list_executed_attempts(self) -> list[bytes]:
@@ -177,9 +181,22 @@
             connection.respond(200, headers, b"answer to " + _attempt_id(request))
             return
         connection.start(200, [*headers, (b"Content-Type", b"text/event-stream")])
+        if self._is_crashed_by(request):
+            self.task.call_later(EVENT_GAP_S, self._crash)
+            return
         first = int(request.get(names.LAST_EVENT_ID.lower()) or b"0") + 1
         self._send_event(connection, first, behaviour)
 
+    def _is_crashed_by(self, request: Request) -> bool:
+        if self.crashing_part is None:
+            return False
+        parts = (request.get(names.PREFIX.lower()) or b"").split(b",")
+        return any(part.partition(b":")[0] == self.crashing_part for part in parts)
+
+    def _crash(self) -> None:
+        self.is_crashed = True
+        self._server.close()
+
     def _send_event(
         self, connection: ServerConnection, number: int, behaviour: Behaviour
     ) -> None:
