Count crashes for the parts of a prompt, and try suspected ones one at a time

Callers saw: engines ended one after the other, up to 38, while requests with one part in common went on for the whole time; what else ran there was cut.

Cause: crashes were counted for the request as a whole. No two of these requests are equal, so none had more than its own two crashes, the second by its retry.

Why this works: a part is charged with the engines that ended while requests with it had not well begun (four events). An answer voids its earlier crashes, so a part that sound requests share is cleared many times a second. In a storm, where nothing is answered, a part that was answered before gives way to one that never was; what a blocked part explains is charged to nobody else. Two crashes make a suspect: its requests go out one at a time in the fleet, without a retry, claimed when they are sent. Two trials that crash block it. As outages may hit two trials, one last trial is left, 30 s later or for a part that was never tried alone. All is merged as sets; agents keep it for entries that start after all were killed.

A stream with neither length nor chunks that ends early looks like an answer when its engine crashed: it voids nothing now unless well begun.

--- a/protocol/exchange.thrift
+++ b/protocol/exchange.thrift
@@ -130,25 +130,32 @@
   6: bool is_retained
 }
 
-// A crash of an upstream by a request, and how long ago the request was sent to it.
+// A crash of an upstream by a request, or by a part of a prompt, and how long ago the
+// request was sent to it. tried_parts is how many suspected parts it was a trial of.
 struct Crash {
   1: i64 digest
   2: i32 upstream_key
   3: i32 age_ms
+  4: i8 tried_parts
 }
 
-// A request that an upstream completed, and how long ago.
+// A request or a part that an upstream answered, and how long ago.
 struct Completion {
   1: i64 digest
   2: i32 age_ms
 }
 
 // Field 1 held digests without their upstreams. ended are the keys of upstreams that
-// refused a connection.
+// refused a connection. trials are the parts that the sender has on trial,
+// ended_trials those that it had, without evidence.
 struct CrashReport {
   2: list<Crash> crashes
   3: list<Completion> completions
   4: list<i32> ended
+  5: list<Crash> part_crashes
+  6: list<Completion> part_completions
+  7: list<i64> trials
+  8: list<i64> ended_trials
 }
 
 // A request that an entry rejected and how long ago it first arrived.
--- a/src/bamboolever/_exchange_protocol/ttypes.py
+++ b/src/bamboolever/_exchange_protocol/ttypes.py
@@ -1378,6 +1378,7 @@
      - digest
      - upstream_key
      - age_ms
+     - tried_parts
 
     """
 
@@ -1385,13 +1386,15 @@
         'digest',
         'upstream_key',
         'age_ms',
+        'tried_parts',
     )
 
 
-    def __init__(self, digest=None, upstream_key=None, age_ms=None,):
+    def __init__(self, digest=None, upstream_key=None, age_ms=None, tried_parts=None,):
         self.digest = digest
         self.upstream_key = upstream_key
         self.age_ms = age_ms
+        self.tried_parts = tried_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1417,6 +1420,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BYTE:
+                    self.tried_parts = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1439,6 +1447,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 3)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.tried_parts is not None:
+            oprot.writeFieldBegin('tried_parts', TType.BYTE, 4)
+            oprot.writeByte(self.tried_parts)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1550,6 +1562,10 @@
      - crashes
      - completions
      - ended
+     - part_crashes
+     - part_completions
+     - trials
+     - ended_trials
 
     """
 
@@ -1557,13 +1573,21 @@
         'crashes',
         'completions',
         'ended',
+        'part_crashes',
+        'part_completions',
+        'trials',
+        'ended_trials',
     )
 
 
-    def __init__(self, crashes=None, completions=None, ended=None,):
+    def __init__(self, crashes=None, completions=None, ended=None, part_crashes=None, part_completions=None, trials=None, ended_trials=None,):
         self.crashes = crashes
         self.completions = completions
         self.ended = ended
+        self.part_crashes = part_crashes
+        self.part_completions = part_completions
+        self.trials = trials
+        self.ended_trials = ended_trials
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1606,6 +1630,48 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.part_crashes = []
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = Crash()
+                        _elem72.read(iprot)
+                        self.part_crashes.append(_elem72)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.part_completions = []
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = Completion()
+                        _elem78.read(iprot)
+                        self.part_completions.append(_elem78)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.trials = []
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = iprot.readI64()
+                        self.trials.append(_elem84)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.ended_trials = []
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = iprot.readI64()
+                        self.ended_trials.append(_elem90)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1619,22 +1685,50 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter67 in self.crashes:
-                iter67.write(oprot)
+            for iter91 in self.crashes:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.completions is not None:
             oprot.writeFieldBegin('completions', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.completions))
-            for iter68 in self.completions:
-                iter68.write(oprot)
+            for iter92 in self.completions:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.ended))
-            for iter69 in self.ended:
-                oprot.writeI32(iter69)
+            for iter93 in self.ended:
+                oprot.writeI32(iter93)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.part_crashes is not None:
+            oprot.writeFieldBegin('part_crashes', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.part_crashes))
+            for iter94 in self.part_crashes:
+                iter94.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.part_completions is not None:
+            oprot.writeFieldBegin('part_completions', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.part_completions))
+            for iter95 in self.part_completions:
+                iter95.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.trials is not None:
+            oprot.writeFieldBegin('trials', TType.LIST, 7)
+            oprot.writeListBegin(TType.I64, len(self.trials))
+            for iter96 in self.trials:
+                oprot.writeI64(iter96)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ended_trials is not None:
+            oprot.writeFieldBegin('ended_trials', TType.LIST, 8)
+            oprot.writeListBegin(TType.I64, len(self.ended_trials))
+            for iter97 in self.ended_trials:
+                oprot.writeI64(iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1769,11 +1863,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.rejected = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = Rejected()
-                        _elem75.read(iprot)
-                        self.rejected.append(_elem75)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = Rejected()
+                        _elem103.read(iprot)
+                        self.rejected.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1790,8 +1884,8 @@
         if self.rejected is not None:
             oprot.writeFieldBegin('rejected', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.rejected))
-            for iter76 in self.rejected:
-                iter76.write(oprot)
+            for iter104 in self.rejected:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2128,6 +2222,7 @@
     (1, TType.I64, 'digest', None, None, ),  # 1
     (2, TType.I32, 'upstream_key', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.BYTE, 'tried_parts', None, None, ),  # 4
 )
 all_structs.append(Completion)
 Completion.thrift_spec = (
@@ -2142,6 +2237,10 @@
     (2, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 2
     (3, TType.LIST, 'completions', (TType.STRUCT, [Completion, None], False), None, ),  # 3
     (4, TType.LIST, 'ended', (TType.I32, None, False), None, ),  # 4
+    (5, TType.LIST, 'part_crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 5
+    (6, TType.LIST, 'part_completions', (TType.STRUCT, [Completion, None], False), None, ),  # 6
+    (7, TType.LIST, 'trials', (TType.I64, None, False), None, ),  # 7
+    (8, TType.LIST, 'ended_trials', (TType.I64, None, False), None, ),  # 8
 )
 all_structs.append(Rejected)
 Rejected.thrift_spec = (
--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -57,6 +57,8 @@
     STALE_KEYS = "stale-keys"
     NO_CONFIGURATION = "no-configuration"
     POISON = "poison"
+    BLOCKED_PART = "blocked-part"
+    SUSPECTED_PART = "suspected-part"
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/calls/poison.py
+++ b/src/bamboolever/calls/poison.py
@@ -18,11 +18,13 @@
 A bystander is blocked only if it was in flight at three crashes and no equal request
 was completed since the first of these was sent; its caller is then refused until the
 block ends.
+
+A part of a prompt can be at fault too, see `calls.parts`: it has a tracker of its own.
 """
 
 import hashlib
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, final
 
 CRASHES_TO_BLOCK = 3
@@ -48,31 +50,50 @@
 
 @dataclass(frozen=True)
 class Crash:
-    """A crash of one upstream by one request.
+    """A crash of one upstream by one request, or by requests with one part.
 
-    ``upstream`` is an `upstream_key`. ``sent_at`` is when the request was sent to it,
-    in seconds of the entry's clock.
+    ``digest`` names the request or the part, ``upstream`` is an `upstream_key`.
+    ``sent_at`` is when the request was sent to it, in seconds of the entry's clock.
+    ``tried_parts`` is how many suspected parts the request was a trial of; 0 if it was
+    no trial.
     """
 
     digest: int
     upstream: int
     sent_at: float
+    tried_parts: int = 0
+
+    def merge(self, other: "Crash") -> "Crash":
+        """Return what two reports of the same crash say together.
+
+        The earlier time counts: a report that was delayed makes the crash look newer.
+        A trial of fewer parts says more than one of many.
+        """
+        trials = [each.tried_parts for each in (self, other) if each.tried_parts]
+        return replace(
+            self,
+            sent_at=min(self.sent_at, other.sent_at),
+            tried_parts=min(trials, default=0),
+        )
 
 
 @dataclass(frozen=True)
 class _Suspect:
-    sent_at: float
+    crash: Crash
     broke_at: float
 
 
 @final
 class CrashTracker:
-    """The suspects of each upstream, and the crashes by each request.
+    """The suspects of each upstream, and the crashes by each request or part.
 
-    ``upstream`` is an `upstream_key`. Times are seconds of the entry's clock.
+    ``upstream`` is an `upstream_key`, and a digest names a request or a part. Crashes
+    are forgotten ``max_age_s`` after the last one. Times are seconds of the entry's
+    clock.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_age_s: float = CRASH_MAX_AGE_S) -> None:
+        self._max_age_s = max_age_s
         self._suspects: OrderedDict[int, dict[int, _Suspect]] = OrderedDict()
         self._ended_at: OrderedDict[int, float] = OrderedDict()
         self._crashes: OrderedDict[int, dict[int, Crash]] = OrderedDict()
@@ -81,18 +102,27 @@
     # What this entry sees.
 
     def on_broken_response(
-        self, upstream: int, digest: int, sent_at: float, now: float
+        self,
+        upstream: int,
+        digest: int,
+        sent_at: float,
+        now: float,
+        *,
+        tried_parts: int = 0,
     ) -> list[int]:
         """Record a request whose response the upstream broke off.
 
         Returns the requests with a new crash: this one, if the upstream has ended.
         """
+        crash = Crash(digest, upstream, sent_at, tried_parts)
         if upstream in self._ended_at:
-            is_new = self.add_crash(Crash(digest, upstream, sent_at), now)
-            return [digest] if is_new else []
+            return [digest] if self.add_crash(crash, now) else []
         suspects = self._suspects.setdefault(upstream, {})
-        if len(suspects) < MAX_SUSPECTS_PER_UPSTREAM:
-            suspects[digest] = _Suspect(sent_at, now)
+        known = suspects.get(digest)
+        if known is not None:
+            crash = crash.merge(known.crash)
+        if known is not None or len(suspects) < MAX_SUSPECTS_PER_UPSTREAM:
+            suspects[digest] = _Suspect(crash, now)
         _limit(self._suspects, MAX_TRACKED_UPSTREAMS)
         return []
 
@@ -107,7 +137,7 @@
         return [
             digest
             for digest, suspect in suspects.items()
-            if self.add_crash(Crash(digest, upstream, suspect.sent_at), now)
+            if self.add_crash(suspect.crash, now)
         ]
 
     def on_upstream_left(self, upstream: int) -> None:
@@ -140,21 +170,29 @@
             # An earlier report of it was delayed, and looked newer than it was.
             self._remove_crash(crash)
             return False
-        if now - crash.sent_at > CRASH_MAX_AGE_S:
+        if now - crash.sent_at > self._max_age_s:
             return False
         crashes = self._crashes.setdefault(crash.digest, {})
         known = crashes.get(crash.upstream)
         if known is not None:
-            # A report that was delayed makes the crash look newer than it is.
-            crashes[crash.upstream] = min(known, crash, key=_sent_at)
+            crashes[crash.upstream] = known.merge(crash)
             return False
         crashes[crash.upstream] = crash
         if len(crashes) > MAX_CRASHES_PER_REQUEST:
-            del crashes[min(crashes.values(), key=_sent_at).upstream]
+            del crashes[min(crashes.values(), key=_trial_and_time).upstream]
         self._crashes.move_to_end(crash.digest)
-        _limit(self._crashes, MAX_TRACKED_REQUESTS)
+        self._limit_crashes()
         return True
 
+    def _limit_crashes(self) -> None:
+        # Whoever is in flight during one crash can add many digests: those with more
+        # crashes are kept.
+        if len(self._crashes) <= MAX_TRACKED_REQUESTS:
+            return
+        oldest = next(iter(self._crashes))
+        single = (key for key, crashes in self._crashes.items() if len(crashes) == 1)
+        del self._crashes[next(single, oldest)]
+
     def _remove_crash(self, crash: Crash) -> None:
         crashes = self._crashes.get(crash.digest, {})
         crashes.pop(crash.upstream, None)
@@ -191,6 +229,10 @@
         """Return when an upstream last completed a request, if that is known."""
         return self._completed_at.get(digest)
 
+    def repeated(self) -> list[int]:
+        """Return the digests with more than one crash."""
+        return [digest for digest, each in self._crashes.items() if len(each) > 1]
+
     def crashes_by(self, digest: int) -> list[Crash]:
         """Return the known crashes by a request."""
         return list(self._crashes.get(digest, {}).values())
@@ -220,13 +262,17 @@
 
     def _is_too_old(self, crashes: dict[int, Crash], now: float) -> bool:
         newest = max(crashes.values(), key=_sent_at)
-        return now - newest.sent_at > CRASH_MAX_AGE_S
+        return now - newest.sent_at > self._max_age_s
 
 
 def _sent_at(crash: Crash) -> float:
     return crash.sent_at
 
 
+def _trial_and_time(crash: Crash) -> tuple[bool, float]:
+    return crash.tried_parts > 0, crash.sent_at
+
+
 def _limit(table: OrderedDict[Any, Any], size: int) -> None:
     while len(table) > size:
         table.popitem(last=False)
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -25,8 +25,15 @@
 from bamboolever.daemons.statushandler import StatusHandler
 from bamboolever.daemons.subscribers import HelloSharing, Subscribers
 from bamboolever.fleet import exchange
+from bamboolever.fleet.crashfacts import CrashFacts
 from bamboolever.fleet.echoes import Echoes, SentTimes
-from bamboolever.fleet.messages import AgentState, Hello, PieceMap, RolloutAge
+from bamboolever.fleet.messages import (
+    AgentState,
+    CrashReport,
+    Hello,
+    PieceMap,
+    RolloutAge,
+)
 from bamboolever.fleet.records import ModelVersion
 from bamboolever.fleet.upstreams import UpstreamList
 from bamboolever.fleet.versions import VersionRollouts
@@ -92,6 +99,7 @@
         self._subscribers = Subscribers(self.task.now())
         self._state_times = SentTimes()
         self._hello_echoes = Echoes()
+        self._crash_facts = CrashFacts()
         self._started_at = self.task.now()
         self._refreshed_at = 0.0
         self._is_stopping = False
@@ -228,6 +236,18 @@
         for rollout in hello.rollouts:
             self._on_reported_rollout(rollout, said_after)
         self._send_state(sender, hello.agent_cell)
+        if not hello.echo.sequence:
+            self._send_crash_facts(sender)
+
+    def _send_crash_facts(self, address: Address) -> None:
+        """Tell an entry that has just started what the entries reported before."""
+        for report in self._crash_facts.known(self.task.now()):
+            self._datagrams.send(exchange.encode(report), address)
+
+    def _on_crash_report(self, report: CrashReport) -> None:
+        now = self.task.now()
+        self._crash_facts.merge_requests(report, now)
+        self._crash_facts.merge_parts(report, now)
 
     def _on_reported_rollout(
         self, rollout: RolloutAge, said_after: float | None
@@ -372,6 +392,8 @@
             return
         if isinstance(message, Hello):
             self._on_hello(message, sender)
+        elif isinstance(message, CrashReport):
+            self._on_crash_report(message)
         elif isinstance(message, PieceMap):
             self._learn_rollout(message, sender)
             self._loader.transfer.apply_piece_map(sender, message)
--- a/src/bamboolever/daemons/calllog.py
+++ b/src/bamboolever/daemons/calllog.py
@@ -107,7 +107,8 @@
             if record.predicted_s:
                 self._record_prediction_error(record.first_byte_s - record.predicted_s)
         self._telemetry.record("call.total_s", now - relay.arrived_at, kind=kind)
-        if record.is_routine and not self._may_log(now):
+        is_routine = record.is_routine and not relay.prompt.tried
+        if is_routine and not self._may_log(now):
             return
         logger.info(
             "call ended",
@@ -132,6 +133,7 @@
                 "body_framing": framing,
                 "events": record.events,
                 "partial_event_bytes": record.partial_event_bytes,
+                "tried_parts": len(relay.prompt.tried),
             },
         )
 
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -32,6 +32,7 @@
     can_admit_while_stopping,
 )
 from bamboolever.calls.dispatcher import RejectReason
+from bamboolever.calls.parts import SUSPECTED_PART_RETRY_S, PromptParts
 from bamboolever.calls.poison import request_digest
 from bamboolever.config import storecalls
 from bamboolever.config.freshness import Freshness
@@ -49,6 +50,7 @@
     UpstreamObserver,
     VersionObserver,
 )
+from bamboolever.daemons.ownresponses import FINAL_REJECT_REASONS
 from bamboolever.daemons.relay import CallRelay
 from bamboolever.daemons.settings import InstanceSettings
 from bamboolever.daemons.snapshots import SnapshotHandler
@@ -90,6 +92,7 @@
         RejectReason.STOPPING.value,
     }
 )
+FINAL_REASONS = frozenset(reason.value for reason in FINAL_REJECT_REASONS)
 
 
 @final
@@ -360,7 +363,12 @@
                 connection, metadata, UNAVAILABLE_STATUS, RejectReason.POISON.value
             )
             return
-        self._start_call(connection, request, metadata, admitted, digest)
+        prompt = PromptParts.from_ids(metadata.model, metadata.shared_parts)
+        reason = self.exchange.crashes.decide(prompt).reject_reason
+        if reason is not None:
+            self._reject(connection, metadata, UNAVAILABLE_STATUS, reason.value)
+            return
+        self._start_call(connection, request, metadata, admitted, digest, prompt)
 
     def _start_call(
         self,
@@ -369,6 +377,7 @@
         metadata: wire.CallMetadata,
         admitted: Admitted,
         digest: int,
+        prompt: PromptParts,
     ) -> None:
         relay = CallRelay(
             self.calls,
@@ -383,6 +392,7 @@
                 digest, self.task.now()
             ),
             digest=digest,
+            prompt=prompt,
         )
         self.calls.log.record_admission(
             relay,
@@ -414,11 +424,13 @@
         headers = []
         if metadata.attempt_id is not None:
             headers.append(wire.attempt_header(metadata.attempt_id))
-        if status == UNAVAILABLE_STATUS:
+        if status == UNAVAILABLE_STATUS and reason not in FINAL_REASONS:
             headers.append(wire.retry_after_header(self._retry_after_s(reason)))
         connection.respond(status, headers, reason.encode())
 
     def _retry_after_s(self, reason: str) -> float:
+        if reason == RejectReason.SUSPECTED_PART.value:
+            return SUSPECTED_PART_RETRY_S
         is_peer_ready = self.fleet.peers.has_ready_peer(self.task.now())
         if reason == RejectReason.STALE_KEYS.value and is_peer_ready is None:
             # This entry is cut off from the store and from its peers, so the peers
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -10,7 +10,9 @@
 Load pattern: several entries share the same upstreams, so each must place, queue
 and block requests by nearly the same state. Loads and rejections are sent soon after
 a change, but at most every `MIN_LOAD_INTERVAL_S`, so that a burst of requests needs
-few datagrams. Crash reports are sent at once, and repeated while they matter.
+few datagrams. Crash reports are sent at once, and repeated while they matter. The
+agents of the cell keep them for entries that start after all others were killed: each
+report goes to all of them, each repetition to one in turn.
 """
 
 import logging
@@ -87,6 +89,7 @@
         self._malformed_logged_at = 0.0
         self._is_load_scheduled = False
         self._hello_count = 0
+        self._repeat_count = 0
         self._hello_times = SentTimes()
         self._agent_echoes = Echoes()
         self._unsent_rejections: dict[int, float] = {}
@@ -102,7 +105,9 @@
             ),
         )
         self.rejection_history = RejectionHistory()
-        self.crashes = CrashReports(task.now, telemetry, self._send_to_all_entries)
+        self.crashes = CrashReports(
+            task.now, telemetry, self._send_crashes, self._send_crashes_again
+        )
 
     def start(self) -> None:
         """Start to receive datagrams and to send hellos and loads periodically."""
@@ -215,6 +220,21 @@
         for address in addresses:
             self._socket.send(data, address)
 
+    def _send_crashes(self, report: CrashReport) -> None:
+        self._send_to_all_entries(report)
+        if report.trials or report.ended_trials:
+            # A trial ends with its entry: no agent needs to know of it.
+            return
+        for address in self._fleet.agent_addresses():
+            self._send(report, address)
+
+    def _send_crashes_again(self, report: CrashReport) -> None:
+        self._send_to_all_entries(report)
+        agents = self._fleet.agent_addresses()
+        if agents:
+            self._repeat_count += 1
+            self._send(report, agents[self._repeat_count % len(agents)])
+
     def _send_to_all_entries(self, message: Message) -> None:
         self._send_to_peers(message)
         now = self._task.now()
@@ -257,7 +277,7 @@
                 self.schedule_load_update()
             ended = self._fleet.find_ended(message)
             if ended is not None and ended.is_ending:
-                self.crashes.tracker.on_upstream_left(ended.key)
+                self.crashes.on_upstream_left(ended.key)
             elif ended is not None:
                 self.crashes.on_upstream_ended(ended.key, "agent")
         elif isinstance(message, CellSummary):
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -3,7 +3,8 @@
 A call is one caller's request, from its admission to its final outcome; a relay
 carries it out. The service's dispatcher places it on an upstream, queues it or rejects
 it. This module decides whether a failed call may be retried: not if it is blocked for
-crashing upstreams, and not if the service's retry budget is used up.
+crashing upstreams or a part of its prompt is suspected of that, and not if the
+service's retry budget is used up.
 
 Load pattern: upstreams that fail many requests at once. Each retry adds load to the
 upstreams that are left, so retries are limited to a share of the first attempts. All
@@ -13,13 +14,25 @@
 
 import itertools
 import logging
+from dataclasses import replace
 from typing import final
 
 from bamboolever._retry import RetryBudget
 from bamboolever._task import IoTask, Timer
 from bamboolever._telemetry import Telemetry
 from bamboolever.calls.buffers import BufferBudget
-from bamboolever.calls.dispatcher import Assignment, Decision
+from bamboolever.calls.dispatcher import (
+    Assignment,
+    Decision,
+    Rejection,
+    RejectReason,
+)
+from bamboolever.calls.parts import (
+    FREE,
+    SUSPECTED_PART_RETRY_S,
+    WELL_BEGUN_EVENTS,
+    PromptParts,
+)
 from bamboolever.calls.placement import PendingCall
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.daemons.calllog import CallLog
@@ -126,6 +139,7 @@
         A rejection is sent to the peers, as the caller may retry at any entry.
         """
         self._relays.pop(relay.caller_connection, None)
+        self._exchange.crashes.end_trial(relay.prompt)
         if relay.record.outcome == "rejected":
             first_at = relay.arrived_at - relay.first_attempt_age_s
             self._exchange.record_rejection(relay.digest, first_at)
@@ -176,9 +190,15 @@
     def on_broken_response(
         self, relay: CallRelay, upstream: UpstreamView, sent_at: float
     ) -> None:
-        """Record that ``upstream`` broke off a response; the call may be the cause."""
+        """Record that ``upstream`` broke off a response; the call may be the cause.
+
+        A part of its prompt may be the cause too, unless the response was well begun.
+        """
         crashes = self._exchange.crashes
-        crashes.on_broken_response(upstream.key, relay.digest, sent_at)
+        crashes.part_log.learn_upstream(upstream.key, upstream.instance_id)
+        is_well_begun = relay.attempt_events >= WELL_BEGUN_EVENTS
+        prompt = PromptParts() if is_well_begun else relay.prompt
+        crashes.on_broken_response(upstream.key, relay.digest, sent_at, prompt)
 
     def on_connection_refused(self, upstream: UpstreamView) -> None:
         """Count a crash against the calls whose responses ``upstream`` broke off.
@@ -187,7 +207,7 @@
         """
         crashes = self._exchange.crashes
         if upstream.is_ending:
-            crashes.tracker.on_upstream_left(upstream.key)
+            crashes.on_upstream_left(upstream.key)
             return
         crashes.on_connection_refused(upstream.key)
 
@@ -199,7 +219,7 @@
         crashes = self._exchange.crashes
         for upstream in upstreams:
             if upstream.is_ending:
-                crashes.tracker.on_upstream_left(upstream.key)
+                crashes.on_upstream_left(upstream.key)
             else:
                 crashes.on_upstream_ended(upstream.key, "list")
 
@@ -223,16 +243,31 @@
     ) -> None:
         """Void the crashes counted against a call that an upstream completed."""
         crashes = self._exchange.crashes
-        crashes.on_completed(relay.digest, upstream.key, sent_at)
+        crashes.on_completed(relay.digest, upstream.key, sent_at, relay.prompt)
+
+    def on_well_begun(self, relay: CallRelay) -> None:
+        """Void the crashes counted against the parts of a call's prompt."""
+        self._exchange.crashes.clear_parts(relay.prompt.digests)
+
+    def on_unproven_end(
+        self, relay: CallRelay, upstream: UpstreamView, sent_at: float
+    ) -> None:
+        """Record that ``upstream`` responded, and may have crashed at the end."""
+        self._exchange.crashes.on_response(upstream.key, sent_at)
+        self.on_broken_response(relay, upstream, sent_at)
 
     def acquire_retry(self, relay: CallRelay) -> str | None:
         """Take one retry of a call from its service's budget.
 
         Returns None if the call may be sent again, else the reason why not.
         """
-        tracker = self._exchange.crashes.tracker
-        if tracker.is_blocked(relay.digest, self.task.now()):
+        crashes = self._exchange.crashes
+        if crashes.tracker.is_blocked(relay.digest, self.task.now()):
             return "crashes-upstreams"
+        if relay.prompt.tried:
+            return "trial"
+        if crashes.parts.decide(relay.prompt.digests, self.task.now()) != FREE:
+            return "suspected-part"
         budget = self._retry_budget(relay.service)
         budget.set_max_saved(self._find_reserve())
         if not budget.try_take():
@@ -250,6 +285,10 @@
             if relay is None:
                 continue
             if isinstance(decision, Assignment):
+                reason = self._find_part_rejection(relay)
+                if reason is not None:
+                    self._reject_placed(relay, decision, reason)
+                    continue
                 self._exchange.schedule_load_update()
                 self.log.placed(relay, decision.placement, self.task.now())
                 relay.on_placed(decision.placement)
@@ -257,6 +296,21 @@
             relay.on_rejected(decision)
         self._arm_expiry_timer()
 
+    def _find_part_rejection(self, relay: CallRelay) -> RejectReason | None:
+        """Return why a call must not be sent now, else make it a trial if it is one."""
+        crashes = self._exchange.crashes
+        decision = crashes.decide(relay.prompt)
+        if decision.reject_reason is None:
+            relay.prompt = replace(relay.prompt, tried=decision.parts)
+            crashes.begin_trial(relay.prompt)
+        return decision.reject_reason
+
+    def _reject_placed(
+        self, relay: CallRelay, assignment: Assignment, reason: RejectReason
+    ) -> None:
+        assignment.placement.upstream.remove_call(relay.call_id)
+        relay.on_rejected(Rejection(assignment.call, reason, SUSPECTED_PART_RETRY_S))
+
     def _arm_expiry_timer(self) -> None:
         dispatchers = [self._fleet.dispatcher(name) for name in self._fleet.services()]
         expiry_times = [each.next_expiry_at() for each in dispatchers]
--- a/src/bamboolever/daemons/ownresponses.py
+++ b/src/bamboolever/daemons/ownresponses.py
@@ -9,6 +9,8 @@
 FAILED_STATUS = 502
 TIMED_OUT_STATUS = 504
 DEFAULT_RETRY_AFTER_S = 0.5
+# Another attempt would be rejected too, so no Retry-After invites one.
+FINAL_REJECT_REASONS = frozenset({RejectReason.POISON, RejectReason.BLOCKED_PART})
 
 
 def respond_rejected(
@@ -18,8 +20,10 @@
     retry_after_s: float | None,
 ) -> None:
     """State that the request has not run and when its caller may retry it."""
-    delay_s = DEFAULT_RETRY_AFTER_S if retry_after_s is None else retry_after_s
-    headers = [wire.retry_after_header(delay_s), *_attempt_headers(attempt_id)]
+    headers = _attempt_headers(attempt_id)
+    if reason not in FINAL_REJECT_REASONS:
+        delay_s = DEFAULT_RETRY_AFTER_S if retry_after_s is None else retry_after_s
+        headers.append(wire.retry_after_header(delay_s))
     caller.respond(REJECTED_STATUS, headers, reason.value.encode())
 
 
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -22,6 +22,7 @@
 from typing import final
 
 from bamboolever.calls.dispatcher import Rejection, RejectReason
+from bamboolever.calls.parts import WELL_BEGUN_EVENTS, PromptParts
 from bamboolever.calls.placement import PendingCall, Placement
 from bamboolever.calls.retry import AttemptOutcome, RetryInput, find_retry_refusal
 from bamboolever.calls.upstream import UpstreamView
@@ -40,7 +41,7 @@
 from bamboolever.daemons.responsebuffer import ResponseBuffer
 from bamboolever.net.client import ClientConnection
 from bamboolever.net.exchange import ExchangeFailure, FailureKind, ResponseHandler
-from bamboolever.net.messages import Request, ResponseHead
+from bamboolever.net.messages import BodyFraming, Request, ResponseHead
 from bamboolever.net.server import ServerConnection
 from bamboolever.platform import calls as wire
 from bamboolever.platform.calls import CallMetadata, UpstreamHeaders
@@ -56,8 +57,8 @@
 
     ``first_attempt_age_s`` is how many seconds before this request its caller first
     sent it; 0 if it was not rejected before. ``digest`` is the same for equal requests
-    of one caller. Times are seconds of the task's clock. Methods are called on the
-    task's thread.
+    of one caller; ``prompt`` has the parts that it shares with others. Times are
+    seconds of the task's clock. Methods are called on the task's thread.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         call_id: int,
         first_attempt_age_s: float,
         digest: int,
+        prompt: PromptParts,
     ):
         self._context = context
         self._task = context.task
@@ -85,6 +87,7 @@
         self.call_id = call_id
         self.first_attempt_age_s = first_attempt_age_s
         self.digest = digest
+        self.prompt = prompt
         self.arrived_at = self._task.now()
         self._timeout_at = self.arrived_at + min(
             route.timeout_s, metadata.remaining_s or route.timeout_s
@@ -285,7 +288,10 @@
             self._on_attempt_failed(AttemptOutcome.UNKNOWN, truncation)
             return
         view.on_success()
-        self._context.on_completed(self, view, self._sent_at)
+        if self._is_proven_complete():
+            self._context.on_completed(self, view, self._sent_at)
+        else:
+            self._context.on_unproven_end(self, view, self._sent_at)
         if self._is_event_stream():
             self._end_stream()
             return
@@ -343,14 +349,24 @@
             return None
         return self._stream.find_truncation(head.body_framing)
 
+    def _is_proven_complete(self) -> bool:
+        # A response that ends with its connection may have been ended by a crash.
+        head = self._response_head
+        assert head is not None
+        is_framed = head.body_framing is not BodyFraming.CONNECTION_CLOSE
+        return is_framed or self.attempt_events >= WELL_BEGUN_EVENTS
+
     def _relay_events(self, data: bytes) -> None:
         assert self._first_response_head is not None
+        known_events = self.attempt_events
         if self._stream.forward(data, self._first_response_head):
             self.record.status = self._first_response_head.status
             self.record.events = self._stream.event_count
             self._record_first_byte()
             self._timers.on_begun()
             self._timers.on_progress()
+        if known_events < WELL_BEGUN_EVENTS <= self.attempt_events:
+            self._context.on_well_begun(self)
         if self._stream.is_over_limit:
             self._cancel_attempt()
             self._on_attempt_failed(AttemptOutcome.UNKNOWN, "event over the limit")
--- a/src/bamboolever/daemons/relaycontext.py
+++ b/src/bamboolever/daemons/relaycontext.py
@@ -78,11 +78,24 @@
     def on_completed(
         self, relay: "CallRelay", upstream: UpstreamView, sent_at: float
     ) -> None:
-        """Called when the successful response of ``upstream`` is complete.
+        """Called when the successful response of ``upstream`` is surely complete.
 
         ``sent_at`` is the task's time in seconds when the request was sent to it.
         """
 
+    @abstractmethod
+    def on_well_begun(self, relay: "CallRelay") -> None:
+        """Called once for each attempt whose stream is well under way."""
+
+    @abstractmethod
+    def on_unproven_end(
+        self, relay: "CallRelay", upstream: UpstreamView, sent_at: float
+    ) -> None:
+        """Called when a response that looks complete ended with its connection.
+
+        It would look the same if the upstream had crashed.
+        """
+
     @abstractmethod
     def acquire_retry(self, relay: "CallRelay") -> str | None:
         """Take one retry of the call from its service's budget.
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -32,6 +32,7 @@
 # A store's response that expands to more is not decoded.
 UNKNOWN_AGE_MS = -1
 MAX_AGE_MS = 2**31 - 1
+MAX_TRIED_PARTS = 127
 MAX_CHANGES_BYTES = 2**20
 
 
@@ -73,7 +74,7 @@
     if isinstance(message, AgentState):
         return {"agent_state": _state_to_wire(message)}
     if isinstance(message, CrashReport):
-        return {"crash_report": _crashes_to_wire(message)}
+        return {"crash_report": _report_to_wire(message)}
     if isinstance(message, CellSummary):
         return {"cell_summary": _summary_to_wire(message)}
     if isinstance(message, StoreUpdate):
@@ -137,16 +138,35 @@
     )
 
 
-def _crashes_to_wire(message: CrashReport) -> Any:
-    crashes = [
-        ttypes.Crash(crash.digest, crash.upstream, int(crash.age_s * 1000))
-        for crash in message.crashes
+def _report_to_wire(message: CrashReport) -> Any:
+    return ttypes.CrashReport(
+        _crashes_to_wire(message.crashes),
+        _completions_to_wire(message.completed_ages_s),
+        list(message.ended),
+        _crashes_to_wire(message.part_crashes),
+        _completions_to_wire(message.part_completed_ages_s),
+        list(message.trials),
+        list(message.ended_trials),
+    )
+
+
+def _crashes_to_wire(crashes: tuple[ReportedCrash, ...]) -> list[Any]:
+    return [
+        ttypes.Crash(
+            crash.digest,
+            crash.upstream,
+            min(MAX_AGE_MS, int(crash.age_s * 1000)),
+            min(MAX_TRIED_PARTS, crash.tried_parts),
+        )
+        for crash in crashes
     ]
-    completions = [
-        ttypes.Completion(digest, int(age_s * 1000))
-        for digest, age_s in message.completed_ages_s.items()
+
+
+def _completions_to_wire(ages_s: dict[int, float]) -> list[Any]:
+    return [
+        ttypes.Completion(digest, min(MAX_AGE_MS, int(age_s * 1000)))
+        for digest, age_s in ages_s.items()
     ]
-    return ttypes.CrashReport(crashes, completions, list(message.ended))
 
 
 def _summary_to_wire(message: CellSummary) -> Any:
@@ -223,7 +243,7 @@
     if datagram.store_update is not None:
         return _update_from_wire(datagram.store_update)
     if datagram.crash_report is not None:
-        return _crashes_from_wire(datagram.crash_report)
+        return _report_from_wire(datagram.crash_report)
     if datagram.rejections is not None:
         rejected = datagram.rejections.rejected
         return Rejections(
@@ -305,13 +325,32 @@
     )
 
 
-def _crashes_from_wire(wire: Any) -> CrashReport:
-    crashes = tuple(
-        ReportedCrash(crash.digest, crash.upstream_key, crash.age_ms / 1000)
-        for crash in wire.crashes or ()
+def _report_from_wire(wire: Any) -> CrashReport:
+    return CrashReport(
+        _crashes_from_wire(wire.crashes),
+        _completions_from_wire(wire.completions),
+        tuple(wire.ended or ()),
+        _crashes_from_wire(wire.part_crashes),
+        _completions_from_wire(wire.part_completions),
+        tuple(wire.trials or ()),
+        tuple(wire.ended_trials or ()),
     )
-    completed_ages_s = {each.digest: each.age_ms / 1000 for each in wire.completions}
-    return CrashReport(crashes, completed_ages_s, tuple(wire.ended))
+
+
+def _crashes_from_wire(wire: Any) -> tuple[ReportedCrash, ...]:
+    return tuple(
+        ReportedCrash(
+            crash.digest,
+            crash.upstream_key,
+            crash.age_ms / 1000,
+            crash.tried_parts or 0,
+        )
+        for crash in wire or ()
+    )
+
+
+def _completions_from_wire(wire: Any) -> dict[int, float]:
+    return {each.digest: each.age_ms / 1000 for each in wire or ()}
 
 
 def _summary_from_wire(wire: Any) -> CellSummary:
--- a/src/bamboolever/fleet/messages.py
+++ b/src/bamboolever/fleet/messages.py
@@ -167,27 +167,35 @@
 
 @dataclass(frozen=True)
 class ReportedCrash:
-    """A request's digest and the key of the upstream that it crashed.
+    """The digest of a request or a part, and the key of the upstream that it crashed.
 
-    ``age_s`` is the seconds since the request was sent to the upstream.
+    ``age_s`` is the seconds since the request was sent to the upstream. ``tried_parts``
+    is how many suspected parts it was a trial of; 0 if it was no trial.
     """
 
     digest: int
     upstream: int
     age_s: float
+    tried_parts: int = 0
 
 
 @dataclass(frozen=True)
 class CrashReport:
-    """What an entry knows of requests that crash upstreams.
+    """What an entry knows of requests, and parts of prompts, that crash upstreams.
 
     ``completed_ages_s`` are the seconds since an upstream completed a request, by
-    digest. ``ended`` are the keys of upstreams that refused a connection.
+    digest; ``part_completed_ages_s`` the same for parts. ``ended`` are the keys of
+    upstreams that refused a connection. ``trials`` are the parts that the sender has on
+    trial, ``ended_trials`` those whose trial ended without evidence.
     """
 
     crashes: tuple[ReportedCrash, ...] = ()
     completed_ages_s: dict[int, float] = field(default_factory=dict)
     ended: tuple[int, ...] = ()
+    part_crashes: tuple[ReportedCrash, ...] = ()
+    part_completed_ages_s: dict[int, float] = field(default_factory=dict)
+    trials: tuple[int, ...] = ()
+    ended_trials: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/testing/daemons/test_crashingparts.py
+++ b/testing/daemons/test_crashingparts.py
@@ -3,14 +3,17 @@
 import itertools
 
 import pytest
+from rawupstream import RawUpstream, chunked, signed
 from sitebuilders import make_stream_headers, views_of, wait_for
 
+from bamboolever.calls.parts import WELL_BEGUN_EVENTS, PromptParts
 from bamboolever.platform.standins.upstream import MODEL
 
 FIRST_PART = "5c1e07a2"
 CRASHING_PART = "bad0bad0"
 # With as many crashes, no further engine may be lost.
 MAX_CRASHES = 5
+LAST_CHUNK = b"0\r\n\r\n"
 
 _serial = itertools.count(1)
 
@@ -81,3 +84,77 @@
     assert (response.status, response.body) == (503, b"blocked-part")
     assert "Retry-After" not in response.headers
     assert _count_received(engines) == received
+
+
+def _block_part(entry, engines):
+    """Send requests with the crashing part until the entry rejects them."""
+    for _ in range(2 * MAX_CRASHES):
+        response = _call(entry, FIRST_PART, CRASHING_PART)
+        if response.body == b"blocked-part":
+            return
+        _wait_for_evidence(entry, engines)
+    pytest.fail("the part was not blocked")
+
+
+def test_entry_that_starts_after_all_others_were_killed_knows_the_blocked_part(
+    engines, start_entry, start_agent
+):
+    """Guards against blocks that are lost with the entries: agents keep them."""
+    for engine in engines:
+        start_agent(engine, name=f"agent-{engine.instance_id}")
+    entry = start_entry().wait_ready(len(engines))
+    views = views_of(entry)
+    wait_for(lambda: all(view._reported_version for view in views.values()))
+    _block_part(entry, engines)
+    entry.stop()
+    received = _count_received(engines)
+    other = start_entry(name="entry-2", host="127.0.0.20").wait_ready(1)
+    wait_for(lambda: other.entry.exchange.crashes.part_log.charged())
+    assert _call(other, FIRST_PART, CRASHING_PART).body == b"blocked-part"
+    assert _call(other, FIRST_PART).status == 200
+    assert _count_received(engines) == received + 1
+
+
+def _digest_of(part):
+    return PromptParts.from_ids(MODEL, (part,)).digests[0]
+
+
+def test_stream_that_ends_with_its_connection_proves_no_part_sound(site, start_entry):
+    """Guards against a crash that looks like an answer: neither length nor chunks."""
+    events = b"id: 1\ndata: token 1\n\n"
+    upstream = RawUpstream(site, "raw", [signed(events), "close"])
+    entry = start_entry().wait_ready(1)
+    crashes = entry.entry.exchange.crashes
+    assert _call(entry, CRASHING_PART).is_complete
+    site.store.delete("servers", upstream.instance_id)
+    digest = _digest_of(CRASHING_PART)
+    wait_for(lambda: crashes.parts.facts.crashes_by(digest))
+    assert crashes.parts.facts.completed_at(digest) is None
+
+
+def test_engine_that_responds_again_was_not_crashed_by_such_a_stream(site, start_entry):
+    events = b"id: 1\ndata: token 1\n\n"
+    upstream = RawUpstream(site, "raw", [signed(events), "close"])
+    entry = start_entry().wait_ready(1)
+    crashes = entry.entry.exchange.crashes
+    assert _call(entry, CRASHING_PART).is_complete
+    assert _call(entry, FIRST_PART).is_complete
+    site.store.delete("servers", upstream.instance_id)
+    wait_for(lambda: crashes.parts.facts.crashes_by(_digest_of(FIRST_PART)))
+    assert not crashes.parts.facts.crashes_by(_digest_of(CRASHING_PART))
+
+
+def test_stream_that_was_well_begun_did_not_crash_its_engine(site, start_entry):
+    events = b"".join(
+        b"id: %d\ndata: token\n\n" % number
+        for number in range(1, WELL_BEGUN_EVENTS + 1)
+    )
+    body = chunked(events, b"id: 9")
+    broken = signed(body.removesuffix(LAST_CHUNK), b"Transfer-Encoding: chunked")
+    upstream = RawUpstream(site, "raw", [broken, "close"])
+    entry = start_entry().wait_ready(1)
+    assert not _call(entry, FIRST_PART).is_complete
+    site.store.delete("servers", upstream.instance_id)
+    wait_for(lambda: not views_of(entry))
+    crashes = entry.entry.exchange.crashes
+    assert not crashes.parts.facts.crashes_by(_digest_of(FIRST_PART))
--- a/testing/daemons/test_crashreports.py
+++ b/testing/daemons/test_crashreports.py
@@ -1,11 +1,15 @@
 """What entries tell each other of requests that crash upstreams."""
 
+import logging
+
 import pytest
 
 from bamboolever._telemetry import Telemetry
+from bamboolever.calls.parts import PartVerdict, PromptParts
 from bamboolever.calls.poison import CRASH_MAX_AGE_S, CRASHES_TO_BLOCK
-from bamboolever.daemons.crashreports import MAX_CRASHES_PER_DATAGRAM, CrashReports
+from bamboolever.daemons.crashreports import CrashReports
 from bamboolever.fleet import exchange
+from bamboolever.fleet.crashfacts import MAX_CRASHES_PER_DATAGRAM
 from bamboolever.fleet.messages import CrashReport, ReportedCrash
 from bamboolever.net.datagrams import MAX_DATAGRAM_BYTES
 
@@ -137,3 +141,77 @@
     assert max(sizes) <= MAX_UNFRAGMENTED_BYTES < MAX_DATAGRAM_BYTES
     names = {(crash.digest, crash.upstream) for each in sent for crash in each.crashes}
     assert len(names) == 2 * MAX_CRASHES_PER_DATAGRAM
+
+
+PART = PromptParts(("a1",), (70,))
+TRIAL = PromptParts(("a1",), (70,), (70,))
+
+
+def _crash_part(crashes, clock, *upstreams, prompt=PART):
+    for upstream in upstreams:
+        crashes.on_broken_response(upstream, upstream, clock(), prompt)
+        crashes.on_upstream_ended(upstream, "agent")
+
+
+def test_crash_is_reported_for_the_parts_too(crashes, clock, sent):
+    _crash_part(crashes, clock, 5, prompt=TRIAL)
+    assert sent == [
+        CrashReport((ReportedCrash(5, 5, 0.0),)),
+        CrashReport(part_crashes=(ReportedCrash(70, 5, 0.0, 1),)),
+    ]
+
+
+def test_trial_is_announced_repeated_and_its_end_without_evidence_told(
+    crashes, clock, sent
+):
+    _crash_part(crashes, clock, 1, 2)
+    sent.clear()
+    crashes.begin_trial(TRIAL)
+    crashes.repeat()
+    assert [report.trials for report in sent if report.trials] == [(70,), (70,)]
+    sent.clear()
+    crashes.end_trial(TRIAL)
+    assert sent == [CrashReport(ended_trials=(70,))]
+
+
+def test_request_without_a_trial_announces_none(crashes, sent):
+    crashes.begin_trial(PART)
+    crashes.end_trial(PART)
+    assert sent == []
+
+
+def test_trial_of_one_entry_holds_back_another(clock):
+    second = CrashReports(clock, Telemetry("second"), lambda report: None)
+    first = CrashReports(clock, Telemetry("first"), second.apply)
+    _crash_part(first, clock, 1, 2)
+    assert second.decide(PART).verdict is PartVerdict.TRIAL
+    first.begin_trial(TRIAL)
+    assert second.decide(PART).verdict is PartVerdict.WAIT
+    first.on_completed(9, 3, clock(), TRIAL)
+    assert second.decide(PART).verdict is PartVerdict.FREE
+
+
+def test_changes_of_a_part_are_logged_with_its_id_and_crashes(crashes, clock, caplog):
+    caplog.set_level(logging.INFO)
+    _crash_part(crashes, clock, 1, 2)
+    _crash_part(crashes, clock, 3, 4, prompt=TRIAL)
+    crashes.clear_parts([70])
+    lines = [record for record in caplog.records if record.message.startswith("part")]
+    assert [line.message for line in lines] == [
+        "part suspected",
+        "part blocked",
+        "part clear",
+    ]
+    assert [line.part for line in lines] == ["a1"] * 3
+    assert [len(line.crashes) for line in lines] == [2, 4, 0]
+
+
+def test_operator_finds_a_part_by_its_id_or_its_digest(crashes, clock):
+    _crash_part(crashes, clock, 1, 2)
+    (listed,) = crashes.part_log.render(clock())
+    assert (listed["part"], listed["state"]) == ("a1", "suspected")
+    for name in ("a1", listed["digest"]):
+        assert crashes.part_log.find_digest(name) == 70
+    assert crashes.part_log.find_digest("a2") is None
+    crashes.clear_parts([70])
+    assert crashes.part_log.render(clock()) == []
--- a/testing/daemons/test_entryexchange.py
+++ b/testing/daemons/test_entryexchange.py
@@ -7,8 +7,10 @@
 
 from bamboolever._task import IoTask
 from bamboolever._telemetry import Telemetry
+from bamboolever.calls.parts import PartState, PromptParts
 from bamboolever.daemons.entryexchange import EntryExchange
 from bamboolever.daemons.entryfleet import EntryFleet
+from bamboolever.fleet.neighbors import NeighborCell
 from bamboolever.net.addresses import Address
 from bamboolever.net.datagrams import MAX_DATAGRAM_BYTES
 from bamboolever.platform.nodefile import decode_settings
@@ -116,6 +118,57 @@
     assert second.crashes.tracker.is_blocked(POISON, task.now())
 
 
+PROMPT = PromptParts(("a1",), (70,), (70,))
+
+
+def _crash_part(exchange, upstream):
+    now = exchange._task.now()
+    exchange.crashes.on_broken_response(upstream, upstream, now, PROMPT)
+    exchange.crashes.on_upstream_ended(upstream, "refused")
+
+
+def test_block_of_a_part_reaches_the_entries_of_another_cell(site):
+    task = ManualTask()
+    first = _make_exchange(site, task, "127.0.0.8")
+    second = _make_exchange(site, task, "127.0.0.9")
+    _Wire(first, second)
+    cell = NeighborCell("zone-b/0", first._socket.address)
+    cell.add_entries((second._socket.address,), task.now())
+    first._fleet.neighbors = {cell.name: cell}
+    for upstream in range(3):
+        _crash_part(first, upstream)
+    assert second.crashes.parts.state(70) is PartState.BLOCKED
+
+
+def test_entry_that_starts_later_learns_which_parts_are_blocked(site):
+    task = ManualTask()
+    first = _make_exchange(site, task, "127.0.0.8")
+    second = _make_exchange(site, task, "127.0.0.9")
+    _Wire(first, second)
+    first._send_load_heartbeat()
+    for upstream in range(3):
+        _crash_part(first, upstream)
+    _introduce(first, second, task.now())
+    task.advance(REPEAT_S)
+    assert second.crashes.parts.state(70) is PartState.BLOCKED
+
+
+def test_repetitions_of_crash_reports_go_to_one_agent_in_turn(site):
+    task = ManualTask()
+    first = _make_exchange(site, task, "127.0.0.8")
+    agents = [Address("127.0.0.21", 1), Address("127.0.0.22", 1)]
+    first._fleet.agent_addresses = lambda: agents
+    sent = []
+    first._socket.send = lambda data, address: sent.append(address)
+    _crash_part(first, 1)
+    assert sent.count(agents[0]) == sent.count(agents[1]) == 2
+    _crash_part(first, 2)
+    sent.clear()
+    first.crashes.repeat()
+    first.crashes.repeat()
+    assert sorted(sent) == agents
+
+
 def test_repeated_crash_report_counts_once(site):
     task = ManualTask()
     first = _make_exchange(site, task, "127.0.0.8")
--- a/testing/daemons/test_retrybudgets.py
+++ b/testing/daemons/test_retrybudgets.py
@@ -7,6 +7,7 @@
 from manualtask import ManualTask
 
 from bamboolever._telemetry import Telemetry
+from bamboolever.calls.parts import PromptParts
 from bamboolever.daemons.entryexchange import EntryExchange
 from bamboolever.daemons.entryfleet import EntryFleet
 from bamboolever.daemons.inflightcalls import InFlightCalls
@@ -18,7 +19,7 @@
 SLACK = 104
 RATIO = 0.2
 SERVICE = "service-1"
-CALL = SimpleNamespace(digest=1, service=SERVICE)
+CALL = SimpleNamespace(digest=1, service=SERVICE, prompt=PromptParts())
 
 
 def _make_calls(site, count):
--- a/testing/fleet/test_exchange.py
+++ b/testing/fleet/test_exchange.py
@@ -61,6 +61,10 @@
         (exchange.ReportedCrash(-(2**63), -5, 1.25), exchange.ReportedCrash(5, 6, 0.0)),
         {-9: 1.25, 3: 0.0},
         (-7, 8),
+        (exchange.ReportedCrash(-(2**63), -5, 1.25, 2),),
+        {-4: 0.5},
+        (2**62, -1),
+        (-(2**62),),
     ),
     exchange.Rejections({-9: 1.25, 3: 0.0}),
 ]
