Do not retry a request that is one crash from its block

The same cause as with parts: what crashes is sent on while its evidence is pending. A request that may have run counts its own broken response as a crash now.

Test failed before.

--- a/src/bamboolever/calls/poison.py
+++ b/src/bamboolever/calls/poison.py
@@ -253,8 +253,18 @@
 
     def is_blocked(self, digest: int, now: float) -> bool:
         """Return whether a request must not be sent to any upstream."""
+        return self._count_crashes(digest, now) >= CRASHES_TO_BLOCK
+
+    def may_retry(self, digest: int, now: float) -> bool:
+        """Return whether a request may be retried whose response broke off just now.
+
+        Whether that was a crash is not known yet. It counts as one here.
+        """
+        return self._count_crashes(digest, now) < CRASHES_TO_BLOCK - 1
+
+    def _count_crashes(self, digest: int, now: float) -> int:
         crashes = self._crashes.get(digest, {})
-        return len(crashes) >= CRASHES_TO_BLOCK and not self._is_too_old(crashes, now)
+        return 0 if not crashes or self._is_too_old(crashes, now) else len(crashes)
 
     def _is_void(self, crash: Crash) -> bool:
         completed_at = self._completed_at.get(crash.digest)
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -262,11 +262,15 @@
         Returns None if the call may be sent again, else the reason why not.
         """
         crashes = self._exchange.crashes
-        if crashes.tracker.is_blocked(relay.digest, self.task.now()):
+        now = self.task.now()
+        is_blocked = crashes.tracker.is_blocked(relay.digest, now)
+        if relay.may_have_run:
+            is_blocked = not crashes.tracker.may_retry(relay.digest, now)
+        if is_blocked:
             return "crashes-upstreams"
         if relay.prompt.tried:
             return "trial"
-        if crashes.parts.decide(relay.prompt.digests, self.task.now()) != FREE:
+        if crashes.parts.decide(relay.prompt.digests, now) != FREE:
             return "suspected-part"
         budget = self._retry_budget(relay.service)
         budget.set_max_saved(self._find_reserve())
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -510,6 +510,11 @@
         """The upstream of the current attempt, or of the last one."""
         return self._upstream
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have begun the request."""
+        return self._may_have_run
+
     @property
     def attempt_events(self) -> int:
         """How many events of the current attempt's stream were forwarded."""
--- a/testing/daemons/test_inflightcalls.py
+++ b/testing/daemons/test_inflightcalls.py
@@ -3,7 +3,7 @@
 import pytest
 from sitebuilders import make_stream_headers, views_of, wait_for
 
-from bamboolever.calls.poison import request_digest
+from bamboolever.calls.poison import Crash, request_digest
 from bamboolever.fleet.messages import AgentState
 from bamboolever.platform.standins.site import API_KEY, PLAIN_SERVICE
 from bamboolever.platform.standins.upstream import MODEL, Behaviour
@@ -197,3 +197,18 @@
         site.store.delete("servers", view.instance_id)
     wait_for(lambda: not views_of(entry))
     assert not _crashed(entry)
+
+
+def test_request_one_crash_from_its_block_is_not_retried(
+    site, plain_upstreams, start_entry
+):
+    """Guards against a fourth crash by a retry, before the third is known."""
+    entry = start_entry().wait_ready(2)
+    tracker = entry.entry.exchange.crashes.tracker
+    for upstream in (1, 2):
+        now = entry.entry.task.now()
+        tracker.add_crash(Crash(LOOKUP_DIGEST, upstream, now), now)
+    for upstream in plain_upstreams:
+        upstream.behaviours.append(Behaviour.CUT)
+    assert entry.call("/lookup/bad").status == 502
+    assert sum(len(each.received_requests) for each in plain_upstreams) == 1
--- a/testing/daemons/test_retrybudgets.py
+++ b/testing/daemons/test_retrybudgets.py
@@ -19,7 +19,9 @@
 SLACK = 104
 RATIO = 0.2
 SERVICE = "service-1"
-CALL = SimpleNamespace(digest=1, service=SERVICE, prompt=PromptParts())
+CALL = SimpleNamespace(
+    digest=1, service=SERVICE, prompt=PromptParts(), may_have_run=True
+)
 
 
 def _make_calls(site, count):
