List and clear blocked parts on an entry's metrics port

Operators could see a blocked part in the logs only, and nothing but an answer ended a wrong block. No decision about requests changes. Tests: daemons/test_crashingparts.py.

--- a/src/bamboolever/daemons/crashreports.py
+++ b/src/bamboolever/daemons/crashreports.py
@@ -13,7 +13,7 @@
 
 import logging
 from collections.abc import Callable, Iterable
-from typing import final
+from typing import Any, final
 
 from bamboolever._telemetry import Telemetry
 from bamboolever.calls.parts import FREE, PartDecision, PartState, PromptParts
@@ -139,6 +139,19 @@
             self.part_log.learn_parts(prompt)
         return decision
 
+    def charged_parts(self) -> list[dict[str, Any]]:
+        """Return the parts that are suspected or blocked, for a JSON document."""
+        return self.part_log.render(self._now())
+
+    def clear_by_name(self, name: str) -> bool:
+        """Clear a part by its id or digest; return whether it was not clear."""
+        digest = self.part_log.find_digest(name)
+        if digest is None:
+            return False
+        logger.info("part cleared by hand", extra={"part": name})
+        self.clear_parts([digest])
+        return True
+
     def begin_trial(self, prompt: PromptParts) -> None:
         """Announce that a request is sent as a trial of parts of its prompt."""
         if not prompt.tried:
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -51,6 +51,7 @@
     VersionObserver,
 )
 from bamboolever.daemons.ownresponses import FINAL_REJECT_REASONS
+from bamboolever.daemons.partshandler import PartsHandler
 from bamboolever.daemons.relay import CallRelay
 from bamboolever.daemons.settings import InstanceSettings
 from bamboolever.daemons.snapshots import SnapshotHandler
@@ -162,9 +163,6 @@
         self._readiness_server = HttpServer(
             self.task, settings.readiness_address, status, limits, max_connections=32
         )
-        self._metrics_server = HttpServer(
-            self.task, settings.metrics_address, status, limits, max_connections=32
-        )
         own_address = Address(settings.host, settings.internal_port)
         self.exchange = EntryExchange(
             self.task,
@@ -176,6 +174,10 @@
             self.is_ready,
             settings.bounds.configuration_timeout_s,
         )
+        parts = PartsHandler(self.exchange.crashes, status)
+        self._metrics_server = HttpServer(
+            self.task, settings.metrics_address, parts, limits, max_connections=32
+        )
         snapshots = SnapshotHandler(
             self.task.now, self.exchange.store_relay.snapshot_of
         )
--- a/testing/daemons/test_crashingparts.py
+++ b/testing/daemons/test_crashingparts.py
@@ -1,10 +1,12 @@
 """Requests that share nothing but a part of their prompts, which crashes engines."""
 
+import http.client
 import itertools
+import json
 
 import pytest
 from rawupstream import RawUpstream, chunked, signed
-from sitebuilders import make_stream_headers, views_of, wait_for
+from sitebuilders import WAIT_S, make_stream_headers, views_of, wait_for
 
 from bamboolever.calls.parts import WELL_BEGUN_EVENTS, PromptParts
 from bamboolever.platform.standins.upstream import MODEL
@@ -86,17 +88,17 @@
     assert _count_received(engines) == received
 
 
-def _block_part(entry, engines):
-    """Send requests with the crashing part until the entry rejects them."""
+def _block_parts(entry, engines, *parts):
+    """Send requests with these parts until the entry rejects them."""
     for _ in range(2 * MAX_CRASHES):
-        response = _call(entry, FIRST_PART, CRASHING_PART)
+        response = _call(entry, *parts)
         if response.body == b"blocked-part":
             return
         _wait_for_evidence(entry, engines)
     pytest.fail("the part was not blocked")
 
 
-def test_entry_that_starts_after_all_others_were_killed_knows_the_blocked_part(
+def test_entry_that_starts_after_all_others_were_killed_knows_the_block(
     engines, start_entry, start_agent
 ):
     """Guards against blocks that are lost with the entries: agents keep them."""
@@ -105,7 +107,7 @@
     entry = start_entry().wait_ready(len(engines))
     views = views_of(entry)
     wait_for(lambda: all(view._reported_version for view in views.values()))
-    _block_part(entry, engines)
+    _block_parts(entry, engines, FIRST_PART, CRASHING_PART)
     entry.stop()
     received = _count_received(engines)
     other = start_entry(name="entry-2", host="127.0.0.20").wait_ready(1)
@@ -158,3 +160,46 @@
     wait_for(lambda: not views_of(entry))
     crashes = entry.entry.exchange.crashes
     assert not crashes.parts.facts.crashes_by(_digest_of(FIRST_PART))
+
+
+def _operate(entry, method, path):
+    address = entry.settings.metrics_address
+    connection = http.client.HTTPConnection(*address, timeout=WAIT_S)
+    connection.request(method, path)
+    response = connection.getresponse()
+    return response.status, response.read()
+
+
+def test_operator_lists_and_clears_a_blocked_part(engines, start_entry, start_agent):
+    for engine in engines:
+        start_agent(engine, name=f"agent-{engine.instance_id}")
+    entry = start_entry().wait_ready(len(engines))
+    views = views_of(entry)
+    wait_for(lambda: all(view._reported_version for view in views.values()))
+    _block_parts(entry, engines, CRASHING_PART)
+    status, body = _operate(entry, "GET", "/blocked-parts")
+    (listed,) = json.loads(body)["parts"]
+    assert (status, listed["part"], listed["state"]) == (200, CRASHING_PART, "blocked")
+    assert len(listed["crashes"]) == _count_crashed(engines)
+    assert _operate(entry, "DELETE", f"/blocked-parts/{CRASHING_PART}")[0] == 204
+    assert json.loads(_operate(entry, "GET", "/blocked-parts")[1]) == {"parts": []}
+    crashed = _count_crashed(engines)
+    _call(entry, CRASHING_PART)
+    assert _count_crashed(engines) > crashed
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "expected"),
+    [
+        ("DELETE", "/blocked-parts/a1", 404),
+        ("DELETE", "/blocked-parts", 405),
+        ("POST", "/blocked-parts", 405),
+        ("GET", "/blocked-parts/a1", 405),
+        ("GET", "/metrics", 200),
+        ("GET", "/other", 404),
+    ],
+)
+def test_operators_port_answers_other_requests(
+    site, start_entry, method, path, expected
+):
+    assert _operate(start_entry(), method, path)[0] == expected
