Decide Retry-After in a module of its own; drop a guard that another makes needless

A broken response that was well begun needs no check of its own, as its fourth event has voided the crash (found by breaking the check on purpose: no test failed). No decision changes.

--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -32,8 +32,9 @@
     can_admit_while_stopping,
 )
 from bamboolever.calls.dispatcher import RejectReason
-from bamboolever.calls.parts import SUSPECTED_PART_RETRY_S, PromptParts
+from bamboolever.calls.parts import PromptParts
 from bamboolever.calls.poison import request_digest
+from bamboolever.calls.retryafter import find_retry_after_s
 from bamboolever.config import storecalls
 from bamboolever.config.freshness import Freshness
 from bamboolever.config.model import Configuration
@@ -50,7 +51,6 @@
     UpstreamObserver,
     VersionObserver,
 )
-from bamboolever.daemons.ownresponses import FINAL_REJECT_REASONS
 from bamboolever.daemons.partshandler import PartsHandler
 from bamboolever.daemons.relay import CallRelay
 from bamboolever.daemons.settings import InstanceSettings
@@ -61,7 +61,7 @@
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
 from bamboolever.net.handlers import HttpLimits, RequestHandler
-from bamboolever.net.messages import Request
+from bamboolever.net.messages import Header, Request
 from bamboolever.net.server import HttpServer, ServerConnection
 from bamboolever.platform import calls as wire
 from bamboolever.platform import names
@@ -81,19 +81,6 @@
 LOAD_BALANCER_DELAY_S = 3.0
 # Taken off the grace period, after which the platform ends the process.
 STOP_MARGIN_S = 0.7
-# Retry-After of a rejected request if another entry can serve it, and if not.
-OTHER_ENTRY_RETRY_S = 0.02
-SAME_ENTRY_RETRY_S = 0.5
-# Reasons that come from this entry's own state, so another entry may be able to serve
-# the request.
-LOCAL_REJECT_REASONS = frozenset(
-    {
-        RejectReason.STALE_KEYS.value,
-        RejectReason.NO_CONFIGURATION.value,
-        RejectReason.STOPPING.value,
-    }
-)
-FINAL_REASONS = frozenset(reason.value for reason in FINAL_REJECT_REASONS)
 
 
 @final
@@ -350,28 +337,28 @@
         if isinstance(admitted, Refused):
             self._reject(connection, metadata, admitted.status, admitted.reason)
             return
-        if self._is_stopping and not can_admit_while_stopping(
-            self._remaining_grace_s(), admitted.route.timeout_s
-        ):
-            self._reject(
-                connection, metadata, UNAVAILABLE_STATUS, RejectReason.STOPPING.value
-            )
-            return
         digest = request_digest(
             request.method, request.target, metadata.api_key or "", request.body
         )
-        if self.exchange.crashes.tracker.is_blocked(digest, now):
-            self._reject(
-                connection, metadata, UNAVAILABLE_STATUS, RejectReason.POISON.value
-            )
-            return
         prompt = PromptParts.from_ids(metadata.model, metadata.shared_parts)
-        reason = self.exchange.crashes.decide(prompt).reject_reason
+        reason = self._find_reject_reason(admitted, digest, prompt)
         if reason is not None:
             self._reject(connection, metadata, UNAVAILABLE_STATUS, reason.value)
             return
         self._start_call(connection, request, metadata, admitted, digest, prompt)
 
+    def _find_reject_reason(
+        self, admitted: Admitted, digest: int, prompt: PromptParts
+    ) -> RejectReason | None:
+        """Return why an admitted request must not be sent now, or None."""
+        if self._is_stopping and not can_admit_while_stopping(
+            self._remaining_grace_s(), admitted.route.timeout_s
+        ):
+            return RejectReason.STOPPING
+        if self.exchange.crashes.tracker.is_blocked(digest, self.task.now()):
+            return RejectReason.POISON
+        return self.exchange.crashes.decide(prompt).reject_reason
+
     def _start_call(
         self,
         connection: ServerConnection,
@@ -423,23 +410,17 @@
                 "confirmed_age_s": self._freshness.age_s(self.task.now()),
             },
         )
-        headers = []
+        headers: list[Header] = []
         if metadata.attempt_id is not None:
             headers.append(wire.attempt_header(metadata.attempt_id))
-        if status == UNAVAILABLE_STATUS and reason not in FINAL_REASONS:
-            headers.append(wire.retry_after_header(self._retry_after_s(reason)))
+        if status == UNAVAILABLE_STATUS:
+            headers += self._make_retry_after(RejectReason(reason))
         connection.respond(status, headers, reason.encode())
 
-    def _retry_after_s(self, reason: str) -> float:
-        if reason == RejectReason.SUSPECTED_PART.value:
-            return SUSPECTED_PART_RETRY_S
+    def _make_retry_after(self, reason: RejectReason) -> list[Header]:
         is_peer_ready = self.fleet.peers.has_ready_peer(self.task.now())
-        if reason == RejectReason.STALE_KEYS.value and is_peer_ready is None:
-            # This entry is cut off from the store and from its peers, so the peers
-            # probably still serve requests.
-            return OTHER_ENTRY_RETRY_S
-        is_local = reason in LOCAL_REJECT_REASONS
-        return OTHER_ENTRY_RETRY_S if is_local and is_peer_ready else SAME_ENTRY_RETRY_S
+        delay_s = find_retry_after_s(reason, is_peer_ready=is_peer_ready)
+        return [] if delay_s is None else [wire.retry_after_header(delay_s)]
 
     def on_caller_gone(self, connection: ServerConnection) -> None:
         """Cancel the call of a caller that closed before its response was complete."""
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -27,12 +27,7 @@
     Rejection,
     RejectReason,
 )
-from bamboolever.calls.parts import (
-    FREE,
-    SUSPECTED_PART_RETRY_S,
-    WELL_BEGUN_EVENTS,
-    PromptParts,
-)
+from bamboolever.calls.parts import FREE, SUSPECTED_PART_RETRY_S
 from bamboolever.calls.placement import PendingCall
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.daemons.calllog import CallLog
@@ -192,13 +187,11 @@
     ) -> None:
         """Record that ``upstream`` broke off a response; the call may be the cause.
 
-        A part of its prompt may be the cause too, unless the response was well begun.
+        A part of its prompt may be, too. If the response was well begun, that voids it.
         """
         crashes = self._exchange.crashes
         crashes.part_log.learn_upstream(upstream.key, upstream.instance_id)
-        is_well_begun = relay.attempt_events >= WELL_BEGUN_EVENTS
-        prompt = PromptParts() if is_well_begun else relay.prompt
-        crashes.on_broken_response(upstream.key, relay.digest, sent_at, prompt)
+        crashes.on_broken_response(upstream.key, relay.digest, sent_at, relay.prompt)
 
     def on_connection_refused(self, upstream: UpstreamView) -> None:
         """Count a crash against the calls whose responses ``upstream`` broke off.
--- a/src/bamboolever/daemons/ownresponses.py
+++ b/src/bamboolever/daemons/ownresponses.py
@@ -1,6 +1,7 @@
 """Final responses that an entry makes itself, without an upstream's signature."""
 
 from bamboolever.calls.dispatcher import RejectReason
+from bamboolever.calls.retryafter import FINAL_REJECT_REASONS
 from bamboolever.net.messages import Header
 from bamboolever.net.server import ServerConnection
 from bamboolever.platform import calls as wire
@@ -9,8 +10,6 @@
 FAILED_STATUS = 502
 TIMED_OUT_STATUS = 504
 DEFAULT_RETRY_AFTER_S = 0.5
-# Another attempt would be rejected too, so no Retry-After invites one.
-FINAL_REJECT_REASONS = frozenset({RejectReason.POISON, RejectReason.BLOCKED_PART})
 
 
 def respond_rejected(
@@ -19,7 +18,10 @@
     reason: RejectReason,
     retry_after_s: float | None,
 ) -> None:
-    """State that the request has not run and when its caller may retry it."""
+    """State that the request has not run and when its caller may retry it.
+
+    Nothing is said of a retry that would be rejected too.
+    """
     headers = _attempt_headers(attempt_id)
     if reason not in FINAL_REJECT_REASONS:
         delay_s = DEFAULT_RETRY_AFTER_S if retry_after_s is None else retry_after_s
--- a/testing/crashreplay.py
+++ b/testing/crashreplay.py
@@ -246,9 +246,9 @@
 
     def _break(self, request, engine):
         reports = self.entries[request.entry]
-        is_well_begun = request.events >= WELL_BEGUN_EVENTS
-        prompt = PromptParts() if is_well_begun else request.prompt
-        reports.on_broken_response(engine.key, request.number, request.sent_at, prompt)
+        reports.on_broken_response(
+            engine.key, request.number, request.sent_at, request.prompt
+        )
         if (
             request.attempts < MAX_ATTEMPTS
             and not request.prompt.tried
--- a/testing/daemons/test_crashingparts.py
+++ b/testing/daemons/test_crashingparts.py
@@ -15,6 +15,7 @@
 CRASHING_PART = "bad0bad0"
 # With as many crashes, no further engine may be lost.
 MAX_CRASHES = 5
+ONE_EVENT = b"id: 1\ndata: token 1\n\n"
 LAST_CHUNK = b"0\r\n\r\n"
 
 _serial = itertools.count(1)
@@ -123,8 +124,7 @@
 
 def test_stream_that_ends_with_its_connection_proves_no_part_sound(site, start_entry):
     """Guards against a crash that looks like an answer: neither length nor chunks."""
-    events = b"id: 1\ndata: token 1\n\n"
-    upstream = RawUpstream(site, "raw", [signed(events), "close"])
+    upstream = RawUpstream(site, "raw", [signed(ONE_EVENT), "close"])
     entry = start_entry().wait_ready(1)
     crashes = entry.entry.exchange.crashes
     assert _call(entry, CRASHING_PART).is_complete
@@ -135,8 +135,7 @@
 
 
 def test_engine_that_responds_again_was_not_crashed_by_such_a_stream(site, start_entry):
-    events = b"id: 1\ndata: token 1\n\n"
-    upstream = RawUpstream(site, "raw", [signed(events), "close"])
+    upstream = RawUpstream(site, "raw", [signed(ONE_EVENT), "close"])
     entry = start_entry().wait_ready(1)
     crashes = entry.entry.exchange.crashes
     assert _call(entry, CRASHING_PART).is_complete
--- a/testing/daemons/test_entryexchange.py
+++ b/testing/daemons/test_entryexchange.py
@@ -2,6 +2,7 @@
 
 import queue
 
+import pytest
 from manualtask import ManualTask
 from sitebuilders import WAIT_S, wait_for
 
@@ -121,30 +122,35 @@
 PROMPT = PromptParts(("a1",), (70,), (70,))
 
 
+@pytest.fixture
+def pair(site):
+    """Two exchanges that do not know each other, on one wire."""
+    task = ManualTask()
+    first = _make_exchange(site, task, "127.0.0.8")
+    second = _make_exchange(site, task, "127.0.0.9")
+    _Wire(first, second)
+    return first, second
+
+
 def _crash_part(exchange, upstream):
     now = exchange._task.now()
     exchange.crashes.on_broken_response(upstream, upstream, now, PROMPT)
     exchange.crashes.on_upstream_ended(upstream, "refused")
 
 
-def test_block_of_a_part_reaches_the_entries_of_another_cell(site):
-    task = ManualTask()
-    first = _make_exchange(site, task, "127.0.0.8")
-    second = _make_exchange(site, task, "127.0.0.9")
-    _Wire(first, second)
+def test_block_of_a_part_reaches_the_entries_of_another_cell(pair):
+    first, second = pair
     cell = NeighborCell("zone-b/0", first._socket.address)
-    cell.add_entries((second._socket.address,), task.now())
+    cell.add_entries((second._socket.address,), first._task.now())
     first._fleet.neighbors = {cell.name: cell}
     for upstream in range(3):
         _crash_part(first, upstream)
     assert second.crashes.parts.state(70) is PartState.BLOCKED
 
 
-def test_entry_that_starts_later_learns_which_parts_are_blocked(site):
-    task = ManualTask()
-    first = _make_exchange(site, task, "127.0.0.8")
-    second = _make_exchange(site, task, "127.0.0.9")
-    _Wire(first, second)
+def test_entry_that_starts_later_learns_which_parts_are_blocked(pair):
+    first, second = pair
+    task = first._task
     first._send_load_heartbeat()
     for upstream in range(3):
         _crash_part(first, upstream)
