--- a/testing/daemons/test_crashingparts.py
+++ b/testing/daemons/test_crashingparts.py
@@ -3,13 +3,21 @@
 import http.client
 import itertools
 import json
+from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 from rawupstream import RawUpstream, chunked, signed
 from sitebuilders import WAIT_S, make_stream_headers, views_of, wait_for
 
-from bamboolever.calls.parts import WELL_BEGUN_EVENTS, PromptParts
-from bamboolever.platform.standins.upstream import MODEL
+from bamboolever.calls.parts import (
+    CRASHES_TO_SUSPECT,
+    WELL_BEGUN_EVENTS,
+    PromptParts,
+)
+from bamboolever.calls.poison import Crash
+from bamboolever.platform.standins.site import ENGINE_SERVICE
+from bamboolever.platform.standins.upstream import MODEL, Behaviour
 
 FIRST_PART = "5c1e07a2"
 CRASHING_PART = "bad0bad0"
@@ -202,3 +210,45 @@
     site, start_entry, method, path, expected
 ):
     assert _operate(start_entry(), method, path)[0] == expected
+
+
+def _suspect(entry, part):
+    """Let the entry know of as many crashes by a part as make it suspected."""
+    now = entry.entry.task.now()
+    facts = entry.entry.exchange.crashes.parts.facts
+    for upstream in range(CRASHES_TO_SUSPECT):
+        facts.add_crash(Crash(_digest_of(part), upstream, now), now)
+
+
+def test_trial_that_an_engine_rejects_leaves_the_next_request_its_turn(
+    engines, start_entry
+):
+    entry = start_entry().wait_ready(len(engines))
+    _suspect(entry, FIRST_PART)
+    for engine in engines:
+        engine.behaviours.append(Behaviour.NOT_EXECUTED)
+    assert _call(entry, FIRST_PART).status == 503
+    assert _count_received(engines) == 1
+    for engine in engines:
+        engine.behaviours.clear()
+    assert _call(entry, FIRST_PART).status == 200
+
+
+@pytest.mark.parametrize(
+    ("is_suspected", "is_trial", "expected"),
+    [(False, False, None), (True, False, "suspected-part"), (True, True, "trial")],
+)
+def test_request_with_a_suspected_part_is_not_retried(
+    start_entry, is_suspected, is_trial, expected
+):
+    """Guards against a second engine that each such request took down."""
+    entry = start_entry()
+    prompt = PromptParts.from_ids(MODEL, (FIRST_PART,))
+    if is_trial:
+        prompt = replace(prompt, tried=prompt.digests)
+    if is_suspected:
+        _suspect(entry, FIRST_PART)
+    call = SimpleNamespace(
+        digest=1, service=ENGINE_SERVICE, prompt=prompt, may_have_run=True
+    )
+    assert entry.entry.calls.acquire_retry(call) == expected
