--- a/testing/crashreplay.py
+++ b/testing/crashreplay.py
@@ -30,6 +30,7 @@
 # How long it takes until an agent has told the entries.
 MAX_EVIDENCE_DELAY_S = 0.25
 DOWN_S = 3.0
+PATIENCE_S = 0.2
 REPEAT_INTERVAL_S = 0.5
 MAX_ATTEMPTS = 2
 
@@ -63,7 +64,9 @@
     """Entries that share engines; ``arrivals`` are requests in the order of their time.
 
     ``crashing`` are the parts that crash engines. The share ``loss`` of the datagrams
-    is lost. ``outages`` are times at which a share of the engines ends of itself.
+    is lost. ``outages`` are times at which a share of the engines ends of itself, and
+    ``restarts`` times at which an entry does. The callers of the share ``give_up`` of
+    the requests leave after `PATIENCE_S`.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         loss=0.0,
         outages=(),
         restarts=(),
+        give_up=0.0,
         seed=0,
     ):
         self.random = random.Random(seed)
@@ -93,6 +97,8 @@
         self.requests = arrivals
         for request in arrivals:
             self.at(request.arrived_at, self._arrive, request)
+            if self.random.random() < give_up:
+                self.at(request.arrived_at + PATIENCE_S, self._leave, request)
         for time, share in outages:
             self.at(time, self._end_share, share)
         for time, number in restarts:
@@ -184,6 +190,11 @@
         wait_s = self.random.uniform(0.01, MAX_QUEUE_WAIT_S)
         self.at(self.now + wait_s, self._begin, request, engine)
 
+    def _leave(self, request):
+        if request.engine is not None:
+            request.engine.requests.remove(request)
+            self._end(request, "caller-gone")
+
     def _end(self, request, outcome):
         request.outcome = outcome
         request.engine = None
--- a/testing/daemons/test_partreplay.py
+++ b/testing/daemons/test_partreplay.py
@@ -111,3 +111,12 @@
     replay = _play(streams, seed, restarts=restarts)
     _assert_bounded(replay)
     assert PartState.BLOCKED not in replay.states_of(FIRST)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("share", [0.5, 0.9])
+def test_crashing_part_is_blocked_although_callers_leave(seed, share):
+    """Guards against trials without end: those whose callers leave prove nothing."""
+    replay = _play([SOUND, (3.0, (FIRST, BAD))], seed, give_up=share)
+    _assert_bounded(replay)
+    assert PartState.BLOCKED not in replay.states_of(FIRST)
