--- a/testing/daemons/test_crashingparts.py
+++ b/testing/daemons/test_crashingparts.py
@@ -12,6 +12,7 @@
 
 from bamboolever.calls.parts import (
     CRASHES_TO_SUSPECT,
+    TRIALS_TO_BLOCK,
     WELL_BEGUN_EVENTS,
     PromptParts,
 )
@@ -212,12 +213,23 @@
     assert _operate(start_entry(), method, path)[0] == expected
 
 
-def _suspect(entry, part):
-    """Let the entry know of as many crashes by a part as make it suspected."""
+def _add_crashes(entry, part, count, *, tried_parts=0):
     now = entry.entry.task.now()
     facts = entry.entry.exchange.crashes.parts.facts
-    for upstream in range(CRASHES_TO_SUSPECT):
-        facts.add_crash(Crash(_digest_of(part), upstream, now), now)
+    for upstream in range(count):
+        facts.add_crash(Crash(_digest_of(part), upstream, now, tried_parts), now)
+
+
+def _suspect(entry, part):
+    """Let the entry know of as many crashes by a part as make it suspected."""
+    _add_crashes(entry, part, CRASHES_TO_SUSPECT)
+
+
+def test_request_with_a_blocked_part_is_rejected_before_it_queues(start_entry):
+    entry = start_entry().wait_ready(0)
+    _add_crashes(entry, CRASHING_PART, TRIALS_TO_BLOCK, tried_parts=1)
+    assert _call(entry, FIRST_PART).body == b"no-upstream"
+    assert _call(entry, FIRST_PART, CRASHING_PART).body == b"blocked-part"
 
 
 def test_trial_that_an_engine_rejects_leaves_the_next_request_its_turn(
