--- a/testing/daemons/test_crashreports.py
+++ b/testing/daemons/test_crashreports.py
@@ -215,3 +215,13 @@
     assert crashes.part_log.find_digest("a2") is None
     crashes.clear_parts([70])
     assert crashes.part_log.render(clock()) == []
+
+
+def test_next_trial_waits_until_it_is_known_whether_the_upstream_ended(crashes, clock):
+    _crash_part(crashes, clock, 1, 2)
+    crashes.begin_trial(TRIAL)
+    crashes.on_broken_response(3, 3, clock(), TRIAL)
+    crashes.end_trial(TRIAL)
+    assert crashes.decide(PART).verdict is PartVerdict.WAIT
+    crashes.on_upstream_ended(3, "agent")
+    assert crashes.decide(PART).verdict is PartVerdict.TRIAL
