Count a trial for the parts that were tried only

Found by reading the diff: a crash of a trial was marked as a trial of every part of its prompt. A sound part that is seldom answered would have been blocked with the one that was tried, without a trial of its own. Test failed before.

--- a/src/bamboolever/daemons/crashreports.py
+++ b/src/bamboolever/daemons/crashreports.py
@@ -70,8 +70,9 @@
         self.parts.on_trial_broken(prompt.tried, now)
         crashed_parts: list[int] = []
         for part in prompt.digests:
+            tried_parts = len(prompt.tried) if part in prompt.tried else 0
             crashed_parts += self.parts.facts.on_broken_response(
-                upstream, part, sent_at, now, tried_parts=len(prompt.tried)
+                upstream, part, sent_at, now, tried_parts=tried_parts
             )
         self._report(upstream, crashed, crashed_parts, "known-end")
 
--- a/testing/daemons/test_crashreports.py
+++ b/testing/daemons/test_crashreports.py
@@ -225,3 +225,12 @@
     assert crashes.decide(PART).verdict is PartVerdict.WAIT
     crashes.on_upstream_ended(3, "agent")
     assert crashes.decide(PART).verdict is PartVerdict.TRIAL
+
+
+def test_trial_of_one_part_is_no_trial_of_the_others(crashes, clock, sent):
+    """Guards against a block of a sound part for crashes by trials of another."""
+    prompt = PromptParts(("a1", "b2"), (70, 71), (70,))
+    _crash_part(crashes, clock, 5, prompt=prompt)
+    facts = crashes.parts.facts
+    assert [crash.tried_parts for crash in facts.crashes_by(70)] == [1]
+    assert [crash.tried_parts for crash in facts.crashes_by(71)] == [0]
