Of two parts that explain the same crashes, charge the one that was never answered

Found by reading the diff: a part with two trials' crashes was charged with all its crashes, whatever explained them. A part that sound requests share and that was on trial twice where the culprit ended the engine would have been blocked with it. Now whether a part was answered goes first, and only among equals does a blocked part explain the others' crashes, so that no two parts explain each other. Test failed before.

--- a/src/bamboolever/calls/parts.py
+++ b/src/bamboolever/calls/parts.py
@@ -10,8 +10,8 @@
 
 - An answer to a request with the part voids its crashes by requests sent before.
 - Of the parts of one crash, one that was answered before is not charged if another
-  explains the crash: that other has repeated crashes and was never answered. What a
-  blocked part explains, no part is charged with that is not blocked itself.
+  explains the crash: that other has repeated crashes and was never answered. Of parts
+  that are alike in this, a blocked one explains the crashes of those that are not.
 - A part that is charged with `CRASHES_TO_SUSPECT` crashes is suspected. Requests with
   it go out one at a time in the whole fleet, each as a trial without a retry, so that
   it crashes one upstream at most, and the first that is answered clears the part.
@@ -156,22 +156,26 @@
     def charged(self, part: int) -> list[Crash]:
         """Return the crashes that a part is charged with."""
         crashes = self.facts.crashes_by(part)
-        if len(crashes) < CRASHES_TO_SUSPECT or _is_blocked(crashes):
+        if len(crashes) < CRASHES_TO_SUSPECT:
             return crashes
-        was_answered = self.facts.completed_at(part) is not None
         explained = {
             crash.upstream
             for other in self.facts.repeated()
-            if other != part and self._explains(other, was_answered=was_answered)
+            if other != part and self._explains(other, part)
             for crash in self.facts.crashes_by(other)
         }
         return [crash for crash in crashes if crash.upstream not in explained]
 
-    def _explains(self, part: int, *, was_answered: bool) -> bool:
-        """Return whether another part, answered before or not, gives way."""
-        if _is_blocked(self.facts.crashes_by(part)):
-            return True
-        return was_answered and self.facts.completed_at(part) is None
+    def _explains(self, other: int, part: int) -> bool:
+        """Return whether ``other``, not ``part``, is charged with crashes of both."""
+        was_answered = self._was_answered(part)
+        if was_answered is not self._was_answered(other):
+            return was_answered
+        is_blocked = _is_blocked(self.facts.crashes_by(part))
+        return not is_blocked and _is_blocked(self.facts.crashes_by(other))
+
+    def _was_answered(self, part: int) -> bool:
+        return self.facts.completed_at(part) is not None
 
     def _has_last_trial(self, part: int, now: float, *, is_alone: bool) -> bool:
         trials = _trials(self.charged(part))
--- a/testing/calls/test_parts.py
+++ b/testing/calls/test_parts.py
@@ -119,6 +119,15 @@
     assert tracker.decide((SHARED, CULPRIT), 6.0).parts == (CULPRIT,)
 
 
+def test_answered_part_is_not_blocked_by_trials_beside_a_culprit(tracker):
+    """Guards against a block of what sound requests share with the culprit."""
+    tracker.facts.add_completion(SHARED, 0.0)
+    for upstream in range(1, 6):
+        _crash(tracker, upstream, float(upstream), SHARED, CULPRIT, tried=(SHARED,))
+    assert tracker.state(SHARED) is PartState.CLEAR
+    assert tracker.state(CULPRIT) is PartState.SUSPECTED
+
+
 def test_part_with_a_single_crash_explains_nothing(tracker):
     tracker.facts.add_completion(SHARED, 0.0)
     for upstream in range(1, 6):
