--- a/testing/daemons/test_crashreports.py
+++ b/testing/daemons/test_crashreports.py
@@ -9,7 +9,7 @@
 from bamboolever.calls.poison import CRASH_MAX_AGE_S, CRASHES_TO_BLOCK
 from bamboolever.daemons.crashreports import CrashReports
 from bamboolever.fleet import exchange
-from bamboolever.fleet.crashfacts import MAX_CRASHES_PER_DATAGRAM
+from bamboolever.fleet.crashfacts import MAX_CRASHES_PER_DATAGRAM, MAX_REPEATED
 from bamboolever.fleet.messages import CrashReport, ReportedCrash
 from bamboolever.net.datagrams import MAX_DATAGRAM_BYTES
 
@@ -234,3 +234,24 @@
     facts = crashes.parts.facts
     assert [crash.tried_parts for crash in facts.crashes_by(70)] == [1]
     assert [crash.tried_parts for crash in facts.crashes_by(71)] == [0]
+
+
+def test_crash_of_another_entrys_trial_lets_the_next_one_go(clock):
+    second = CrashReports(clock, Telemetry("second"), lambda report: None)
+    first = CrashReports(clock, Telemetry("first"), second.apply)
+    _crash_part(first, clock, 1, 2)
+    first.begin_trial(TRIAL)
+    assert second.decide(PART).verdict is PartVerdict.WAIT
+    _crash_part(first, clock, 3, prompt=TRIAL)
+    assert second.decide(PART).verdict is PartVerdict.TRIAL
+
+
+def test_repetitions_are_bounded_and_name_what_has_most_crashes(crashes, clock, sent):
+    for digest in range(1000, 1000 + 2 * MAX_REPEATED):
+        _crash_part(crashes, clock, 1, 2, prompt=PromptParts(("b2",), (digest,)))
+    _crash_part(crashes, clock, 1, 2, 3)
+    sent.clear()
+    crashes.repeat()
+    repeated = {crash.digest for report in sent for crash in report.part_crashes}
+    assert len(repeated) == MAX_REPEATED
+    assert 70 in repeated
