Count what gives way to a part without asking for the state of each

The line for a part asked for the state of every other repeated part, which looks at all crashes again: quadratic in what hostile callers add. It counts the other parts that were answered before now; no decision changes.

--- a/src/bamboolever/daemons/partlog.py
+++ b/src/bamboolever/daemons/partlog.py
@@ -107,11 +107,11 @@
         }
 
     def _count_ruled_out(self, part: ChargedPart) -> int:
-        """Return how many other parts were at two of the crashes and are clear."""
+        """Return how many other parts at these crashes were answered before."""
         upstreams = {crash.upstream for crash in part.crashes}
         facts = self._parts.facts
         return sum(
-            self._parts.state(other) is PartState.CLEAR
+            other != part.digest and facts.completed_at(other) is not None
             for other in facts.repeated()
             if upstreams & {crash.upstream for crash in facts.crashes_by(other)}
         )
--- a/testing/daemons/test_crashingparts.py
+++ b/testing/daemons/test_crashingparts.py
@@ -55,12 +55,12 @@
 
 
 def _wait_for_evidence(entry, engines):
-    """Wait until the agents have told the entry which engines have ended."""
-    now = entry.entry.task.now
+    """Wait until the entry knows that the engines have ended which did."""
+    tracker = entry.entry.exchange.crashes.tracker
     for engine in engines:
         if engine.is_crashed:
-            view = views_of(entry)[engine.instance_id]
-            wait_for(lambda view=view: view.served_version(MODEL, now()) is None)
+            key = views_of(entry)[engine.instance_id].key
+            wait_for(lambda key=key: tracker.has_ended(key))
 
 
 def _count_crashed(engines):
--- a/testing/daemons/test_crashreports.py
+++ b/testing/daemons/test_crashreports.py
@@ -255,3 +255,11 @@
     repeated = {crash.digest for report in sent for crash in report.part_crashes}
     assert len(repeated) == MAX_REPEATED
     assert 70 in repeated
+
+
+def test_parts_that_give_way_are_counted_as_ruled_out(crashes, clock):
+    crashes.clear_parts([71])
+    clock.now_s += 1.0
+    _crash_part(crashes, clock, 1, 2, prompt=PromptParts(("a1", "b2"), (70, 71)))
+    (listed,) = crashes.charged_parts()
+    assert (listed["part"], listed["ruled_out"]) == ("a1", 1)
