Log and count headers of the platform that this version does not know

The header that named a limit stood in no log. Each header of the platform is now listed as used or left out for a reason; one that is neither is logged once and counted.

--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -50,6 +50,8 @@
 # The part of a service's retry slack that one entry saves at most, however few others
 # it knows.
 MAX_ENTRY_RESERVE_SHARE = 0.1
+# Further unknown headers are neither logged nor counted.
+MAX_UNKNOWN_HEADERS = 32
 
 
 @final
@@ -85,6 +87,7 @@
         self._expiry_timer: Timer | None = None
         self._next_expiry_at: float | None = None
         self._is_dispatch_scheduled = False
+        self._unknown_headers: set[str] = set()
 
     @property
     def in_flight(self) -> int:
@@ -231,6 +234,22 @@
         )
         self._exchange.schedule_load_update()
 
+    def on_unknown_header(self, upstream: UpstreamView, name: str, value: str) -> None:
+        """Count a header that this version does not know, and log its first value."""
+        if name not in self._unknown_headers:
+            if len(self._unknown_headers) >= MAX_UNKNOWN_HEADERS:
+                return
+            self._unknown_headers.add(name)
+            logger.warning(
+                "unknown header",
+                extra={
+                    "upstream": upstream.instance_id,
+                    "header": name,
+                    "value": value,
+                },
+            )
+        self._telemetry.count("upstream.unknown_header", header=name)
+
     def on_completed(
         self, relay: CallRelay, upstream: UpstreamView, sent_at: float
     ) -> None:
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -218,6 +218,10 @@
         if version is not None:
             view.response_version = version
         self._note_availability(view, head)
+        for name, value in wire.find_unknown_headers(head):
+            self._context.on_unknown_header(
+                view, name.lower().decode("latin-1"), value.decode("latin-1")
+            )
         self._note_round_trip(view)
         if not self._is_stream():
             self._timers.on_begun()
--- a/src/bamboolever/daemons/relaycontext.py
+++ b/src/bamboolever/daemons/relaycontext.py
@@ -74,6 +74,10 @@
         ``delay_s`` is for how long, in seconds; None means until it restarts.
         """
 
+    @abstractmethod
+    def on_unknown_header(self, upstream: UpstreamView, name: str, value: str) -> None:
+        """Called for each header of the platform's that this version does not know."""
+
     @abstractmethod
     def on_completed(
         self, relay: "CallRelay", upstream: UpstreamView, sent_at: float
--- a/src/bamboolever/platform/calls.py
+++ b/src/bamboolever/platform/calls.py
@@ -23,6 +23,9 @@
         names.AUTHORIZATION,
     )
 )
+_KNOWN_HEADERS = frozenset(
+    name.lower() for name in (*names.USED_HEADERS, *names.UNUSED_HEADERS)
+)
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
 
@@ -158,6 +161,16 @@
     return _parse_non_negative(head.get(names.RETRY_AFTER.lower()))
 
 
+def find_unknown_headers(head: ResponseHead) -> list[Header]:
+    """Return the platform's headers that this version does not know."""
+    return [
+        (name, value)
+        for name, value in head.headers
+        if name.lower().startswith(names.HEADER_PREFIXES)
+        and name.lower() not in _KNOWN_HEADERS
+    ]
+
+
 def retry_after_header(delay_s: float) -> Header:
     """Return the header with the seconds after which a caller may retry."""
     return (names.RETRY_AFTER, f"{delay_s:.3f}".encode())
--- a/src/bamboolever/platform/names.py
+++ b/src/bamboolever/platform/names.py
@@ -15,6 +15,7 @@
 INSTANCE_ID = b"Bamboolever-Instance-Id"
 RETRY_AFTER = b"Retry-After"
 LEAVING = b"Server-Leaving"
+LIMIT = b"Server-Limit"
 STORE_ERA = b"Store-Era"
 MODEL = b"Bamboolever-Model"
 TOKEN_COUNTS = b"Bamboolever-Token-Counts"
@@ -24,6 +25,34 @@
 LAYER_PATH = b"Path"
 AUTHORIZATION = b"Authorization"
 KEY_SCHEME = b"token"
+# Headers with these prefixes are the platform's.
+HEADER_PREFIXES = (b"bamboolever-", b"server-", b"store-")
+# The platform's headers that nothing decodes, with the reason.
+UNUSED_HEADERS = {
+    b"Bamboolever-Server-Load": "entries know the load from each other, and sooner",
+    b"Bamboolever-Cold-Remaining-Ms": "the store's list states it; no health checks",
+    b"Bamboolever-Length-Hint": "forwarded; no decision needs the response's length",
+}
+USED_HEADERS = frozenset(
+    {
+        ATTEMPT_ID,
+        DEADLINE,
+        PREFIX,
+        SIGNATURE,
+        WORKSPACE,
+        EXPECTED_INSTANCE,
+        NOT_EXECUTED,
+        INSTANCE_ID,
+        LEAVING,
+        LIMIT,
+        STORE_ERA,
+        MODEL,
+        TOKEN_COUNTS,
+        REQUEST_PRIORITY,
+        WEIGHT_VERSION,
+        EXPECTED_VERSION,
+    }
+)
 
 # Paths.
 READINESS_PATH = b"/-/readiness"
--- a/src/bamboolever/platform/standins/upstream.py
+++ b/src/bamboolever/platform/standins/upstream.py
@@ -51,10 +51,14 @@
 
 @dataclass
 class ReceivedRequest:
-    """A request, whether it was executed and whether its caller disconnected."""
+    """A request, whether it was executed and whether its caller disconnected.
+
+    It arrived at ``arrived_at``, in seconds of the upstream's task.
+    """
 
     request: Request
     has_run: bool
+    arrived_at: float
     is_cancelled: bool = False
 
 
@@ -77,7 +81,8 @@
     """An upstream on its own task; ``engine`` is None for a plain service.
 
     ``behaviours`` holds the behaviours for the next calls, in order; further calls
-    succeed. While ``is_leaving``, responses say so. An order takes ``load_s`` seconds,
+    succeed. While ``is_leaving``, responses say so; ``limit`` is the limit that they
+    name. ``extra_headers`` are added to all of them. An order takes ``load_s`` seconds,
     during which no calls are executed. A request whose prompt has ``crashing_part``
     among its parts ends the upstream as soon as its response has begun.
     """
@@ -100,6 +105,8 @@
         self._load_s = load_s
         self._is_loading = False
         self.is_leaving = False
+        self.limit: bytes | None = None
+        self.extra_headers: tuple[Header, ...] = ()
         self.crashing_part: bytes | None = None
         self.is_crashed = False
         self.received_requests: list[ReceivedRequest] = []
@@ -146,19 +153,21 @@
         behaviour = self.behaviours.popleft() if self.behaviours else Behaviour.SOUND
         expected = request.get(names.EXPECTED_INSTANCE.lower())
         if expected is not None and expected != self.instance_id.encode():
-            self.received_requests.append(ReceivedRequest(request, has_run=False))
+            self.received_requests.append(self._received(request, has_run=False))
             headers = [(names.INSTANCE_ID, self.instance_id.encode())]
             connection.respond(421, headers)
             return
         rejects = (Behaviour.NOT_EXECUTED, Behaviour.RETRY_LATER)
         if behaviour in rejects or self._is_loading:
-            self.received_requests.append(ReceivedRequest(request, has_run=False))
+            self.received_requests.append(self._received(request, has_run=False))
             headers = [(names.NOT_EXECUTED, b"1"), self._attempt_id_header(request)]
             if behaviour is Behaviour.RETRY_LATER:
                 headers.append((names.RETRY_AFTER, b"30"))
+            if self.limit is not None:
+                headers.append((names.LIMIT, self.limit))
             connection.respond(503, headers)
             return
-        self.received_requests.append(ReceivedRequest(request, has_run=True))
+        self.received_requests.append(self._received(request, has_run=True))
         if behaviour is Behaviour.MUTE:
             return
         if behaviour is Behaviour.CUT:
@@ -223,7 +232,12 @@
             headers.append((names.WEIGHT_VERSION, version))
         if self.is_leaving:
             headers.append((names.LEAVING, b"1"))
-        return headers
+        if self.limit is not None:
+            headers.append((names.LIMIT, self.limit))
+        return [*headers, *self.extra_headers]
+
+    def _received(self, request: Request, *, has_run: bool) -> ReceivedRequest:
+        return ReceivedRequest(request, has_run, self.task.now())
 
     def _attempt_id_header(self, request: Request) -> Header:
         return (names.ATTEMPT_ID, _attempt_id(request))
--- a/testing/daemons/test_inflightcalls.py
+++ b/testing/daemons/test_inflightcalls.py
@@ -4,6 +4,7 @@
 from sitebuilders import make_stream_headers, views_of, wait_for
 
 from bamboolever.calls.poison import Crash, request_digest
+from bamboolever.daemons.inflightcalls import MAX_UNKNOWN_HEADERS
 from bamboolever.fleet.messages import AgentState
 from bamboolever.platform.standins.site import API_KEY, PLAIN_SERVICE
 from bamboolever.platform.standins.upstream import MODEL, Behaviour
@@ -212,3 +213,31 @@
         upstream.behaviours.append(Behaviour.CUT)
     assert entry.call("/lookup/bad").status == 502
     assert sum(len(each.received_requests) for each in plain_upstreams) == 1
+
+
+def test_header_that_is_not_known_is_logged_once_and_counted(
+    plain_upstreams, start_entry, caplog
+):
+    caplog.set_level("INFO")
+    entry = start_entry().wait_ready(2)
+    for upstream in plain_upstreams:
+        upstream.extra_headers = ((b"Server-News", b"7"),)
+    for number in range(3):
+        assert entry.call(f"/lookup/{number}").status == 200
+    (line,) = [each for each in caplog.records if each.message == "unknown header"]
+    assert (line.header, line.value) == ("server-news", "7")
+    counts = entry.entry.telemetry.sum_by_attribute("upstream.unknown_header", "header")
+    assert counts == {"server-news": 3}
+
+
+def test_headers_that_are_not_known_are_counted_up_to_a_number(
+    plain_upstreams, start_entry
+):
+    entry = start_entry().wait_ready(2)
+    for upstream in plain_upstreams:
+        upstream.extra_headers = tuple(
+            (b"Server-News-%d" % number, b"") for number in range(50)
+        )
+    assert entry.call("/lookup/1").status == 200
+    counts = entry.entry.telemetry.sum_by_attribute("upstream.unknown_header", "header")
+    assert len(counts) == MAX_UNKNOWN_HEADERS
