Place one request for each permit, also of those that wait together

Cause, from reading: place_waiting works out the eligible upstreams once for all waiting calls of a model. When a permit came, all of them went to the limited upstream at once, as it had the least load. Change: they are worked out again after a permit is used.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -183,7 +183,11 @@
             placement = self._choose(call, self._home_for(call, home, now), now)
             held_back = self._find_held_back(call, now)
             if placement is not None:
-                decisions.append(self._assign(call, placement, held_back, now))
+                decision = self._assign(call, placement, held_back, now)
+                decisions.append(decision)
+                if decision.has_used_permit:
+                    # It may have been the last one.
+                    home.clear()
             elif now >= self._expires_at(call) or self._is_hopeless(
                 call, held_back, now
             ):
--- a/testing/daemons/test_limitreplay.py
+++ b/testing/daemons/test_limitreplay.py
@@ -2,7 +2,9 @@
 
 import pytest
 from limitreplay import LimitReplay
-from limits import allowed, most_in_window
+from limits import WINDOW_S, allowed, most_in_window
+
+from bamboolever.calls.limits import PERMIT_TTL_S
 
 SEEDS = range(2)
 # The entries that told of a limit are counted from half a second after that.
@@ -45,3 +47,22 @@
     _name(replay, limit, 0)
     replay.run_until(NAMED_AT + PLAYED_S)
     assert 0 < _most(replay.upstreams[0]) <= allowed(limit)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("limit", [1.0, 1.9])
+def test_limit_holds_while_requests_wait_for_engines(limit, seed):
+    """Guards against one permit for all waiting requests: inc1 broke by that again."""
+    replay = LimitReplay(
+        upstreams=10,
+        per_s=100.0,
+        is_engine=True,
+        head_s=0.25,
+        service_s=1.3,
+        seed=seed,
+    )
+    _name(replay, limit, 0)
+    replay.run_until(PLAYED_S)
+    (told_at, *_) = replay.upstreams[0].times()
+    most = _most(replay.upstreams[0], after=told_at + replay.head_s + TOLD_S)
+    assert most <= limit * (WINDOW_S + PERMIT_TTL_S) + 1
--- a/testing/limitreplay.py
+++ b/testing/limitreplay.py
@@ -11,11 +11,11 @@
 import random
 from dataclasses import dataclass, field
 
-from sitebuilders import make_pending, make_record
+from sitebuilders import make_pending, make_profile, make_record
 
 from bamboolever._telemetry import Telemetry
 from bamboolever.calls.dispatcher import Assignment, ServiceDispatcher
-from bamboolever.calls.placement import PlainServicePolicy
+from bamboolever.calls.placement import PlainServicePolicy, PredictedLatencyPolicy
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.daemons.limitscope import LimitScope
 from bamboolever.daemons.upstreamlimits import UpstreamLimits
@@ -24,11 +24,14 @@
 from bamboolever.fleet.peers import PeerLoads
 from bamboolever.fleet.versions import VersionRollouts
 from bamboolever.net.addresses import Address
+from bamboolever.platform.standins.upstream import MODEL
 
 MAX_HOP_S = 0.004
-SERVICE_S = 0.03
 HEARTBEAT_S = 0.5
-SLOTS = 16
+LOAD_INTERVAL_S = 0.1
+LAYERS = 4
+# Added to waits, so that they do not end before their time by a rounding error.
+ROUNDING_S = 1e-6
 RESTART_S = 1.0
 TIMEOUT_S = 5.0
 
@@ -90,12 +93,13 @@
         self.sequence = itertools.count(1)
         self.telemetry = Telemetry(f"entry-{number}")
         self.dispatcher = ServiceDispatcher(
-            PlainServicePolicy(lambda view: 0.0), VersionRollouts(8.0), seed=number
+            replay.make_policy(), VersionRollouts(8.0), seed=number
         )
+        self.scope = ReplayedScope(self, replay.share)
         self.limits = UpstreamLimits(
             lambda: replay.now,
             self.telemetry,
-            ReplayedScope(self, replay.share),
+            self.scope,
             self.send,
             self.send_to_all,
             self.arm,
@@ -134,24 +138,38 @@
             view = self.views.get(upstream.name)
             if view is None or view.record.started_ms != upstream.started_ms:
                 record = make_record(
-                    upstream.name, slots=SLOTS, started_ms=upstream.started_ms
+                    upstream.name,
+                    slots=self.replay.slots,
+                    started_ms=upstream.started_ms,
                 )
-                self.views[upstream.name] = UpstreamView(record)
+                self.views[upstream.name] = UpstreamView(record, layers=LAYERS)
         self.dispatcher.set_upstreams(list(self.views.values()))
 
     def heartbeat(self):
         self.peers.expire(self.replay.now)
+        self.limits.repeat()
+        self.replay.later(self, HEARTBEAT_S, self.heartbeat)
+
+    def send_load(self):
+        loads = {view.key: view.own_load for view in self.views.values() if view.calls}
         load = EntryLoad(
-            f"entry-{self.number}", self.started_ms, next(self.sequence), {}
+            f"entry-{self.number}", self.started_ms, next(self.sequence), loads
         )
         self.send_to_all(load)
-        self.limits.repeat()
-        self.replay.later(self, HEARTBEAT_S, self.heartbeat)
+        self.replay.later(self, LOAD_INTERVAL_S, self.send_load)
+
+    def apply_load(self, load, sender):
+        now = self.replay.now
+        for key in self.peers.apply(sender, load, now):
+            view = self.scope.find_view(key)
+            if view is not None:
+                total = self.peers.total_load(key)
+                view.update_peer_load(total, now, self.replay.random.random())
 
     def receive(self, data, sender):
         message = exchange.decode(data)
         if isinstance(message, EntryLoad):
-            self.peers.apply(sender, message, self.replay.now)
+            self.apply_load(message, sender)
         else:
             self.limits.apply(message, sender)
         self.dispatch_later()
@@ -169,11 +187,15 @@
         self.limits.ask(self.dispatcher.take_lacking_permits())
         expiry_at = self.dispatcher.next_expiry_at()
         if expiry_at is not None:
-            self.replay.later(self, max(0.0, expiry_at - now), self.dispatch)
+            wait_s = max(0.0, expiry_at - now) + ROUNDING_S
+            self.replay.later(self, wait_s, self.dispatch)
 
-    def complete(self, assignment, view, per_s, sent_at):
-        view.remove_call(assignment.call.call_id)
+    def on_head(self, assignment, view, per_s, sent_at):
+        view.on_first_event(assignment.call.call_id)
         self.limits.on_response(view, per_s, sent_at)
+
+    def on_end(self, assignment, view):
+        view.remove_call(assignment.call.call_id)
         self.outcomes.append((self.replay.now, assignment))
         self.dispatch()
 
@@ -188,15 +210,31 @@
 class LimitReplay:
     """Entries that share upstreams, with ``per_s`` requests a second in all.
 
-    ``share`` is the share of permits that these entries may use. The share ``loss`` of
-    the datagrams is lost.
+    Each is answered from ``head_s`` to ``service_s`` after it arrived, by an engine if
+    ``is_engine``. An upstream has ``slots``. ``share`` is the share of
+    permits that these entries may use. The share ``loss`` of the datagrams is lost.
     """
 
     def __init__(
-        self, *, entries=5, upstreams=4, per_s=60.0, loss=0.0, share=1.0, seed=0
+        self,
+        *,
+        entries=5,
+        upstreams=4,
+        per_s=60.0,
+        head_s=0.03,
+        service_s=0.03,
+        is_engine=False,
+        slots=16,
+        loss=0.0,
+        share=1.0,
+        seed=0,
     ):
         self.random = random.Random(seed)
         self.per_s = per_s
+        self.head_s = head_s
+        self.service_s = service_s
+        self.is_engine = is_engine
+        self.slots = slots
         self.loss = loss
         self.share = share
         self.now = 0.0
@@ -211,6 +249,12 @@
             self.entries.append(self._start_entry(number))
         self._schedule_arrival()
 
+    def make_policy(self):
+        if not self.is_engine:
+            return PlainServicePolicy(lambda view: 0.0)
+        profile = make_profile(slots=self.slots, layers=LAYERS)
+        return PredictedLatencyPolicy(profile, lambda view: 0.0)
+
     def run_until(self, end):
         while self.events and self.events[0][0] <= end:
             self.now, _, entry, action = heapq.heappop(self.events)
@@ -274,6 +318,7 @@
             entry, self.random.uniform(0, 0.3), lambda: self._introduce(entry, others)
         )
         self.later(entry, self.random.uniform(0, HEARTBEAT_S), entry.heartbeat)
+        self.later(entry, self.random.uniform(0, LOAD_INTERVAL_S), entry.send_load)
         return entry
 
     def _introduce(self, entry, others):
@@ -312,7 +357,7 @@
             arrived_at=now,
             target_at=now + 0.4,
             timeout_at=now + TIMEOUT_S,
-            model=None,
+            model=MODEL if self.is_engine else None,
         )
         self.later(entry, 0.0, lambda: entry.submit(call))
 
@@ -326,14 +371,16 @@
 
         def arrive():
             self.upstreams[index].arrivals.append((self.now, entry.number))
-            self.at(self.now + SERVICE_S, respond)
+            self.at(self.now + self.head_s, respond)
+            self.at(self.now + self.service_s, end)
 
         def respond():
             per_s = self.upstreams[index].limit
             self.later(
-                entry,
-                hop_s,
-                lambda: entry.complete(assignment, view, per_s, sent_at),
+                entry, hop_s, lambda: entry.on_head(assignment, view, per_s, sent_at)
             )
 
+        def end():
+            self.later(entry, hop_s, lambda: entry.on_end(assignment, view))
+
         self.at(sent_at + hop_s, arrive)
