Keep the limit of an upstream that is missing from the list for a while

A record that the store drops and lists again made a new view, which knew no limit, at all entries at once. The limit is kept by the upstream's key, which a restart changes.

--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -20,6 +20,7 @@
     full_pass_s,
     subtract_load,
 )
+from bamboolever.calls.limits import UpstreamLimit
 from bamboolever.calls.placement import (
     OTHER_REGION_PENALTY_S,
     OTHER_ZONE_PENALTY_S,
@@ -49,6 +50,8 @@
 # An agent's notice that its engine switches versions keeps new calls away for this
 # long, so that an agent that falls silent does not block its engine for good.
 SWITCH_NOTICE_TTL_S = 4.0
+# Limits kept of upstreams that are listed no more.
+MAX_UNLISTED_LIMITS = 256
 
 
 class EntryFleet:
@@ -69,6 +72,7 @@
         self._views_by_key: dict[int, UpstreamView] = {}
         self._engines_by_address: dict[Address, UpstreamView] = {}
         self._views_by_cell: dict[str, list[UpstreamView]] = {}
+        self._unlisted_limits: dict[int, UpstreamLimit] = {}
         self._cells = CellMap()
         self._sequence = 0
         self._random = random.Random(settings.name)
@@ -166,12 +170,21 @@
         for service in {*by_service, *self._dispatchers}:
             self.dispatcher(service).set_upstreams(by_service.get(service, []))
         listed = {record.instance_id: record for record in records}
+        self._keep_limits(known, now)
         return [
             view
             for view in known.values()
             if _has_ended(view.record, listed.get(view.instance_id))
         ]
 
+    def _keep_limits(self, known: dict[str, UpstreamView], now: float) -> None:
+        """Keep the limits of upstreams that are listed no more: they may come back."""
+        for view in known.values():
+            if view.limit.is_limited(now) and view.key not in self._views_by_key:
+                self._unlisted_limits[view.key] = view.limit
+        while len(self._unlisted_limits) > MAX_UNLISTED_LIMITS:
+            del self._unlisted_limits[next(iter(self._unlisted_limits))]
+
     def _refresh_cells(self, records: list[UpstreamRecord]) -> None:
         engines = [
             EngineLocation(record.instance_id, record.availability_zone)
@@ -204,6 +217,7 @@
     ) -> UpstreamView:
         if view is None or view.record.started_ms != record.started_ms:
             view = UpstreamView(record)
+            view.limit = self._unlisted_limits.pop(view.key, view.limit)
         view.record = record
         view.layers = self._layer_count(record.service)
         view.full_pass_s = self._full_pass_s(record.service)
--- a/src/bamboolever/daemons/upstreamlimits.py
+++ b/src/bamboolever/daemons/upstreamlimits.py
@@ -206,6 +206,7 @@
         if per_s is None or not is_keeper:
             self._keeper.drop(view.key)
             return
+        self._views[view.key] = view
         share = self._scope.reachable_share(view, now)
         self._keeper.keep(view.key, per_s * share, now)
 
