Believe no answer that may belong to another request, continue streams by events only

Cause: what bears no mark of its request was taken for the awaited thing. Now a failure without an attempt id is believed as the first answer on a connection only; otherwise the request may have run. Where answers bear no id at all (store, agents, orders), a connection is not used again after a refusal. A stream goes on only with a declared event stream, with an event behind the last one; a line that is no field of an event is none, and ends the attempt.

--- a/src/bamboolever/calls/events.py
+++ b/src/bamboolever/calls/events.py
@@ -10,6 +10,9 @@
 _LINE_ENDS = b"\r\n"
 _EVENT_END_LF = b"\n\n"
 _MAX_EVENT_END_BYTES = 4
+# A line that is neither empty, nor a comment, nor a field of an event.
+_NO_FIELD = re.compile(rb"(?:\A|(?<=[\r\n]))(?![a-z0-9_-]*[:\r\n])[^\r\n]+[\r\n]")
+_FIRST_ID = re.compile(rb"(?:\A|(?<=[\r\n]))id:([^\r\n]*)")
 # A CR before an LF never ends a line by itself. If the LF of a last CRLF arrives
 # later, it is left in front of the next event, where it means nothing.
 _EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r(?!\n))")
@@ -28,16 +31,24 @@
     has_fields: bool
     last_event_id: bytes | None
 
+    @property
+    def first_event_id(self) -> bytes | None:
+        """The first id among the events, None without any."""
+        found = _FIRST_ID.search(self.data)
+        return found.group(1).strip() if found is not None else None
+
 
 class EventSplitter:
     """Buffers the bytes of an event stream until an event is complete.
 
-    ``event_count`` is the number of complete events so far.
+    ``event_count`` is the number of complete events so far. ``is_malformed`` is set at
+    bytes that are no event; neither they nor what follows is returned.
     """
 
     def __init__(self) -> None:
         self._buffer = bytearray()
         self.event_count = 0
+        self.is_malformed = False
 
     @property
     def rest(self) -> bytes:
@@ -58,6 +69,13 @@
         if not count:
             return None
         events = bytes(self._buffer[:end])
+        stray = _NO_FIELD.search(events)
+        if stray is not None:
+            self.is_malformed = True
+            end, count = _find_last_event_end(self._buffer[: stray.start()], 0)
+            if not count:
+                return None
+            events = events[:end]
         del self._buffer[:end]
         self.event_count += count
         has_fields, last_event_id = _parse_last_event(events)
--- a/src/bamboolever/daemons/eventstream.py
+++ b/src/bamboolever/daemons/eventstream.py
@@ -2,7 +2,7 @@
 
 from typing import final
 
-from bamboolever.calls.events import EventSplitter
+from bamboolever.calls.events import EventBatch, EventSplitter
 from bamboolever.net.messages import BodyFraming, ResponseHead
 from bamboolever.net.server import ServerConnection
 from bamboolever.platform import calls as wire
@@ -27,6 +27,8 @@
         self.is_position_known = True
         self.is_begun = False
         self.event_count = 0
+        self._is_continuation = False
+        self._is_out_of_order = False
 
     @property
     def resume_id(self) -> bytes | None:
@@ -48,9 +50,16 @@
         """Whether the next event is larger than `MAX_EVENT_BYTES`."""
         return self.partial_event_bytes > MAX_EVENT_BYTES
 
+    @property
+    def is_malformed(self) -> bool:
+        """Whether the current attempt sent what cannot follow in the stream."""
+        return self._splitter.is_malformed or self._is_out_of_order
+
     def begin_attempt(self) -> None:
         """Drop what an earlier attempt left of an event."""
         self._splitter = EventSplitter()
+        self._is_continuation = self.is_begun
+        self._is_out_of_order = False
 
     def begin(self, head: ResponseHead) -> None:
         """Send the head of the first response, unless that was done."""
@@ -64,6 +73,10 @@
         batch = self._splitter.feed(data)
         if batch is None:
             return False
+        is_first = self.attempt_events == batch.count
+        if self._is_continuation and is_first and not self._is_next(batch):
+            self._is_out_of_order = True
+            return False
         self.begin(head)
         if batch.has_fields:
             self.last_event_id = batch.last_event_id
@@ -72,6 +85,13 @@
         self._caller.send(batch.data)
         return True
 
+    def _is_next(self, batch: EventBatch) -> bool:
+        """Return whether a continuation begins behind the last forwarded event."""
+        first, last = batch.first_event_id, self.last_event_id
+        if first is None or last is None or not (first.isdigit() and last.isdigit()):
+            return first != last or first is None
+        return int(first) > int(last)
+
     def find_truncation(self, framing: BodyFraming) -> str | None:
         """Return how an attempt's response was truncated although it has ended.
 
@@ -80,7 +100,11 @@
         """
         if self.partial_event_bytes:
             return f"truncated: stream ended inside an event, framing {framing.value}"
-        if framing is BodyFraming.CONNECTION_CLOSE and not self._splitter.event_count:
+        if self._splitter.event_count:
+            return None
+        if self._is_continuation:
+            return "truncated: no event for the rest of the stream"
+        if framing is BodyFraming.CONNECTION_CLOSE:
             return f"truncated: stream without an event, framing {framing.value}"
         return None
 
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -205,11 +205,26 @@
             return not head.is_success
         return echoed_id == self.metadata.attempt_id
 
+    def may_reuse_after(self, head: ResponseHead) -> bool:
+        """Return whether a second copy of the response would be told by its id."""
+        return wire.echoed_attempt_id(head) is not None
+
+    def _may_be_of_another_request(self, head: ResponseHead) -> bool:
+        # On a new connection there was no earlier request.
+        connection = self._upstream_connection
+        if wire.echoed_attempt_id(head) is not None or connection is None:
+            return False
+        return connection.request_count > 1
+
     def on_head(self, head: ResponseHead) -> None:
         """Classify a response by its head; called before its body arrives.
 
-        The attempt has not run, has failed, or continues as a signed success.
+        The attempt has not run, has failed, or continues as a signed success. What may
+        belong to another request proves nothing.
         """
+        if self._may_be_of_another_request(head):
+            self._fail_attempt("a failure without an attempt id")
+            return
         self._response_head = head
         self.record.body_framing = head.body_framing
         view = self._upstream
@@ -233,13 +248,14 @@
             )
             return
         if head.is_success and not wire.is_signed(head):
-            self._cancel_attempt()
-            self._on_attempt_failed(AttemptOutcome.UNKNOWN, "unsigned success")
+            self._fail_attempt("unsigned success")
             return
         if not head.is_success:
             self._attempt_outcome = AttemptOutcome.FAILED
             return
         if self._stream.is_begun and self._first_response_head is not None:
+            if not head.may_be_event_stream:
+                self._fail_attempt("another type of content for the rest of the stream")
             return
         self._first_response_head = head
 
@@ -278,9 +294,8 @@
         self._timers.on_progress()
         overflow = self._response_body.add(data)
         if overflow is not None:
-            self._cancel_attempt()
             self._response_body.take()
-            self._on_attempt_failed(AttemptOutcome.UNKNOWN, overflow)
+            self._fail_attempt(overflow)
 
     def on_end(self) -> None:
         """Finish the call, or handle the attempt as failed if it has not succeeded.
@@ -382,9 +397,10 @@
             self._timers.on_progress()
         if known_events < WELL_BEGUN_EVENTS <= self.attempt_events:
             self._context.on_well_begun(self)
-        if self._stream.is_over_limit:
-            self._cancel_attempt()
-            self._on_attempt_failed(AttemptOutcome.UNKNOWN, "event over the limit")
+        if self._stream.is_malformed:
+            self._fail_attempt("bytes that cannot follow in the stream")
+        elif self._stream.is_over_limit:
+            self._fail_attempt("event over the limit")
 
     def _end_stream(self) -> None:
         assert self._first_response_head is not None
@@ -415,6 +431,11 @@
             return
         self._forward_response()
 
+    def _fail_attempt(self, detail: str) -> None:
+        """End an attempt whose response cannot be used; it may have run."""
+        self._cancel_attempt()
+        self._on_attempt_failed(AttemptOutcome.UNKNOWN, detail)
+
     def _on_attempt_failed(
         self, outcome: AttemptOutcome, detail: str, *, is_fault: bool = True
     ) -> None:
--- a/src/bamboolever/net/client.py
+++ b/src/bamboolever/net/client.py
@@ -29,6 +29,7 @@
     ``keep_alive_timeout_s`` is the idle timeout that the server announced, or None;
     ``idle_since`` is the task's time in seconds of the last complete response.
     ``round_trip_s`` is how long the connection took to open, None before.
+    ``request_count`` is the number of requests sent on it.
     """
 
     def __init__(self, pool: "ConnectionPool", address: Address):
@@ -55,6 +56,7 @@
         self._connect_timer: Timer | None = None
         self.keep_alive_timeout_s: float | None = None
         self.idle_since = 0.0
+        self.request_count = 0
 
     @property
     def is_closed(self) -> bool:
@@ -69,6 +71,7 @@
         """
         self._handler = handler
         self._request = request
+        self.request_count += 1
         self._is_request_sent = False
         self._is_close_pending = False
         self._skipped_responses = 0
@@ -198,6 +201,8 @@
         if self._is_discarding:
             self._skip(responses=1)
             return
+        if not self._handler.may_reuse_after(head):
+            self._is_close_pending = True
         if self._send_buffer:
             # The server responded before it had received the complete request. It
             # could take the rest for a new request, so the connection is not reused.
--- a/src/bamboolever/net/exchange.py
+++ b/src/bamboolever/net/exchange.py
@@ -58,6 +58,14 @@
         """
         return True
 
+    def may_reuse_after(self, head: ResponseHead) -> bool:
+        """Return whether the connection may carry another request after a response.
+
+        A faulty server may write a refusal twice. Where nothing in a response names its
+        request, the second one would be taken for the next request's.
+        """
+        return head.status < 400
+
     @abstractmethod
     def on_head(self, head: ResponseHead) -> None:
         """Called when the status and the headers have arrived."""
--- a/testing/net/test_client.py
+++ b/testing/net/test_client.py
@@ -154,6 +154,17 @@
     assert (outcome, handler.body) == ("end", b"own")
 
 
+def test_connection_is_not_reused_after_a_refusal(pool):
+    """Guards against an earlier refusal, written again, where nothing bears an id."""
+    refusal = make_response(b"", "409 Conflict")
+    server = RawServer([refusal, refusal], [make_response(b"ok")])
+    handler, _ = _exchange(pool, server.address)
+    assert handler.head.status == 409
+    handler, _ = _exchange(pool, server.address)
+    assert handler.head.status == 200
+    assert server.accepted_connections == 2
+
+
 def test_refused_connection_has_sent_nothing(pool):
     server = RawServer()
     server.close()
