--- a/testing/fleet/test_exchange.py
+++ b/testing/fleet/test_exchange.py
@@ -7,6 +7,7 @@
 from bamboolever.calls.engine import EngineLoad
 from bamboolever.fleet import exchange
 from bamboolever.fleet.echoes import Echo
+from bamboolever.fleet.messages import NamedLimit, PermitGrant, PermitRequest
 from bamboolever.fleet.records import upstream_key
 from bamboolever.net.addresses import Address
 
@@ -67,6 +68,11 @@
         (-(2**62),),
     ),
     exchange.Rejections({-9: 1.25, 3: 0.0}),
+    exchange.NamedLimits(
+        (NamedLimit(-5, 2**62, 0.5, 1.25, 1.0), NamedLimit(6, 1, None, 1.0, 1.0))
+    ),
+    exchange.PermitRequests((PermitRequest(-5, 2**61, 8),)),
+    exchange.PermitGrants((PermitGrant(-5, 2**61, 3, 0.25, 1.5),)),
 ]
 
 
@@ -94,3 +100,19 @@
 
 def test_restarted_upstream_has_another_key():
     assert upstream_key("up", 1) != upstream_key("up", 2)
+
+
+@pytest.mark.parametrize(
+    "limit",
+    [
+        NamedLimit(5, 1, float("nan"), 1.0, 1.0),
+        NamedLimit(5, 1, float("inf"), 1.0, 1.0),
+        NamedLimit(5, 1, -2.0, 1.0, 1.0),
+        NamedLimit(5, 1, 1.0, 1.0, 2.0),
+        NamedLimit(5, 1, 1.0, -1.0, -2.0),
+    ],
+)
+def test_limit_that_no_upstream_names_is_dropped(limit):
+    message = exchange.NamedLimits((limit, NamedLimit(6, 1, 1.0, 1.0, 1.0)))
+    decoded = exchange.decode(exchange.encode(message))
+    assert [each.upstream for each in decoded.limits] == [6]
