--- a/src/bamboolever/reports/explain.py
+++ b/src/bamboolever/reports/explain.py
@@ -15,6 +15,8 @@
 # Lines without an attempt id are included from this long before the request's first
 # line.
 CONTEXT_S = 5.0
+# What an entry logs when an upstream names a limit, changes or ends it.
+LIMIT_LINE = "upstream limit"
 
 
 @dataclass(frozen=True)
@@ -70,7 +72,8 @@
 
     Context lines come from the same source, concern one of the request's upstreams
     or the process as a whole, and are from `CONTEXT_S` before the request's first
-    line up to its last one. The list is empty if no line has the attempt id.
+    line up to its last one. The limits in force of upstreams that held it back are older.
+    The list is empty if no line has the attempt id.
     """
     all_lines = list(lines)
     own = [line for line in all_lines if line.fields.get("attempt") == attempt]
@@ -78,15 +81,21 @@
         return []
     upstreams = _upstream_ids(own)
     first, last = own[0], own[-1]
-    found = []
-    for line in all_lines:
-        is_own = line.fields.get("attempt") == attempt
-        is_context = line.source == last.source and _is_context(line, upstreams)
-        if is_own or (
-            is_context and _is_before(line, last) and not _is_old(line, first)
-        ):
-            found.append(line)
-    return found
+    local = [
+        line
+        for line in all_lines
+        if line.source == last.source
+        and _is_context(line, upstreams)
+        and _is_before(line, last)
+    ]
+    limits = {
+        line.fields["upstream"]: id(line)
+        for line in local
+        if line.message == LIMIT_LINE
+    }
+    context = {id(line) for line in local if not _is_old(line, first)}
+    shown = context | set(limits.values()) | {id(line) for line in own}
+    return [line for line in all_lines if id(line) in shown]
 
 
 def format_lines(lines: list[LogLine]) -> str:
@@ -107,6 +116,7 @@
     found: set[str] = set()
     for line in lines:
         found.update(line.fields.get("upstreams") or [])
+        found.update(line.fields.get("held_back") or [])
         if line.fields.get("upstream"):
             found.add(line.fields["upstream"])
     return found
--- a/testing/reports/test_explain.py
+++ b/testing/reports/test_explain.py
@@ -41,6 +41,21 @@
     ]
 
 
+def test_limit_that_held_a_request_back_is_found_however_old_it_is():
+    older = [
+        _line("08:00:00,000", "upstream limit", upstream="i-2", per_s=4.0),
+        _line("09:00:00,000", "upstream limit", upstream="i-2", per_s=1.0),
+        _line("09:00:00,000", "upstream limit", upstream="i-3", per_s=2.0),
+    ]
+    placed = _line(
+        TIMES[1], "call placed", attempt="a", upstream="i-1", held_back=["i-2"]
+    )
+    found = [
+        (line.message, line.fields.get("per_s")) for line in _find([*older, placed])
+    ]
+    assert found == [("upstream limit", 1.0), ("call placed", None)]
+
+
 def test_line_with_a_prefix_of_time_and_instance_is_parsed():
     line = parse_line(f"  12.5 entry-1 {LINES[3]}", "all.log")
     assert (line.source, line.time) == ("entry-1", "12.5")
