--- a/src/bamboolever/reports/explain.py
+++ b/src/bamboolever/reports/explain.py
@@ -72,8 +72,8 @@
 
     Context lines come from the same source, concern one of the request's upstreams
     or the process as a whole, and are from `CONTEXT_S` before the request's first
-    line up to its last one. The limits in force of upstreams that held it back are older.
-    The list is empty if no line has the attempt id.
+    line up to its last one. The limits in force of upstreams that held it back may be
+    older. The list is empty if no line has the attempt id.
     """
     all_lines = list(lines)
     own = [line for line in all_lines if line.fields.get("attempt") == attempt]
