Look at limits once a pass, and at the engines of the own cell only

place_waiting looked at all upstreams, those of other cells too, for each waiting call. It asks once whether any upstream of the cell has a limit.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -8,6 +8,10 @@
 counts against a request's latency target, so the queue is short. A request is
 rejected at once if no upstream can serve it, later when it can no longer be on time,
 and after a fixed limit at the latest. The caller can then retry before its deadline.
+
+An upstream that has named a limit takes no request without a permit. Requests that such
+upstreams hold back go elsewhere, wait only if a permit may be due in time, and are
+otherwise told when one is.
 """
 
 import math
@@ -68,7 +72,8 @@
 class Assignment:
     """The decision to send a request to an upstream.
 
-    ``held_back`` are the upstreams that could not take it because of their limits.
+    ``has_used_permit`` is set if the upstream has named a limit. ``held_back`` are
+    those that could not take the request because of theirs.
     """
 
     call: PendingCall
@@ -142,10 +147,7 @@
         self._neighbors = [view for view in upstreams if not view.is_home]
 
     def take_lacking_permits(self) -> list[UpstreamView]:
-        """Return the upstreams for which requests lacked a permit since the last call.
-
-        Only those whose permits the entries of this cell share.
-        """
+        """Return the upstreams whose permits were lacking since the last call."""
         lacking = list(self._lacking_permits.values())
         self._lacking_permits = {}
         return lacking
@@ -179,9 +181,10 @@
         decisions: list[Decision] = []
         still_queued: list[PendingCall] = []
         home: dict[str | None, Sequence[UpstreamView]] = {}
+        has_limits = self._has_limits(now)
         for call in self._queue:
             placement = self._choose(call, self._home_for(call, home, now), now)
-            held_back = self._find_held_back(call, now)
+            held_back = self._find_held_back(call, now) if has_limits else []
             if placement is not None:
                 decision = self._assign(call, placement, held_back, now)
                 decisions.append(decision)
@@ -249,16 +252,18 @@
         return self.policy.choose(call, free[:NEIGHBOR_CHOICES], now)
 
     def _find_held_back(self, call: PendingCall, now: float) -> list[UpstreamView]:
-        """Return the upstreams that could serve the request if they had no limit."""
-        if all(view.limit.may_send(now) for view in self._upstreams):
-            return []
-        healthy = self._find_healthy(call, self._upstreams, now)
+        """Return the upstreams that could serve the request if they had no limit.
+
+        Those of other cells are left out: this cell has no permits for them.
+        """
+        healthy = self._find_healthy(call, self._home, now)
         return [view for view in healthy if not view.limit.may_send(now)]
 
+    def _has_limits(self, now: float) -> bool:
+        return any(view.limit.is_limited(now) for view in self._home)
+
     def _want_permits(self, held_back: list[UpstreamView], *, is_waiting: bool) -> None:
         for view in held_back:
-            if not view.is_home:
-                continue
             # A request that waits is looked at again and again, but wants one permit.
             if not is_waiting or not view.limit.wanted:
                 view.limit.want_permit()
@@ -268,10 +273,7 @@
         self, call: PendingCall, held_back: list[UpstreamView], now: float
     ) -> bool:
         expires_at = self._expires_at(call)
-        return any(
-            view.is_home and view.limit.may_be_due_by(expires_at, now)
-            for view in held_back
-        )
+        return any(view.limit.may_be_due_by(expires_at, now) for view in held_back)
 
     def _is_hopeless(
         self, call: PendingCall, held_back: list[UpstreamView], now: float
@@ -358,12 +360,8 @@
 
 def _promise_permit(held_back: list[UpstreamView], now: float) -> float:
     """Return the seconds until a permit is due that no other caller was promised."""
-    home = [view for view in held_back if view.is_home]
-    if not home:
-        return 0.0
-    limit = min(
-        (view.limit for view in home), key=lambda each: each.next_permit_at(now)
-    )
+    limits = [view.limit for view in held_back]
+    limit = min(limits, key=lambda each: each.next_permit_at(now))
     limit.promise_permit(now)
     return min(MAX_PROMISE_S, limit.promised_at - now)
 
