--- a/src/bamboolever/daemons/limitscope.py
+++ b/src/bamboolever/daemons/limitscope.py
@@ -8,6 +8,10 @@
 from bamboolever.daemons.entryfleet import EntryFleet
 from bamboolever.net.addresses import Address
 
+# An entry that knows no other cannot tell how many there are: it may be cut off from
+# them and from the agents that name them. It uses this share of the permits.
+LONE_SHARE = 0.2
+
 
 class LimitScope(ABC):
     """The upstreams by key, and the entries that share their permits."""
@@ -46,6 +50,8 @@
         """
         live = 1 + len(self.live_entries(now))
         known = 1 + len(self.known_entries())
+        if known == 1:
+            return self.cell_share(view) * LONE_SHARE
         return self.cell_share(view) * min(1.0, live / known)
 
 
--- a/testing/daemons/test_limits.py
+++ b/testing/daemons/test_limits.py
@@ -6,6 +6,7 @@
 from limits import allowed, most_in_window
 from sitebuilders import make_stream_headers, views_of, wait_for
 
+from bamboolever.daemons.limitscope import LONE_SHARE
 from bamboolever.platform.standins.site import PLAIN_SERVICE
 
 ENTRIES = 3
@@ -116,3 +117,19 @@
     limited.limit = None
     wait_for(lambda: _call(entry, is_stream=False) and len(events()) == 3)
     assert events()[-1] == ("ended", None)
+
+
+def test_entries_that_do_not_know_each_other_send_less(entries, plain_upstreams):
+    """Guards against a limit for each entry while no agent names the others."""
+    limited = plain_upstreams[0]
+    limited.limit = b"2"
+    for entry in entries:
+        entry.wait_ready(2)
+    shares = {
+        entry.entry.exchange.limits._scope.reachable_share(
+            views_of(entry)[limited.instance_id], entry.entry.task.now()
+        )
+        for entry in entries
+    }
+    assert shares == {LONE_SHARE}
+    assert ENTRIES * LONE_SHARE <= 1
