Dispatch after the callback in which a relay learned of a limit; allow a byte order mark

Found by reading: the dispatch could withdraw the attempt whose response was just being read. Tests: which lines are events, in parts of any size.

--- a/src/bamboolever/calls/events.py
+++ b/src/bamboolever/calls/events.py
@@ -10,8 +10,11 @@
 _LINE_ENDS = b"\r\n"
 _EVENT_END_LF = b"\n\n"
 _MAX_EVENT_END_BYTES = 4
-# A line that is neither empty, nor a comment, nor a field of an event.
-_NO_FIELD = re.compile(rb"(?:\A|(?<=[\r\n]))(?![a-z0-9_-]*[:\r\n])[^\r\n]+[\r\n]")
+# A line that is neither empty, nor a comment, nor a field of an event. A stream may
+# begin with a byte order mark.
+_NO_FIELD = re.compile(
+    rb"(?:\A(?:\xef\xbb\xbf)?+|(?<=[\r\n]))(?![a-z0-9_-]*[:\r\n])[^\r\n]+[\r\n]"
+)
 _FIRST_ID = re.compile(rb"(?:\A|(?<=[\r\n]))id:([^\r\n]*)")
 # A CR before an LF never ends a line by itself. If the LF of a last CRLF arrives
 # later, it is left in front of the next event, where it means nothing.
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -118,7 +118,7 @@
             self._send,
             self._send_to_all_entries,
             RearmableTimer(task).arm,
-            on_state_changed,
+            self._report_change_later,
             name=name,
             started_ms=fleet.started_ms,
         )
@@ -235,6 +235,10 @@
         for address in addresses:
             self._socket.send(data, address)
 
+    def _report_change_later(self) -> None:
+        # A relay that learns of a limit is in the middle of a callback.
+        self._task.call_later(0.0, self._on_state_changed)
+
     def _send_crashes(self, report: CrashReport) -> None:
         self._send_to_all_entries(report)
         if report.trials or report.ended_trials:
--- a/testing/calls/test_events.py
+++ b/testing/calls/test_events.py
@@ -63,3 +63,40 @@
     assert batch.last_event_id == b"1"
     assert splitter.rest == b"id: 2\nda"
     assert splitter.partial_event_bytes > 0
+
+
+SOUND_EVENTS = [
+    b"id: 1\ndata: a\n\n",
+    b"id:1\r\ndata:a\r\n\r\n",
+    b"data\rid: 1\r\r",
+    b": comment\n\nid: 1\ndata: HTTP/1.1 500 Failed\n\n",
+    b"bamboolever-weight-versions: 2\nid: 1\ndata: a\n\n",
+    b"\xef\xbb\xbfid: 1\ndata: a\n\n",
+    b"\n\nid: 1\n\n",
+]
+
+
+@pytest.mark.parametrize("stream", SOUND_EVENTS)
+def test_fields_and_comments_are_events(stream):
+    """Guards against cutting a sound stream."""
+    splitter = EventSplitter()
+    batch = splitter.feed(stream)
+    assert batch.data == stream
+    assert not splitter.is_malformed
+
+
+@pytest.mark.parametrize("step", [1, 7, 1000])
+@pytest.mark.parametrize(
+    "stray", [b"HTTP/1.1 500 Failed\r\nA: b\r\n\r\n", b"<html>\n\n", b"a b\n\n"]
+)
+def test_what_is_no_field_ends_the_events(stray, step):
+    splitter = EventSplitter()
+    stream = SOUND_EVENTS[0] + stray + SOUND_EVENTS[0]
+    batches = [
+        splitter.feed(stream[start : start + step])
+        for start in range(0, len(stream), step)
+    ]
+    returned = b"".join(batch.data for batch in batches if batch is not None)
+    assert splitter.is_malformed
+    assert splitter.event_count == returned.count(b"data: a") >= 1
+    assert stray[:5] not in returned
