Eligibility: one ordered list of rules decides which upstreams take a request

Cause: version, health, ejection and limit were conditions in different places of the dispatcher, so a new condition had to be added to each way to an upstream. They become rules of one list, each with its reason; the decisions are unchanged.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -14,12 +14,12 @@
 otherwise told when one is.
 """
 
-import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 
+from bamboolever.calls.eligibility import EligibilityRules
 from bamboolever.calls.placement import PendingCall, Placement, PlacementPolicy
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.fleet.versions import VersionRollouts
@@ -30,8 +30,6 @@
 MAX_RETRY_QUEUE_WAIT_S = 0.5
 # Callers abandon a stream that pauses for longer than two seconds.
 MAX_RESUME_QUEUE_WAIT_S = 1.5
-# Ejections are ignored if a smaller share of the upstreams is healthy.
-MIN_HEALTHY_SHARE = 0.5
 MIN_RETRY_AFTER_S = 1.1
 RETRY_AFTER_JITTER_S = 0.8
 # A caller retries within the first third of the time until its deadline.
@@ -115,7 +113,7 @@
         self, policy: PlacementPolicy, versions: VersionRollouts, *, seed: int = 0
     ):
         self.policy = policy
-        self._versions = versions
+        self._rules = EligibilityRules.from_versions(versions)
         self._upstreams: list[UpstreamView] = []
         self._home: list[UpstreamView] = []
         self._neighbors: list[UpstreamView] = []
@@ -256,8 +254,7 @@
 
         Those of other cells are left out: this cell has no permits for them.
         """
-        healthy = self._find_healthy(call, self._home, now)
-        return [view for view in healthy if not view.limit.may_send(now)]
+        return self._rules.find_held_back(call, self._home, now)
 
     def _has_limits(self, now: float) -> bool:
         return any(view.limit.is_limited(now) for view in self._home)
@@ -308,36 +305,7 @@
     def _eligible(
         self, call: PendingCall, upstreams: Sequence[UpstreamView], now: float
     ) -> Sequence[UpstreamView]:
-        healthy = self._find_healthy(call, upstreams, now)
-        return [view for view in healthy if view.limit.may_send(now)]
-
-    def _find_healthy(
-        self, call: PendingCall, upstreams: Sequence[UpstreamView], now: float
-    ) -> list[UpstreamView]:
-        """Return the upstreams that could serve the request, whatever their limits."""
-        serving = [
-            view
-            for view in upstreams
-            if view.can_accept_requests(now)
-            and view.instance_id not in call.tried
-            and self._serves(view, call, now)
-        ]
-        healthy = [view for view in serving if not view.is_ejected(now)]
-        # If most upstreams are ejected, the cause is not theirs alone: use them all.
-        return healthy if len(healthy) >= MIN_HEALTHY_SHARE * len(serving) else serving
-
-    def _serves(self, view: UpstreamView, call: PendingCall, now: float) -> bool:
-        view.begin_by = math.inf
-        if call.model is None:
-            return True
-        version = view.served_version(call.model, now)
-        if version is None or version < self._versions.min_version(call.model, now):
-            return False
-        expires_at = self._versions.expires_at(call.model, version)
-        if expires_at is None:
-            return True
-        view.begin_by = expires_at - view.withdrawal_lead_s
-        return now < view.begin_by
+        return self._rules.find_eligible(call, upstreams, now)
 
     def _reject(
         self, call: PendingCall, held_back: list[UpstreamView], now: float
--- /dev/null
+++ b/src/bamboolever/calls/eligibility.py
@@ -0,0 +1,212 @@
+"""Decides which upstreams may take a request, by an ordered list of rules.
+
+Takes a request and upstreams. Returns those that may take it now, those that could if
+their rate allowed it, and for each other the reason of the first rule that it fails.
+Placement, retries, resumed streams and rejections use the same rules, so that none of
+them reaches an upstream that another one may not.
+"""
+
+import math
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from enum import Enum
+from typing import final
+
+from bamboolever.calls.placement import PendingCall
+from bamboolever.calls.upstream import UpstreamView
+from bamboolever.fleet.versions import VersionRollouts
+
+# A rule that may be waived is ignored if it leaves a smaller share of the upstreams.
+MIN_HEALTHY_SHARE = 0.5
+
+
+class IneligibleReason(Enum):
+    """Why an upstream may not take a request; the value is a label of logs."""
+
+    TRIED = "tried"
+    UNAVAILABLE = "unavailable"
+    VERSION = "version"
+    EJECTED = "ejected"
+    LIMITED = "limited"
+
+
+class EligibilityRule(ABC):
+    """One condition that an upstream must meet to take a request.
+
+    ``is_waivable`` is set if the rule is ignored when too few upstreams meet it.
+    ``is_rate`` is set if an upstream that fails it takes requests again within
+    moments, so that the request may wait for it.
+    """
+
+    reason: IneligibleReason
+    is_waivable = False
+    is_rate = False
+
+    def applies_to(self, call: PendingCall) -> bool:
+        """Return whether the rule can exclude an upstream for this request."""
+        return True
+
+    @abstractmethod
+    def admits(self, call: PendingCall, view: UpstreamView, now: float) -> bool:
+        """Return whether the upstream may take the request at ``now``."""
+
+
+@final
+class TriedRule(EligibilityRule):
+    """Excludes upstreams that the request was sent to before."""
+
+    reason = IneligibleReason.TRIED
+
+    def applies_to(self, call: PendingCall) -> bool:
+        """Return whether the request was sent to any upstream."""
+        return bool(call.tried)
+
+    def admits(self, call: PendingCall, view: UpstreamView, now: float) -> bool:
+        """Return whether the request was not sent to this upstream."""
+        return view.instance_id not in call.tried
+
+
+@final
+class AvailabilityRule(EligibilityRule):
+    """Excludes upstreams that drain, shut down, switch versions or are closed."""
+
+    reason = IneligibleReason.UNAVAILABLE
+
+    def admits(self, call: PendingCall, view: UpstreamView, now: float) -> bool:
+        """Return whether the upstream takes new requests of this entry."""
+        return view.can_accept_requests(now)
+
+
+@final
+class VersionRule(EligibilityRule):
+    """Excludes engines without the model, or with a version that has expired.
+
+    Sets ``view.begin_by`` to the time by which a request has to begin.
+    """
+
+    reason = IneligibleReason.VERSION
+
+    def __init__(self, versions: VersionRollouts):
+        self._versions = versions
+
+    def admits(self, call: PendingCall, view: UpstreamView, now: float) -> bool:
+        """Return whether a request that is sent now begins on a valid version."""
+        view.begin_by = math.inf
+        if call.model is None:
+            return True
+        version = view.served_version(call.model, now)
+        if version is None or version < self._versions.min_version(call.model, now):
+            return False
+        expires_at = self._versions.expires_at(call.model, version)
+        if expires_at is None:
+            return True
+        view.begin_by = expires_at - view.withdrawal_lead_s
+        return now < view.begin_by
+
+
+@final
+class EjectionRule(EligibilityRule):
+    """Excludes upstreams that failed repeatedly, unless most of them did.
+
+    If most upstreams are ejected, the cause is not theirs alone: all are used.
+    """
+
+    reason = IneligibleReason.EJECTED
+    is_waivable = True
+
+    def admits(self, call: PendingCall, view: UpstreamView, now: float) -> bool:
+        """Return whether the upstream is not ejected."""
+        return not view.is_ejected(now)
+
+
+@final
+class LimitRule(EligibilityRule):
+    """Excludes upstreams that named a limit and for which there is no permit."""
+
+    reason = IneligibleReason.LIMITED
+    is_rate = True
+
+    def admits(self, call: PendingCall, view: UpstreamView, now: float) -> bool:
+        """Return whether the upstream has no limit, or a permit is left."""
+        return view.limit.may_send(now)
+
+
+@final
+class EligibilityRules:
+    """The rules of one service, in the order in which they are checked."""
+
+    def __init__(self, rules: Sequence[EligibilityRule]):
+        self.rules = tuple(rules)
+        self._lasting = [rule for rule in rules if not rule.is_rate]
+        self._rates = [rule for rule in rules if rule.is_rate]
+
+    @classmethod
+    def from_versions(cls, versions: VersionRollouts) -> "EligibilityRules":
+        """Return the rules that hold on every deployment."""
+        return cls(
+            [
+                TriedRule(),
+                AvailabilityRule(),
+                VersionRule(versions),
+                EjectionRule(),
+                LimitRule(),
+            ]
+        )
+
+    def find_eligible(
+        self, call: PendingCall, upstreams: Sequence[UpstreamView], now: float
+    ) -> list[UpstreamView]:
+        """Return the upstreams that may take the request now."""
+        eligible = self.find_usable(call, upstreams, now)
+        for rule in self._rates:
+            eligible = [view for view in eligible if rule.admits(call, view, now)]
+        return eligible
+
+    def find_held_back(
+        self, call: PendingCall, upstreams: Sequence[UpstreamView], now: float
+    ) -> list[UpstreamView]:
+        """Return the upstreams that could take the request but for their rate."""
+        return [
+            view
+            for view in self.find_usable(call, upstreams, now)
+            if not all(rule.admits(call, view, now) for rule in self._rates)
+        ]
+
+    def find_usable(
+        self, call: PendingCall, upstreams: Sequence[UpstreamView], now: float
+    ) -> list[UpstreamView]:
+        """Return the upstreams that could take the request, whatever their rate."""
+        usable = list(upstreams)
+        for rule in self._lasting:
+            if rule.applies_to(call):
+                usable = _apply(rule, call, usable, now)
+        return usable
+
+    def explain(
+        self, call: PendingCall, upstreams: Sequence[UpstreamView], now: float
+    ) -> dict[str, IneligibleReason]:
+        """Return the reason of each upstream that may not take the request.
+
+        Keys are instance ids. The reason is that of the first rule that excludes it.
+        """
+        reasons: dict[str, IneligibleReason] = {}
+        left = list(upstreams)
+        for rule in (*self._lasting, *self._rates):
+            if not rule.applies_to(call):
+                continue
+            remaining = _apply(rule, call, left, now)
+            kept = {view.instance_id for view in remaining}
+            for view in left:
+                if view.instance_id not in kept:
+                    reasons[view.instance_id] = rule.reason
+            left = remaining
+        return reasons
+
+
+def _apply(
+    rule: EligibilityRule, call: PendingCall, views: list[UpstreamView], now: float
+) -> list[UpstreamView]:
+    admitted = [view for view in views if rule.admits(call, view, now)]
+    if rule.is_waivable and len(admitted) < MIN_HEALTHY_SHARE * len(views):
+        return views
+    return admitted
--- a/testing/calls/test_dispatcher.py
+++ b/testing/calls/test_dispatcher.py
@@ -12,6 +12,7 @@
     RejectReason,
     ServiceDispatcher,
 )
+from bamboolever.calls.eligibility import VersionRule
 from bamboolever.calls.placement import (
     LeastOutstandingPolicy,
     PlainServicePolicy,
@@ -287,13 +288,13 @@
     for _ in range(10):
         dispatcher.submit(make_pending(target_at=2.0), 0.0)
     looks = []
-    serves = ServiceDispatcher._serves
+    admits = VersionRule.admits
 
-    def count_looks(self, view, model, now):
+    def count_looks(self, call, view, now):
         looks.append(view)
-        return serves(self, view, model, now)
+        return admits(self, call, view, now)
 
-    monkeypatch.setattr(ServiceDispatcher, "_serves", count_looks)
+    monkeypatch.setattr(VersionRule, "admits", count_looks)
     assert dispatcher.place_waiting(0.01) == []
     assert len(looks) <= 20 + 10 * NEIGHBOR_SAMPLE
 
