Claim a share of an engine's free slots until the others are heard

Cause: with more than two free slots every entry took as many as it had requests. When an engine began to serve, all entries with waiting requests saw the same slots.

Change: SlotClaims counts this entry's placements of the last report interval. A second one needs as many free slots for each entry that shares the engine; if the entries outnumber the slots, some begin one interval later.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -212,6 +212,7 @@
     ) -> Assignment:
         upstream = placement.upstream
         has_used_permit = upstream.limit.take_permit(now)
+        upstream.claims.on_placed(now)
         upstream.add_call(call.call_id, call.prompt_tokens)
         return Assignment(call, placement, has_used_permit, _ids_of(held_back))
 
--- /dev/null
+++ b/src/bamboolever/calls/slotclaims.py
@@ -0,0 +1,62 @@
+"""Limits how many free slots of one engine an entry claims before it hears of the others.
+
+Takes the free slots that this entry sees, the number of entries that share the engine,
+and this entry's last placements there. Decides whether one more request may be sent now.
+
+Load pattern: an engine begins to serve while every entry has requests waiting. All see
+the same free slots at once, and the load reports of the others arrive only after the
+next interval. Unlimited, the entries together send several times as many requests as the
+engine has slots. Each therefore claims its share of the free slots within one interval.
+If the entries outnumber the slots, some of them begin one interval later.
+"""
+
+from collections import deque
+from typing import final
+
+# Requests that other entries placed longer ago are part of the loads that they reported:
+# two report intervals and the way.
+CLAIM_WINDOW_S = 0.1
+# The load of other cells is known from summaries, which arrive less often.
+NEIGHBOR_CLAIM_WINDOW_S = 0.3
+# An engine that was not considered for longer may have opened just now.
+REOPENED_AFTER_S = 0.3
+
+
+@final
+class SlotClaims:
+    """This entry's last placements at one engine; times are seconds of its clock.
+
+    ``stagger``, from 0 to 1, is this entry's place among those that share the engine.
+    ``sharing`` is their number. ``window_s`` is the time after which the others' requests
+    are known.
+    """
+
+    def __init__(self, stagger: float = 0.0):
+        self.stagger = stagger
+        self.sharing = 1
+        self.window_s = CLAIM_WINDOW_S
+        self._placed_at: deque[float] = deque()
+        self._considered_at = 0.0
+        self._opened_at = 0.0
+
+    def on_placed(self, now: float) -> None:
+        """Count a placement."""
+        self._placed_at.append(now)
+
+    def may_claim(self, free_slots: float, now: float) -> bool:
+        """Return whether this entry may claim one more of ``free_slots`` now."""
+        if self.sharing <= 1:
+            return free_slots > 0
+        if now - self._considered_at > REOPENED_AFTER_S:
+            self._opened_at = now
+        self._considered_at = now
+        recent = self._count_recent(now)
+        if recent:
+            return (recent + 1) * self.sharing <= free_slots
+        rounds = int(self.stagger * self.sharing / max(1.0, free_slots))
+        return now >= self._opened_at + rounds * self.window_s
+
+    def _count_recent(self, now: float) -> int:
+        while self._placed_at and now - self._placed_at[0] >= self.window_s:
+            self._placed_at.popleft()
+        return len(self._placed_at)
--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -15,6 +15,7 @@
 
 from bamboolever.calls.engine import EngineLoad
 from bamboolever.calls.limits import UpstreamLimit
+from bamboolever.calls.slotclaims import SlotClaims
 from bamboolever.fleet.records import ModelVersion, UpstreamRecord, upstream_key
 
 # Consecutive failures after which an upstream is ejected.
@@ -89,6 +90,7 @@
     round_trip_s: float = 0.0
     begin_by: float = math.inf
     limit: UpstreamLimit = field(default_factory=UpstreamLimit)
+    claims: SlotClaims = field(default_factory=SlotClaims)
     _reported_version: _ReportedVersion | None = None
     _failure_count: int = 0
     _next_ejection_s: float = MIN_EJECTION_S
@@ -249,15 +251,18 @@
         """Return whether this entry may take one of the last free slots of ``slots``.
 
         Load pattern: more requests than slots. When a slot is freed, every entry with
-        a waiting request sees it, and all would send one.
+        a waiting request sees it, and all would send one. `SlotClaims` covers engines
+        with more free slots.
         """
         free = slots - self.active
         if free <= 0:
             return False
         if free > CONTENDED_SLOTS or not self.peer_load.active:
-            return True
+            return self.claims.may_claim(free, now)
         self._freed_slots = min(self._freed_slots, free)
-        return self._freed_slots > 0 or now >= self.contended_until
+        if self._freed_slots > 0:
+            return True
+        return now >= self.contended_until and self.claims.may_claim(free, now)
 
     def _on_started(self, call: InFlightCall) -> None:
         self._unstarted_calls -= 1
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -13,6 +13,7 @@
 import random
 from dataclasses import replace
 
+from bamboolever._subset import SCORE_BITS, score_member
 from bamboolever.calls.dispatcher import ServiceDispatcher
 from bamboolever.calls.engine import (
     EngineLoad,
@@ -28,6 +29,7 @@
     PlainServicePolicy,
     find_placement_factory,
 )
+from bamboolever.calls.slotclaims import CLAIM_WINDOW_S, NEIGHBOR_CLAIM_WINDOW_S
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.config.model import Configuration
 from bamboolever.daemons.settings import InstanceSettings
@@ -167,6 +169,7 @@
             view = self._refresh_view(known.get(record.instance_id), record, cell)
             self._add_view(view, cell, now)
             by_service.setdefault(record.service, []).append(view)
+        self._refresh_sharing()
         for service in {*by_service, *self._dispatchers}:
             self.dispatcher(service).set_upstreams(by_service.get(service, []))
         listed = {record.instance_id: record for record in records}
@@ -217,13 +220,27 @@
     ) -> UpstreamView:
         if view is None or view.record.started_ms != record.started_ms:
             view = UpstreamView(record)
+            view.claims.stagger = self._stagger_of(view)
             view.limit = self._unlisted_limits.pop(view.key, view.limit)
         view.record = record
         view.layers = self._layer_count(record.service)
         view.full_pass_s = self._full_pass_s(record.service)
         view.is_home = cell is None or cell == self.own_cell
+        view.claims.window_s = (
+            CLAIM_WINDOW_S if view.is_home else NEIGHBOR_CLAIM_WINDOW_S
+        )
         return view
 
+    def _stagger_of(self, view: UpstreamView) -> float:
+        """Return this entry's place, from 0 to 1, among those that share an engine."""
+        return score_member(f"slots\0{view.key}", self._settings.name) / 2**SCORE_BITS
+
+    def _refresh_sharing(self) -> None:
+        """Tell the views how many entries share each engine."""
+        in_cell, in_fleet = 1 + len(self.peers.recipients()), self.entry_count
+        for view in self._views.values():
+            view.claims.sharing = in_cell if view.is_home else in_fleet
+
     def _add_view(self, view: UpstreamView, cell: str | None, now: float) -> None:
         self._views[view.instance_id] = view
         key = view.key
@@ -342,6 +359,7 @@
         """Take silent entries out of the upstreams' loads; call periodically."""
         for key in self.peers.expire(now) | self.guests.expire(now):
             self._update_peer_load(key, now)
+        self._refresh_sharing()
 
     def build_summary(self, recipient: Address, now: float) -> CellSummary:
         """Return the summary of this entry's cell for one guest."""
--- a/testing/loadreplay.py
+++ b/testing/loadreplay.py
@@ -88,19 +88,30 @@
 class LoadReplay:
     """Entries that share engines; ``arrivals`` are calls in the order of their time.
 
-    The version of all engines expires at ``expires_at``, if that is given.
+    The version of all engines expires at ``expires_at``, if that is given. The last
+    engine begins to serve at ``last_opens_at``.
     """
 
     def __init__(
-        self, *, entries, engines, arrivals, seed=0, expires_at=None, **profile
+        self,
+        *,
+        entries,
+        engines,
+        arrivals,
+        seed=0,
+        expires_at=None,
+        last_opens_at=0.0,
+        **profile,
     ):
         self.expires_at = expires_at
+        self.last_opens_at = last_opens_at
         self.withdrawn = 0
         self.profile = make_profile(**profile)
         self.engines = [ReplayedEngine(self.profile) for _ in range(engines)]
         self.random = random.Random(seed)
         self.arrivals = arrivals
         self.calls = {call.call_id: call for call in arrivals}
+        self.entry_count = entries
         self.views = [self._make_views() for _ in range(entries)]
         self.dispatchers = [
             self._make_dispatcher(number, views)
@@ -121,6 +132,9 @@
         for view in views:
             view.round_trip_s = 2 * HOP_S
             view.full_pass_s = full_pass_s(self.profile)
+            view.claims.stagger = self.random.random()
+            view.claims.sharing = self.entry_count
+        views[-1].switching_until = self.last_opens_at
         return views
 
     def _make_dispatcher(self, number, views):
@@ -138,6 +152,9 @@
     def run(self):
         for call in self.arrivals:
             self.at(call.arrived_at, self._arrive, call)
+        if self.last_opens_at:
+            for entry in range(self.entry_count):
+                self.at(self.last_opens_at + HOP_S, self._place, entry)
         while self.events:
             now, _, action, arguments = heapq.heappop(self.events)
             action(now, *arguments)
