--- a/src/bamboolever/calls/slotclaims.py
+++ b/src/bamboolever/calls/slotclaims.py
@@ -1,20 +1,20 @@
-"""Limits how many free slots of one engine an entry claims before it hears of the others.
+"""Limits how many free slots of an engine an entry claims before it hears of the others.
 
 Takes the free slots that this entry sees, the number of entries that share the engine,
-and this entry's last placements there. Decides whether one more request may be sent now.
+and this entry's last placements there. Decides whether one more request may be sent.
 
 Load pattern: an engine begins to serve while every entry has requests waiting. All see
 the same free slots at once, and the load reports of the others arrive only after the
-next interval. Unlimited, the entries together send several times as many requests as the
-engine has slots. Each therefore claims its share of the free slots within one interval.
-If the entries outnumber the slots, some of them begin one interval later.
+next interval. Unlimited, the entries together send several times as many requests as
+the engine has slots. Each therefore claims its share of the free slots within one
+interval. If the entries outnumber the slots, some of them begin one interval later.
 """
 
 from collections import deque
 from typing import final
 
-# Requests that other entries placed longer ago are part of the loads that they reported:
-# two report intervals and the way.
+# Requests that other entries placed longer ago are part of the loads that they
+# reported: two report intervals and the way.
 CLAIM_WINDOW_S = 0.1
 # The load of other cells is known from summaries, which arrive less often.
 NEIGHBOR_CLAIM_WINDOW_S = 0.3
@@ -26,8 +26,8 @@
 class SlotClaims:
     """This entry's last placements at one engine; times are seconds of its clock.
 
-    ``stagger``, from 0 to 1, is this entry's place among those that share the engine.
-    ``sharing`` is their number. ``window_s`` is the time after which the others' requests
+    ``stagger``, from 0 to 1, is this entry's place among those that share the engine,
+    ``sharing`` their number. ``window_s`` is the time after which the others' requests
     are known.
     """
 
