--- a/src/bamboolever/calls/slotclaims.py
+++ b/src/bamboolever/calls/slotclaims.py
@@ -1,4 +1,4 @@
-"""Limits how many free slots of an engine an entry claims before it hears of the others.
+"""Limits how many free slots of an engine an entry claims before it hears of others.
 
 Takes the free slots that this entry sees, the number of entries that share the engine,
 and this entry's last placements there. Decides whether one more request may be sent.
