Close an upstream that answers for another instance

Cause: after a loss of power the list names the former processes for one to two seconds, until the new ones register. Each request tried two of them, was answered 421 and used up the retry budget.

--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -27,6 +27,10 @@
 MAX_RETRY_AFTER_S = 30.0
 # Added to an upstream's Retry-After, for the delay of the response that stated it.
 RETRY_AFTER_MARGIN_S = 0.05
+# An upstream that answered for another instance, or without the model, is asked again
+# after this time, which doubles with each such answer.
+MIN_MISDIRECTED_S = 0.25
+MAX_MISDIRECTED_S = 2.0
 # The last free slots of an engine are left to the entry whose request freed them, until
 # a delay that differs between entries.
 CONTENDED_SLOTS = 2
@@ -94,6 +98,7 @@
     _reported_version: _ReportedVersion | None = None
     _failure_count: int = 0
     _next_ejection_s: float = MIN_EJECTION_S
+    _next_misdirected_s: float = MIN_MISDIRECTED_S
     _unstarted_calls: int = 0
     _unstarted_tokens: int = 0
     _freed_slots: int = 0
@@ -167,6 +172,16 @@
         until = now + min(delay_s, MAX_RETRY_AFTER_S) + RETRY_AFTER_MARGIN_S
         self.closed_until = max(self.closed_until, until)
 
+    def on_misdirected(self, now: float) -> None:
+        """Close the upstream for a while; call when it says that it is another one.
+
+        Load pattern: many upstreams restart at once, and the list names the former
+        processes until the new ones have registered. Without a pause, each request
+        that arrives meanwhile uses up its attempts and the retry budget.
+        """
+        self.closed_until = max(self.closed_until, now + self._next_misdirected_s)
+        self._next_misdirected_s = min(MAX_MISDIRECTED_S, 2 * self._next_misdirected_s)
+
     def is_ejected(self, now: float) -> bool:
         """Return whether the upstream is ejected at ``now``."""
         return now < self.ejected_until
@@ -272,6 +287,7 @@
         """Reset the failure count and the backoff; call when a request succeeds."""
         self._failure_count = 0
         self._next_ejection_s = MIN_EJECTION_S
+        self._next_misdirected_s = MIN_MISDIRECTED_S
 
     def on_failure(self, now: float) -> bool:
         """Count a failure; call when an attempt fails because of the upstream.
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -263,6 +263,8 @@
         if wire.is_upstream_leaving(head) and not view.is_leaving:
             view.is_leaving = True
             self._context.on_upstream_closed(view, "leaving", None)
+        if wire.is_misdirected(head):
+            view.on_misdirected(self._task.now())
         retry_after_s = wire.upstream_retry_after_s(head)
         if retry_after_s is not None:
             view.close_for(retry_after_s, self._task.now())
--- a/testing/calls/test_upstream.py
+++ b/testing/calls/test_upstream.py
@@ -77,6 +77,19 @@
     assert view.can_accept_requests(3.1)
 
 
+def test_upstream_that_answers_as_another_one_is_closed_for_longer_each_time():
+    """Guards against requests that used up the retry budget on replaced upstreams."""
+    view = make_view()
+    view.on_misdirected(1.0)
+    assert not view.can_accept_requests(1.24)
+    assert view.can_accept_requests(1.25)
+    view.on_misdirected(1.25)
+    assert not view.can_accept_requests(1.74)
+    view.on_success()
+    view.on_misdirected(2.0)
+    assert view.can_accept_requests(2.25)
+
+
 def test_counters_follow_the_calls_in_flight():
     view = make_view()
     view.add_call(1, 100)
--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -341,6 +341,20 @@
     assert [len(each.received_requests) for each in plain_upstreams] == [1, 1]
 
 
+def test_upstream_that_answers_as_another_instance_is_left_alone_for_a_while(
+    plain_upstreams, start_entry
+):
+    """Guards against requests that use up the retry budget on replaced upstreams."""
+    entry = start_entry().wait_ready(2)
+    for view in views_of(entry).values():
+        view._next_misdirected_s = 30.0
+    for upstream in plain_upstreams:
+        upstream.instance_id += "-restarted"
+    for _ in range(5):
+        assert entry.call("/lookup/1").status == 503
+    assert [len(each.received_requests) for each in plain_upstreams] == [1, 1]
+
+
 def test_new_engine_s_agent_gets_a_hello_at_once(site, start_entry, monkeypatch):
     """An agent that has just started waits for it to ask for the configuration."""
     site.add_engine("engine-1", "127.0.0.11")
