Tell the former peers of a change that moves this entry's cell

Cause: a watch applied a change before it published it. When the 33rd engine was listed, the watching entry's cell changed, it dropped its peers and published to nobody.

Change: a change is published before it is applied. On a change of the cell the peers stay known, without their loads, until a load of theirs names another present cell; agents and peers are told at once.

--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -394,10 +394,7 @@
             self._send_next()
             return
         is_new = changes.revision >= known
-        if is_new:
-            self._view.apply_changes(changes.documents, changes.revision)
         as_of = call.as_of(self._task.now(), has_changes=bool(changes.documents))
-        self._view.confirm(as_of)
         if call.is_shared and is_new:
             result = WatchResult(
                 self._kind,
@@ -408,8 +405,12 @@
                 as_of,
                 is_after_outage,
             )
+            # A change that is applied here may end the exchange with these peers.
             for part in split_result(result):
                 self._sharing.publish(part)
+        if is_new:
+            self._view.apply_changes(changes.documents, changes.revision)
+        self._view.confirm(as_of)
         if changes.documents and self._batch_delay_s:
             self._call_later(self._batch_delay_s)
             return
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -269,8 +269,12 @@
 
     def _refresh_views(self) -> None:
         known = set(self.fleet.agent_addresses())
+        former_cell = self.fleet.own_cell
         ended = self.fleet.refresh_views(self.task.now())
         self.calls.on_upstreams_ended(ended)
+        if self.fleet.own_cell != former_cell:
+            self.exchange.on_cell_changed()
+            return
         new = [each for each in self.fleet.agent_addresses() if each not in known]
         if not known and new:
             # Agents respond with the ages of rollouts and the addresses of the other
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -156,6 +156,11 @@
             )
             self._send(hello, address)
 
+    def on_cell_changed(self) -> None:
+        """Tell the agents of the new cell and the former peers of this entry's cell."""
+        self.send_hello_to_agents()
+        self.schedule_load_update()
+
     def schedule_load_update(self) -> None:
         """Send this entry's load to the peers once `MIN_LOAD_INTERVAL_S` has passed."""
         if self._is_load_scheduled:
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -199,7 +199,7 @@
         if own_cell != self.own_cell:
             logger.info("cell changed", extra={"cell": own_cell})
             self.own_cell = own_cell
-            self.peers.clear()
+            self.peers.on_cell_changed()
             self.guests.clear()
         self.neighbors = {
             name: self.neighbors.get(name) or NeighborCell(name, self._own_address)
@@ -347,7 +347,10 @@
             changed = self.guests.apply(sender, load, now)
         elif load.cell == self.own_cell:
             changed = self.peers.apply(sender, load, now)
+        elif load.cell in self._cells.members:
+            changed = self.peers.remove(sender)
         else:
+            # It does not know of the present cells yet.
             return
         for key in changed:
             self._update_peer_load(key, now)
--- a/src/bamboolever/fleet/peers.py
+++ b/src/bamboolever/fleet/peers.py
@@ -111,6 +111,11 @@
         self._peers.clear()
         self._totals.clear()
 
+    def remove(self, address: Address) -> set[int]:
+        """Forget an entry; return the upstreams whose sum may have changed."""
+        peer = self._peers.pop(address, None)
+        return set() if peer is None else self._stop_counting(peer)
+
     def _stop_counting(self, peer: _Peer) -> set[int]:
         if peer.load is None or not peer.is_counted:
             return set()
@@ -143,6 +148,16 @@
         super().__init__()
         self._own_address = own_address
 
+    def on_cell_changed(self) -> None:
+        """Forget the loads of all entries, but not their addresses.
+
+        They hear of this entry's new cell, and tell theirs, with the next loads.
+        """
+        for peer in self._peers.values():
+            peer.load = None
+            peer.is_counted = False
+        self._totals.clear()
+
     def recipients(self) -> list[Address]:
         """Return the entries to send this entry's load to."""
         return list(self._peers)
--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -218,6 +218,21 @@
     assert recorder.changed_names == ["x"]
 
 
+def test_change_is_published_before_it_is_applied(task, pool):
+    """Guards against peers that missed a change which moved the watcher's cell.
+
+    The watcher had dropped them as peers when it came to publish the change.
+    """
+    sharing = FollowingShare(delay_s=0.0)
+    recorder = _start(pool, "a", WAIT_S, WatchGroup(), sharing=sharing)
+    published_first = []
+    recorder.on_changes = lambda _documents: published_first.append(
+        len(sharing.published)
+    )
+    pool.respond(-1, events=[_event("x", 3)])
+    assert published_first == [1]
+
+
 def test_watching_process_publishes_changes_in_parts(task, pool):
     sharing = FollowingShare(delay_s=0.0)
     _start(pool, "a", WAIT_S, WatchGroup(), sharing=sharing)
--- a/testing/daemons/test_entryfleet.py
+++ b/testing/daemons/test_entryfleet.py
@@ -7,12 +7,15 @@
 
 from sitebuilders import (
     make_headers,
+    make_profile,
+    make_record,
     make_stream_headers,
     read_response,
     views_of,
     wait_for,
 )
 
+from bamboolever.config.model import Configuration, Service
 from bamboolever.daemons.entryfleet import EntryFleet
 from bamboolever.fleet.messages import AgentState, RolloutAge
 from bamboolever.net.addresses import Address
@@ -316,3 +319,53 @@
     site.apply_configuration(routes=routes)
     wait_for(lambda: all(each._configuration.version == 2 for each in entries))
     assert all(len(each._configuration.routes) == 500 for each in entries)
+
+
+def _make_entry_fleet(site, name, host):
+    settings = decode_settings(site.make_settings(name=name, host=host))
+    fleet = EntryFleet(settings, 1)
+    fleet.apply_configuration(
+        Configuration(1, services={"s": Service("s", 9, engine=make_profile())})
+    )
+    return fleet
+
+
+def _list_engines(fleet, count):
+    zones = (fleet._settings.availability_zone, "other-zone")
+    records = [
+        make_record(
+            f"engine-{number}", service="s", availability_zone=zones[number % 2]
+        )
+        for number in range(count)
+    ]
+    fleet.upstreams.apply_listing(records, 0.0)
+    fleet.refresh_views(0.0)
+
+
+def test_entries_stay_peers_while_the_fleet_divides_into_cells(site):
+    """Guards against entries that knew no peer after an engine had been added.
+
+    With the 33rd engine each cell changes. The entry that watched the store told
+    nobody of it, so that the others and their agents heard seconds later.
+    """
+    first = _make_entry_fleet(site, "a", "127.0.0.1")
+    second = _make_entry_fleet(site, "b", "127.0.0.2")
+    _list_engines(first, 32)
+    _list_engines(second, 32)
+    load = second.build_load_report(is_ready=True)
+    first.apply_peer_load(second.own_address, load, 0.0)
+    _list_engines(first, 33)
+    assert first.own_cell != second.own_cell
+    stale = second.build_load_report(is_ready=True)
+    first.apply_peer_load(second.own_address, stale, 0.1)
+    assert first.peers.recipients() == [second.own_address]
+    assert first.peers.live_addresses(0.1) == []
+    other_cell = next(cell for cell in first._cells.members if cell != first.own_cell)
+    second.own_cell = other_cell
+    moved = second.build_load_report(is_ready=True)
+    first.apply_peer_load(second.own_address, moved, 0.2)
+    assert first.peers.recipients() == []
+    second.own_cell = first.own_cell
+    back = second.build_load_report(is_ready=True)
+    first.apply_peer_load(second.own_address, back, 0.3)
+    assert first.peers.live_addresses(0.3) == [second.own_address]
--- a/testing/fleet/test_peers.py
+++ b/testing/fleet/test_peers.py
@@ -86,3 +86,18 @@
     peers.apply(OTHER, EntryLoad("other", 1, 1, {}, is_ready=True), 0.0)
     assert peers.has_ready_peer(0.0) is True
     assert peers.has_ready_peer(PEER_TIMEOUT_S + 0.1) is None
+
+
+def test_peers_are_told_of_a_new_cell_before_they_are_dropped():
+    """Guards against entries that knew no peer for seconds after their cell changed."""
+    peers = PeerLoads(OWN)
+    peers.apply(PEER, _load(1, 5), 0.0)
+    peers.apply(OTHER, _load(1, 3), 0.0)
+    peers.on_cell_changed()
+    assert peers.recipients() == [PEER, OTHER]
+    assert peers.total_load(9).writing == 0
+    assert peers.live_addresses(0.1) == []
+    assert peers.apply(PEER, _load(2, 4), 0.1) == {9}
+    assert peers.remove(OTHER) == set()
+    assert peers.remove(PEER) == {9}
+    assert peers.recipients() == []
