Regions: bind requests to the regions that their route and workspace allow

Requests of some tenants must not leave certain regions, and nothing decoded or enforced that. Routes and tenants carry allowedRegions, both together bind a request to their intersection, and a rule after availability excludes the upstreams elsewhere and those of unknown region. A request that no region may serve is refused with 503 and without a Retry-After. The candidates that a dispatch shares between requests are kept by model and regions. A reloaded zone map applies to the upstreams.

--- a/src/bamboolever/calls/admission.py
+++ b/src/bamboolever/calls/admission.py
@@ -4,14 +4,16 @@
 force. Decides the route, workspace and service of the request, or the status and
 reason with which it is refused.
 
-Load pattern: requests that match no route or carry no valid key, and callers that
-still connect to an entry that stops. They are refused before any upstream spends
-work on them. Poison requests are refused after admission, see `calls.poison`.
+Load pattern: requests that match no route or carry no valid key, callers that still
+connect to an entry that stops, and requests that no region may serve. They are refused
+before any upstream spends work on them. Poison requests are refused after admission,
+see `calls.poison`.
 """
 
 from dataclasses import dataclass
 
 from bamboolever.calls.dispatcher import RejectReason
+from bamboolever.calls.regions import find_allowed_regions
 from bamboolever.calls.split import choose_service
 from bamboolever.config.model import Configuration, Route, Workspace
 from bamboolever.config.routes import RouteTable, path_of
@@ -90,6 +92,8 @@
             return Refused(UNAVAILABLE_STATUS, RejectReason.STALE_KEYS.value)
         if workspace is None:
             return Refused(UNKNOWN_KEY_STATUS, "unknown-key")
+    if find_allowed_regions(route, workspace) == frozenset():
+        return Refused(UNAVAILABLE_STATUS, RejectReason.NO_ALLOWED_REGION.value)
     service = choose_service(route, request.attempt_id)
     if service is None:
         return Refused(UNAVAILABLE_STATUS, RejectReason.NO_UPSTREAM.value)
--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -64,6 +64,7 @@
     POISON = "poison"
     BLOCKED_PART = "blocked-part"
     SUSPECTED_PART = "suspected-part"
+    NO_ALLOWED_REGION = "no-allowed-region"
 
 
 @dataclass(frozen=True)
@@ -100,6 +101,9 @@
 
 Decision = Assignment | Rejection
 
+# The model and the allowed regions of a request.
+_CallKind = tuple[str | None, frozenset[str] | None]
+
 
 class ServiceDispatcher:
     """Queues and places the requests of one service.
@@ -127,6 +131,11 @@
         """Upstreams of the service, including those that take no requests now."""
         return self._upstreams
 
+    @property
+    def queued_calls(self) -> list[PendingCall]:
+        """The requests in the queue, in the order in which they are placed."""
+        return list(self._queue)
+
     @property
     def queue_length(self) -> int:
         """Number of requests in the queue."""
@@ -157,6 +166,8 @@
         can serve is rejected at once, unless it is a resumed stream or a caller's
         retry.
         """
+        if call.allowed_regions == frozenset():
+            return [self._reject(call, [], now)]
         if not self._can_wait(call) and not self._has_eligible(call, now):
             held_back = self._find_held_back(call, now)
             if not self._may_get_permit(call, held_back, now):
@@ -178,7 +189,7 @@
         """
         decisions: list[Decision] = []
         still_queued: list[PendingCall] = []
-        home: dict[str | None, Sequence[UpstreamView]] = {}
+        home: dict[_CallKind, Sequence[UpstreamView]] = {}
         has_limits = self._has_limits(now)
         for call in self._queue:
             placement = self._choose(call, self._home_for(call, home, now), now)
@@ -189,8 +200,10 @@
                 if decision.has_used_permit:
                     # It may have been the last one.
                     home.clear()
-            elif now >= self._expires_at(call) or self._is_hopeless(
-                call, held_back, now
+            elif (
+                now >= self._expires_at(call)
+                or call.allowed_regions == frozenset()
+                or self._is_hopeless(call, held_back, now)
             ):
                 decisions.append(self._reject(call, held_back, now))
             else:
@@ -222,15 +235,17 @@
     def _home_for(
         self,
         call: PendingCall,
-        known: dict[str | None, Sequence[UpstreamView]],
+        known: dict[_CallKind, Sequence[UpstreamView]],
         now: float,
     ) -> Sequence[UpstreamView]:
         if call.tried:
             return self._eligible(call, self._home, now)
-        # Without earlier attempts the answer is the same for all calls of a model.
-        if call.model not in known:
-            known[call.model] = self._eligible(call, self._home, now)
-        return known[call.model]
+        # Without earlier attempts the answer is the same for all calls of a model that
+        # are bound to the same regions.
+        kind = (call.model, call.allowed_regions)
+        if kind not in known:
+            known[kind] = self._eligible(call, self._home, now)
+        return known[kind]
 
     def _choose(
         self, call: PendingCall, home: Sequence[UpstreamView], now: float
@@ -288,6 +303,8 @@
     def _reject_reason(
         self, call: PendingCall, held_back: list[UpstreamView], now: float
     ) -> RejectReason:
+        if call.allowed_regions == frozenset():
+            return RejectReason.NO_ALLOWED_REGION
         if self._has_eligible(call, now):
             return RejectReason.NO_ROOM
         return RejectReason.LIMITED if held_back else RejectReason.NO_UPSTREAM
--- a/src/bamboolever/calls/eligibility.py
+++ b/src/bamboolever/calls/eligibility.py
@@ -25,6 +25,7 @@
 
     TRIED = "tried"
     UNAVAILABLE = "unavailable"
+    REGION = "region"
     VERSION = "version"
     EJECTED = "ejected"
     LIMITED = "limited"
@@ -77,6 +78,24 @@
         return view.can_accept_requests(now)
 
 
+@final
+class RegionRule(EligibilityRule):
+    """Excludes upstreams outside the regions that the request may be sent to.
+
+    One whose region is unknown takes no request that is bound to regions.
+    """
+
+    reason = IneligibleReason.REGION
+
+    def applies_to(self, call: PendingCall) -> bool:
+        """Return whether the request is bound to regions."""
+        return call.allowed_regions is not None
+
+    def admits(self, call: PendingCall, view: UpstreamView, now: float) -> bool:
+        """Return whether the upstream is in a region that the request allows."""
+        return call.allowed_regions is None or view.region in call.allowed_regions
+
+
 @final
 class VersionRule(EligibilityRule):
     """Excludes engines without the model, or with a version that has expired.
@@ -147,6 +166,7 @@
             [
                 TriedRule(),
                 AvailabilityRule(),
+                RegionRule(),
                 VersionRule(versions),
                 EjectionRule(),
                 LimitRule(),
--- a/src/bamboolever/calls/placement.py
+++ b/src/bamboolever/calls/placement.py
@@ -42,7 +42,8 @@
     the seconds since the caller's first attempt, which was rejected; 0 if this is the
     first. ``tried`` holds the instance ids of upstreams that it was sent to before.
     ``is_resumed`` marks a stream that broke after its first event and continues at
-    another upstream.
+    another upstream. It may be sent to ``allowed_regions`` only; None means to all
+    regions, and an empty set to none.
     """
 
     call_id: int
@@ -55,6 +56,7 @@
     model: str | None = None
     tried: set[str] = field(default_factory=set)
     is_resumed: bool = False
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def is_caller_retry(self) -> bool:
--- a/src/bamboolever/calls/retryafter.py
+++ b/src/bamboolever/calls/retryafter.py
@@ -24,7 +24,13 @@
     }
 )
 # Reasons for which another attempt would be rejected too.
-FINAL_REJECT_REASONS = frozenset({RejectReason.POISON, RejectReason.BLOCKED_PART})
+FINAL_REJECT_REASONS = frozenset(
+    {
+        RejectReason.POISON,
+        RejectReason.BLOCKED_PART,
+        RejectReason.NO_ALLOWED_REGION,
+    }
+)
 
 
 def find_retry_after_s(
--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -69,7 +69,7 @@
     number of layers of a complete model, and ``full_pass_s`` the seconds of an engine's
     longest pass. ``round_trip_s`` was seen when a connection was opened. Requests must
     begin before ``begin_by``. ``_reported_version`` is the version in the agent's last
-    report.
+    report. ``region`` is None if the zone's region is unknown.
     """
 
     record: UpstreamRecord
@@ -89,6 +89,7 @@
     round_trip_s: float = 0.0
     begin_by: float = math.inf
     limit: UpstreamLimit = field(default_factory=UpstreamLimit)
+    region: str | None = None
     _reported_version: _ReportedVersion | None = None
     _failure_count: int = 0
     _next_ejection_s: float = MIN_EJECTION_S
--- a/src/bamboolever/config/model.py
+++ b/src/bamboolever/config/model.py
@@ -37,6 +37,7 @@
     target for the gap between two events of a stream. ``max_attempts`` includes the
     first one. A lower ``priority`` is more urgent. Requests to an anonymous route need
     no key. ``can_resume`` means that another upstream can continue a broken stream.
+    Requests reach only upstreams in ``allowed_regions``; all, if that is empty.
     """
 
     name: str
@@ -51,6 +52,7 @@
     priority: int = 0
     is_anonymous: bool = False
     can_resume: bool = False
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def is_retry_safe(self) -> bool:
@@ -123,10 +125,12 @@
     """A holder of API keys.
 
     ``priority`` replaces that of the route unless it is None; lower is more urgent.
+    Requests reach only upstreams in ``allowed_regions``; all, if that is empty.
     """
 
     name: str
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -147,3 +151,10 @@
     def has_workspaces(self) -> bool:
         """Whether requests must carry a key, except to anonymous routes."""
         return bool(self.workspaces_by_key)
+
+    @property
+    def named_regions(self) -> frozenset[str]:
+        """The regions that any restriction names; empty without restrictions."""
+        routes = (route.allowed_regions for route in self.routes)
+        workspaces = (each.allowed_regions for each in self.workspaces_by_key.values())
+        return frozenset().union(*routes, *workspaces)
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -238,6 +238,7 @@
         self._limits.idle_timeout_s = limits.idle_timeout_s
         self.fleet.apply_configuration(configuration)
         self._refresh_views()
+        self.calls.apply_configuration(configuration, self._route_table)
         logger.info(
             "configuration in force",
             extra={
@@ -464,8 +465,12 @@
 
         Open ports keep their addresses.
         """
+        known_zones = self._settings.regions_by_zone
         self._settings = settings
         self._freshness.max_age_s = settings.bounds.key_max_age_s
+        if settings.regions_by_zone != known_zones:
+            self.fleet.apply_zones(settings.regions_by_zone)
+            self._refresh_views()
         logger.info("settings reloaded", extra={"store": str(settings.store_address)})
 
 
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -11,6 +11,7 @@
 
 import logging
 import random
+from collections.abc import Mapping
 from dataclasses import replace
 
 from bamboolever.calls.dispatcher import ServiceDispatcher
@@ -144,6 +145,10 @@
         for service in configuration.services:
             self.dispatcher(service)
 
+    def apply_zones(self, regions_by_zone: Mapping[str, str]) -> None:
+        """Replace the regions of the zones; the next refresh of the views uses them."""
+        self._settings = replace(self._settings, regions_by_zone=regions_by_zone)
+
     # Views.
 
     def refresh_views(self, now: float) -> list[UpstreamView]:
@@ -219,6 +224,8 @@
             view = UpstreamView(record)
             view.limit = self._unlisted_limits.pop(view.key, view.limit)
         view.record = record
+        zones = self._settings.regions_by_zone
+        view.region = zones.get(record.availability_zone) or None
         view.layers = self._layer_count(record.service)
         view.full_pass_s = self._full_pass_s(record.service)
         view.is_home = cell is None or cell == self.own_cell
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -29,7 +29,10 @@
 )
 from bamboolever.calls.parts import FREE, SUSPECTED_PART_RETRY_S
 from bamboolever.calls.placement import PendingCall
+from bamboolever.calls.regions import RegionInquiry, RegionLookup
 from bamboolever.calls.upstream import UpstreamView
+from bamboolever.config.model import Configuration
+from bamboolever.config.routes import RouteTable
 from bamboolever.daemons.calllog import CallLog
 from bamboolever.daemons.entryexchange import EntryExchange
 from bamboolever.daemons.entryfleet import EntryFleet
@@ -88,6 +91,7 @@
         self._next_expiry_at: float | None = None
         self._is_dispatch_scheduled = False
         self._unknown_headers: set[str] = set()
+        self._regions = RegionLookup()
 
     @property
     def in_flight(self) -> int:
@@ -112,11 +116,39 @@
     def enqueue(self, relay: CallRelay, pending: PendingCall) -> None:
         """Submit a call to its dispatcher, which places, queues or rejects it."""
         self._awaiting_placement[relay.call_id] = relay
+        pending.allowed_regions = self._find_regions(relay)
         dispatcher = self._fleet.dispatcher(relay.service)
         now = self.task.now()
         self._apply_decisions(dispatcher.submit(pending, now))
         self._exchange.limits.ask(dispatcher.take_lacking_permits())
 
+    def _find_regions(self, relay: CallRelay) -> frozenset[str] | None:
+        metadata = relay.metadata
+        inquiry = RegionInquiry(
+            metadata.host,
+            metadata.target,
+            metadata.api_key,
+            relay.route,
+            relay.workspace,
+        )
+        return self._regions.find(inquiry)
+
+    def apply_configuration(
+        self, configuration: Configuration, route_table: RouteTable
+    ) -> None:
+        """Bind the calls that wait to the regions that the configuration allows.
+
+        Calls that are at an upstream follow it from their next attempt.
+        """
+        self._regions.apply_configuration(configuration, route_table)
+        for service in self._fleet.services():
+            for pending in self._fleet.dispatcher(service).queued_calls:
+                relay = self._awaiting_placement.get(pending.call_id)
+                if relay is not None:
+                    pending.allowed_regions = self._find_regions(relay)
+        if self._fleet.has_waiting_calls:
+            self.on_fleet_changed()
+
     def cancel_placement(self, relay: CallRelay) -> None:
         """Remove a call from its dispatcher's queue, if it is waiting there."""
         if self._awaiting_placement.pop(relay.call_id, None) is not None:
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -83,7 +83,7 @@
         self.metadata = metadata
         self.route = route
         self.service = service
-        self._workspace = workspace
+        self.workspace = workspace
         self.call_id = call_id
         self.first_attempt_age_s = first_attempt_age_s
         self.digest = digest
@@ -168,8 +168,8 @@
             self.arrived_at + self.route.target_latency_s - self.first_attempt_age_s
         )
         priority = self.route.priority
-        if self._workspace is not None and self._workspace.priority is not None:
-            priority = self._workspace.priority
+        if self.workspace is not None and self.workspace.priority is not None:
+            priority = self.workspace.priority
         pending = PendingCall(
             call_id=self.call_id,
             arrived_at=now,
@@ -185,7 +185,7 @@
         self._context.enqueue(self, pending)
 
     def _build_upstream_headers(self, view: UpstreamView) -> UpstreamHeaders:
-        workspace = self._workspace.name if self._workspace is not None else None
+        workspace = self.workspace.name if self.workspace is not None else None
         return UpstreamHeaders(
             instance_id=view.instance_id,
             remaining_s=self._timeout_at - self._task.now(),
--- a/src/bamboolever/platform/documents.py
+++ b/src/bamboolever/platform/documents.py
@@ -61,6 +61,7 @@
     max_attempts: int = Field(1, alias="maxAttempts")
     is_anonymous: bool = Field(False, alias="allowAnonymous")
     can_resume: bool = Field(False, alias="resumeStreams")
+    allowed_regions: list[str] | None = Field(None, alias="allowedRegions")
 
 
 class _TypicalLengths(_Document):
@@ -110,6 +111,7 @@
     name: str
     api_keys: list[str] = Field([], alias="apiKeys")
     priority: int | None = None
+    allowed_regions: list[str] | None = Field(None, alias="allowedRegions")
 
 
 class _Limits(_Document):
@@ -185,7 +187,11 @@
             routes=tuple(_to_route(route) for route in wire.routes),
             services={service.name: _to_service(service) for service in wire.services},
             workspaces_by_key={
-                key: Workspace(tenant.name, tenant.priority)
+                key: Workspace(
+                    tenant.name,
+                    tenant.priority,
+                    frozenset(tenant.allowed_regions or ()),
+                )
                 for tenant in wire.tenants
                 for key in tenant.api_keys
             },
@@ -276,6 +282,7 @@
         priority=wire.priority,
         is_anonymous=wire.is_anonymous,
         can_resume=wire.can_resume,
+        allowed_regions=frozenset(wire.allowed_regions or ()),
     )
 
 
--- a/testing/calls/test_admission.py
+++ b/testing/calls/test_admission.py
@@ -13,6 +13,7 @@
     admit,
     can_admit_while_stopping,
 )
+from bamboolever.calls.regions import find_allowed_regions
 from bamboolever.config.model import Configuration, Workspace
 from bamboolever.config.routes import RouteTable
 
@@ -22,8 +23,18 @@
         make_route("keyed", host="a.example", path_prefix="/a/"),
         make_route("open", host="a.example", path_prefix="/b/", is_anonymous=True),
         make_route("nowhere", host="a.example", path_prefix="/c/", targets=()),
+        make_route(
+            "bound",
+            host="a.example",
+            path_prefix="/d/",
+            allowed_regions=frozenset({"region-1", "region-2"}),
+        ),
     ),
-    workspaces_by_key={"key": Workspace("studio")},
+    workspaces_by_key={
+        "key": Workspace("studio"),
+        "key-2": Workspace("studio-2", None, frozenset({"region-2", "region-3"})),
+        "key-3": Workspace("studio-3", None, frozenset({"region-3"})),
+    },
 )
 STATE = AdmissionState(CONFIGURATION, RouteTable(CONFIGURATION), can_trust_keys=True)
 REQUEST = AdmissionRequest(b"1", "a.example", "/a/x", "key")
@@ -48,6 +59,7 @@
         ({"api_key": None}, 401, "unknown-key"),
         ({"api_key": "other"}, 401, "unknown-key"),
         ({"target": "/c/x"}, 503, "no-upstream"),
+        ({"target": "/d/x", "api_key": "key-3"}, 503, "no-allowed-region"),
     ],
 )
 def test_request_that_is_not_allowed_is_refused(changes, status, reason):
@@ -71,6 +83,20 @@
     assert _admit(target="/b/x", api_key="other").workspace is None
 
 
+@pytest.mark.parametrize(
+    ("target", "key", "expected"),
+    [
+        ("/a/x", "key", None),
+        ("/a/x", "key-3", {"region-3"}),
+        ("/d/x", "key", {"region-1", "region-2"}),
+        ("/d/x", "key-2", {"region-2"}),
+    ],
+)
+def test_request_may_go_where_both_route_and_workspace_allow(target, key, expected):
+    admitted = _admit(target=target, api_key=key)
+    assert find_allowed_regions(admitted.route, admitted.workspace) == expected
+
+
 def test_stopping_entry_admits_what_it_can_finish():
     assert can_admit_while_stopping(USUAL_MAX_CALL_S, 6.0)
     assert not can_admit_while_stopping(USUAL_MAX_CALL_S - 0.1, 6.0)
--- a/testing/calls/test_eligibility.py
+++ b/testing/calls/test_eligibility.py
@@ -38,6 +38,39 @@
     assert _rules().explain(call, views, 0.1) == {"bad": reason}
 
 
+@pytest.mark.parametrize(
+    ("region", "allowed", "is_admitted"),
+    [
+        ("region-1", None, True),
+        (None, None, True),
+        ("region-1", {"region-1", "region-2"}, True),
+        ("region-3", {"region-1", "region-2"}, False),
+        ("region-1", set(), False),
+        (None, {"region-1"}, False),
+    ],
+)
+def test_request_reaches_only_the_regions_that_it_allows(region, allowed, is_admitted):
+    """Guards against bound requests at upstreams elsewhere or of unknown region."""
+    view = make_view("up")
+    view.region = region
+    allowed_regions = None if allowed is None else frozenset(allowed)
+    call = make_pending(allowed_regions=allowed_regions)
+    reasons = {} if is_admitted else {"up": IneligibleReason.REGION}
+    assert bool(_rules().find_eligible(call, [view], 0.0)) is is_admitted
+    assert _rules().explain(call, [view], 0.0) == reasons
+
+
+def test_ejection_is_waived_within_the_allowed_regions_only():
+    """Guards against a fallback to ejected upstreams that counts or uses others."""
+    views = [make_view(name) for name in ("a", "b", "c", "d")]
+    for view, region in zip(views, (1, 1, 2, 2), strict=True):
+        view.region = f"region-{region}"
+    for view in views[:2]:
+        view.on_unreachable(0.0)
+    call = make_pending(allowed_regions=frozenset({"region-1"}))
+    assert _rules().find_eligible(call, views, 0.1) == views[:2]
+
+
 def test_first_rule_names_the_reason():
     view = make_view("bad")
     view.close_for(5.0, 0.0)
--- a/testing/calls/test_retryafter.py
+++ b/testing/calls/test_retryafter.py
@@ -23,6 +23,7 @@
         (RejectReason.SUSPECTED_PART, True, SUSPECTED_PART_RETRY_S),
         (RejectReason.BLOCKED_PART, True, None),
         (RejectReason.POISON, True, None),
+        (RejectReason.NO_ALLOWED_REGION, True, None),
     ],
 )
 def test_retry_after_follows_from_the_reason(reason, is_peer_ready, expected):
--- a/testing/platform/test_documents.py
+++ b/testing/platform/test_documents.py
@@ -104,6 +104,33 @@
     assert configuration.limits.idle_timeout_s == 15.0
 
 
+@pytest.mark.parametrize(
+    ("stated", "expected"),
+    [
+        ({}, set()),
+        ({"allowedRegions": None}, set()),
+        ({"allowedRegions": []}, set()),
+        ({"allowedRegions": ["cape", "delta"]}, {"cape", "delta"}),
+    ],
+)
+def test_allowed_regions_are_decoded(stated, expected):
+    document = copy.deepcopy(CONFIGURATION)
+    document["routes"][0].update(stated)
+    document["tenants"][0].update(stated)
+    configuration = documents.decode_configuration(document)
+    assert configuration.routes[0].allowed_regions == expected
+    assert configuration.workspaces_by_key["k2"].allowed_regions == expected
+    assert configuration.named_regions == expected
+
+
+def test_configuration_with_malformed_regions_is_rejected():
+    """Guards against a restriction that is ignored because it is not a list."""
+    document = copy.deepcopy(CONFIGURATION)
+    document["routes"][0]["allowedRegions"] = "cape"
+    with pytest.raises(AdapterError):
+        documents.decode_configuration(document)
+
+
 def test_configuration_with_an_unknown_route_kind_is_rejected():
     invalid = copy.deepcopy(CONFIGURATION)
     invalid["routes"][0]["kind"] = "sometimes"
