Regions: find the engines of other cells that bound requests may use

A bound request drew twelve of all engines of other cells, and a hash chose the cells, so that engines of its region could be missed. The sample is now drawn from the engines in the allowed regions, and each region that a restriction names has a neighbor cell as far as their number allows. Without restrictions both choices are as before.

Tests on 100 engines of which 2 are allowed, on 14 zones of 7 regions, and on the number of engines that a dispatch looks at pass.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -121,6 +121,7 @@
         self._upstreams: list[UpstreamView] = []
         self._home: list[UpstreamView] = []
         self._neighbors: list[UpstreamView] = []
+        self._neighbors_by_regions: dict[frozenset[str], list[UpstreamView]] = {}
         self._neighbors_needed_until = 0.0
         self._queue: list[PendingCall] = []
         self._lacking_permits: dict[str, UpstreamView] = {}
@@ -152,6 +153,7 @@
         self._upstreams = upstreams
         self._home = [view for view in upstreams if view.is_home]
         self._neighbors = [view for view in upstreams if not view.is_home]
+        self._neighbors_by_regions = {}
 
     def take_lacking_permits(self) -> list[UpstreamView]:
         """Return the upstreams whose permits were lacking since the last call."""
@@ -254,7 +256,7 @@
         if placement is not None or not self._neighbors:
             return placement
         self._neighbors_needed_until = now + NEIGHBOR_NEED_S
-        sample = self._neighbors
+        sample = self._neighbors_for(call)
         if len(sample) > NEIGHBOR_SAMPLE:
             sample = self._random.sample(sample, NEIGHBOR_SAMPLE)
         free = [
@@ -264,6 +266,21 @@
         ]
         return self.policy.choose(call, free[:NEIGHBOR_CHOICES], now)
 
+    def _neighbors_for(self, call: PendingCall) -> list[UpstreamView]:
+        """Return the engines of other cells in the regions that the request allows.
+
+        The sample is drawn from these, so that a request bound to few regions finds
+        their engines however many others there are.
+        """
+        regions = call.allowed_regions
+        if regions is None:
+            return self._neighbors
+        if regions not in self._neighbors_by_regions:
+            self._neighbors_by_regions[regions] = [
+                view for view in self._neighbors if view.region in regions
+            ]
+        return self._neighbors_by_regions[regions]
+
     def _find_held_back(self, call: PendingCall, now: float) -> list[UpstreamView]:
         """Return the upstreams that could serve the request if they had no limit.
 
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -205,7 +205,11 @@
             self.guests.clear()
         self.neighbors = {
             name: self.neighbors.get(name) or NeighborCell(name, self._own_address)
-            for name in self._cells.neighbors_of(own_cell)
+            for name in self._cells.neighbors_of(
+                own_cell,
+                self._settings.regions_by_zone,
+                self._configuration.named_regions,
+            )
         }
 
     def _find_own_cell(self) -> str:
--- a/testing/calls/test_dispatcher.py
+++ b/testing/calls/test_dispatcher.py
@@ -299,6 +299,49 @@
     assert len(looks) <= 20 + 10 * NEIGHBOR_SAMPLE
 
 
+def _far_engines(count, region):
+    views = [make_view(f"{region}-{number}") for number in range(count)]
+    for view in views:
+        view.is_home, view.region = False, region
+    return views
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_bound_request_finds_the_few_engines_of_its_region_in_other_cells(seed):
+    """Guards against a sample that has no engine of the region.
+
+    Twelve of a hundred engines were looked at, of which two were in the region.
+    """
+    policy = PredictedLatencyPolicy(make_profile(), _no_penalty)
+    dispatcher = ServiceDispatcher(policy, VersionRollouts(8.0), seed=seed)
+    allowed = _far_engines(2, "region-2")
+    dispatcher.set_upstreams([*_far_engines(98, "region-1"), *allowed])
+    call = make_pending(allowed_regions=frozenset({"region-2"}))
+    (decision,) = dispatcher.submit(call, 0.0)
+    assert decision.placement.upstream in allowed
+
+
+def test_cost_of_a_bound_dispatch_does_not_grow_with_the_engines(monkeypatch):
+    """Guards against bound requests that look at each engine of all cells."""
+    views = _far_engines(100, "region-1") + _far_engines(100, "region-2")
+    for view in views:
+        _fill(view, 4)
+    dispatcher = _dispatcher(views)
+    for _ in range(10):
+        call = make_pending(target_at=2.0, allowed_regions=frozenset({"region-2"}))
+        dispatcher.submit(call, 0.0)
+    looks = []
+    admits = VersionRule.admits
+
+    def count_looks(self, call, view, now):
+        looks.append(view)
+        return admits(self, call, view, now)
+
+    monkeypatch.setattr(VersionRule, "admits", count_looks)
+    assert dispatcher.place_waiting(0.01) == []
+    assert 0 < len(looks) <= 10 * NEIGHBOR_SAMPLE
+
+
 def test_engine_of_another_cell_is_used_only_without_room_at_home():
     home, away = make_view("home"), make_view("away")
     away.is_home = False
--- a/testing/fleet/test_cells.py
+++ b/testing/fleet/test_cells.py
@@ -58,6 +58,48 @@
     assert cells.neighbors_of("zone-3/0")[0] == "zone-3/1"
 
 
+REGIONS_BY_ZONE = {f"zone-{zone}": f"region-{zone // 2}" for zone in range(14)}
+
+
+def _regions_of(cells):
+    return {REGIONS_BY_ZONE[cell.rpartition("/")[0]] for cell in cells}
+
+
+@pytest.mark.parametrize("required", [{"region-5"}, {"region-1", "region-6"}])
+@pytest.mark.parametrize("per_zone", [12, 60])
+def test_each_region_that_requests_are_bound_to_has_a_neighbor(per_zone, required):
+    """Guards against bound requests that find no engine because of a hash."""
+    cells = CellMap.from_engines(_make_engines(14, per_zone))
+    own_cells = [cells.cell_of("entry", f"zone-{zone}") for zone in range(15)]
+    is_missed_by_hash = False
+    for own in own_cells:
+        known = {own} & set(cells.members)
+        chosen = cells.neighbors_of(own, REGIONS_BY_ZONE, frozenset(required))
+        assert len(chosen) == len(set(chosen)) == MAX_NEIGHBOR_CELLS
+        assert required <= _regions_of(known | set(chosen))
+        by_hash = cells.neighbors_of(own)
+        is_missed_by_hash |= not required <= _regions_of(known | set(by_hash))
+        assert len(set(by_hash) - set(chosen)) <= len(required)
+    assert is_missed_by_hash
+
+
+def test_more_regions_than_neighbors_are_covered_as_far_as_possible():
+    cells = CellMap.from_engines(_make_engines(14, 12))
+    required = frozenset(REGIONS_BY_ZONE.values())
+    chosen = cells.neighbors_of("zone-0/0", REGIONS_BY_ZONE, required)
+    assert len(_regions_of(chosen) | {"region-0"}) == 7
+
+
+@pytest.mark.parametrize("zones", [1, 7, 14])
+def test_neighbors_stay_as_they_are_without_bound_requests(zones):
+    """Guards against restrictions that change fleets without any."""
+    cells = CellMap.from_engines(_make_engines(zones, 40 if zones == 1 else 12))
+    required = {"region-0", "region-2"} if zones <= 7 else set()
+    for cell in cells.members:
+        chosen = cells.neighbors_of(cell, REGIONS_BY_ZONE, frozenset(required))
+        assert chosen == cells.neighbors_of(cell)
+
+
 def test_added_engine_moves_no_other_while_the_number_of_cells_stays():
     engines = _make_engines(3, 30)
     before = CellMap.from_engines(engines)
