--- a/testing/calls/test_dispatcher.py
+++ b/testing/calls/test_dispatcher.py
@@ -321,6 +321,41 @@
     assert decision.placement.upstream in allowed
 
 
+def test_bound_request_goes_to_no_engine_of_another_cell_outside_its_region():
+    """Guards against requests that leave their region when it is full."""
+    home = make_view("home")
+    home.region = "region-2"
+    _fill(home, 4)
+    dispatcher = _dispatcher([home, *_far_engines(20, "region-1")])
+    call = make_pending(allowed_regions=frozenset({"region-2"}))
+    assert dispatcher.submit(call, 0.0) == []
+    (decision,) = dispatcher.place_waiting(MAX_QUEUE_WAIT_S)
+    assert decision.reason is RejectReason.NO_ROOM
+
+
+def test_bound_request_without_an_engine_in_its_region_is_rejected_at_once():
+    """Guards against requests that are held back for engines they may not use."""
+    dispatcher = _dispatcher([make_view("home"), *_far_engines(3, "region-1")])
+    call = make_pending(allowed_regions=frozenset({"region-2"}))
+    (decision,) = dispatcher.submit(call, 0.0)
+    assert decision.reason is RejectReason.NO_UPSTREAM
+
+
+def test_requests_of_one_dispatch_do_not_share_their_candidates_across_regions():
+    """Guards against the candidates of a flexible request for one that is bound."""
+    views = [make_view("first"), make_view("second")]
+    for number, view in enumerate(views):
+        view.region = f"region-{number}"
+        _fill(view, 4)
+    dispatcher = _dispatcher(views)
+    for allowed in (None, frozenset({"region-1"})):
+        dispatcher.submit(make_pending(allowed_regions=allowed), 0.0)
+    views[0].remove_call(-1)
+    views[0].remove_call(-2)
+    (decision,) = dispatcher.place_waiting(0.01)
+    assert decision.call.allowed_regions is None
+
+
 def test_cost_of_a_bound_dispatch_does_not_grow_with_the_engines(monkeypatch):
     """Guards against bound requests that look at each engine of all cells."""
     views = _far_engines(100, "region-1") + _far_engines(100, "region-2")
--- a/testing/calls/test_eligibility.py
+++ b/testing/calls/test_eligibility.py
@@ -65,7 +65,7 @@
     views = [make_view(name) for name in ("a", "b", "c", "d")]
     for view, region in zip(views, (1, 1, 2, 2), strict=True):
         view.region = f"region-{region}"
-    for view in views[:2]:
+    for view in views[:3]:
         view.on_unreachable(0.0)
     call = make_pending(allowed_regions=frozenset({"region-1"}))
     assert _rules().find_eligible(call, views, 0.1) == views[:2]
