--- a/testing/calls/test_dispatcher.py
+++ b/testing/calls/test_dispatcher.py
@@ -299,6 +299,84 @@
     assert len(looks) <= 20 + 10 * NEIGHBOR_SAMPLE
 
 
+def _far_engines(count, region):
+    views = [make_view(f"{region}-{number}") for number in range(count)]
+    for view in views:
+        view.is_home, view.region = False, region
+    return views
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_bound_request_finds_the_few_engines_of_its_region_in_other_cells(seed):
+    """Guards against a sample that has no engine of the region.
+
+    Twelve of a hundred engines were looked at, of which two were in the region.
+    """
+    policy = PredictedLatencyPolicy(make_profile(), _no_penalty)
+    dispatcher = ServiceDispatcher(policy, VersionRollouts(8.0), seed=seed)
+    allowed = _far_engines(2, "region-2")
+    dispatcher.set_upstreams([*_far_engines(98, "region-1"), *allowed])
+    call = make_pending(allowed_regions=frozenset({"region-2"}))
+    (decision,) = dispatcher.submit(call, 0.0)
+    assert decision.placement.upstream in allowed
+
+
+def test_bound_request_goes_to_no_engine_of_another_cell_outside_its_region():
+    """Guards against requests that leave their region when it is full."""
+    home = make_view("home")
+    home.region = "region-2"
+    _fill(home, 4)
+    dispatcher = _dispatcher([home, *_far_engines(20, "region-1")])
+    call = make_pending(allowed_regions=frozenset({"region-2"}))
+    assert dispatcher.submit(call, 0.0) == []
+    (decision,) = dispatcher.place_waiting(MAX_QUEUE_WAIT_S)
+    assert decision.reason is RejectReason.NO_ROOM
+
+
+def test_bound_request_without_an_engine_in_its_region_is_rejected_at_once():
+    """Guards against requests that are held back for engines they may not use."""
+    dispatcher = _dispatcher([make_view("home"), *_far_engines(3, "region-1")])
+    call = make_pending(allowed_regions=frozenset({"region-2"}))
+    (decision,) = dispatcher.submit(call, 0.0)
+    assert decision.reason is RejectReason.NO_UPSTREAM
+
+
+def test_requests_of_one_dispatch_do_not_share_their_candidates_across_regions():
+    """Guards against the candidates of a flexible request for one that is bound."""
+    views = [make_view("first"), make_view("second")]
+    for number, view in enumerate(views):
+        view.region = f"region-{number}"
+        _fill(view, 4)
+    dispatcher = _dispatcher(views)
+    for allowed in (None, frozenset({"region-1"})):
+        dispatcher.submit(make_pending(allowed_regions=allowed), 0.0)
+    views[0].remove_call(-1)
+    views[0].remove_call(-2)
+    (decision,) = dispatcher.place_waiting(0.01)
+    assert decision.call.allowed_regions is None
+
+
+def test_cost_of_a_bound_dispatch_does_not_grow_with_the_engines(monkeypatch):
+    """Guards against bound requests that look at each engine of all cells."""
+    views = _far_engines(100, "region-1") + _far_engines(100, "region-2")
+    for view in views:
+        _fill(view, 4)
+    dispatcher = _dispatcher(views)
+    for _ in range(10):
+        call = make_pending(target_at=2.0, allowed_regions=frozenset({"region-2"}))
+        dispatcher.submit(call, 0.0)
+    looks = []
+    admits = VersionRule.admits
+
+    def count_looks(self, call, view, now):
+        looks.append(view)
+        return admits(self, call, view, now)
+
+    monkeypatch.setattr(VersionRule, "admits", count_looks)
+    assert dispatcher.place_waiting(0.01) == []
+    assert 0 < len(looks) <= 10 * NEIGHBOR_SAMPLE
+
+
 def test_engine_of_another_cell_is_used_only_without_room_at_home():
     home, away = make_view("home"), make_view("away")
     away.is_home = False
