Daemons import and build only what their role needs

Cause: of an agent's 36 MB, OpenSSL took 3.4 MB for digests, the search for pydantic's plugins 1.4 MB, a metrics SDK that agents never use 2 MB, and validators of nested models 0.5 MB. Models are built at their first use, a root model at a time. The metrics SDK is loaded with the first metric, in entries at the start. Agents no longer import the dispatcher.

--- a/src/bamboolever/_task.py
+++ b/src/bamboolever/_task.py
@@ -14,9 +14,11 @@
 import threading
 import time
 from collections.abc import Callable
-from concurrent.futures import Executor, Future
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from concurrent.futures import Executor, Future
 
 logger = logging.getLogger(__name__)
 
@@ -97,7 +99,7 @@
 
     def submit(
         self,
-        executor: Executor,
+        executor: "Executor",
         work: Callable[[], Any],
         on_done: Callable[["Future[Any]"], None],
     ) -> None:
--- a/src/bamboolever/_telemetry.py
+++ b/src/bamboolever/_telemetry.py
@@ -7,16 +7,15 @@
 import threading
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any, TextIO, final
-
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.export import (
-    HistogramDataPoint,
-    InMemoryMetricReader,
-    NumberDataPoint,
-)
+from typing import TYPE_CHECKING, Any, TextIO, final
+
 from pythonjsonlogger.json import JsonFormatter
 
+if TYPE_CHECKING:
+    from opentelemetry.metrics import Counter, Histogram, Meter
+    from opentelemetry.sdk.metrics import MeterProvider
+    from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+
 PAGE_BYTES = 4096
 MAX_QUEUED_RECORDS = 5000
 # Upper bounds of the buckets of histograms, which all hold latencies, in seconds.
@@ -57,31 +56,59 @@
     """
 
     def __init__(self, process_name: str):
-        self._reader = InMemoryMetricReader()
-        self._provider = MeterProvider(metric_readers=[self._reader])
-        self._meter = self._provider.get_meter(process_name)
+        self._process_name = process_name
+        self._reader: InMemoryMetricReader | None = None
+        self._provider: MeterProvider | None = None
+        self._meter: Meter | None = None
         self._lock = threading.Lock()
-        self._instruments: dict[str, object] = {}
+        self._counters: dict[str, Counter] = {}
+        self._histograms: dict[str, Histogram] = {}
+
+    def prepare(self) -> None:
+        """Load the metrics SDK now, which the first metric does otherwise.
+
+        That takes tens of milliseconds and 2 MB, which a process without any metric
+        saves.
+        """
+        with self._lock:
+            self._open_meter()
 
     def count(self, name: str, amount: float = 1, **attributes: str) -> None:
         """Increase the counter ``name`` with these attributes by ``amount``."""
         with self._lock:
-            counter = self._instruments.get(name)
+            counter = self._counters.get(name)
             if counter is None:
-                counter = self._meter.create_counter(name)
-                self._instruments[name] = counter
-        counter.add(amount, attributes)  # type: ignore[attr-defined]
+                counter = self._open_meter().create_counter(name)
+                self._counters[name] = counter
+        counter.add(amount, attributes)
 
     def record(self, name: str, value: float, **attributes: str) -> None:
         """Add ``value`` in seconds to the histogram ``name`` with these attributes."""
         with self._lock:
-            histogram = self._instruments.get(name)
+            histogram = self._histograms.get(name)
             if histogram is None:
-                histogram = self._meter.create_histogram(
+                histogram = self._open_meter().create_histogram(
                     name, explicit_bucket_boundaries_advisory=LATENCY_BOUNDS_S
                 )
-                self._instruments[name] = histogram
-        histogram.record(value, attributes)  # type: ignore[attr-defined]
+                self._histograms[name] = histogram
+        histogram.record(value, attributes)
+
+    def _open_meter(self) -> "Meter":
+        if self._meter is not None:
+            return self._meter
+        from opentelemetry.sdk.metrics import MeterProvider  # noqa: PLC0415
+        from opentelemetry.sdk.metrics.export import (  # noqa: PLC0415
+            InMemoryMetricReader,
+        )
+        from opentelemetry.sdk.resources import Resource  # noqa: PLC0415
+
+        self._reader = InMemoryMetricReader()
+        # No sample shows the resource, and its detection would start a thread.
+        self._provider = MeterProvider(
+            metric_readers=[self._reader], resource=Resource.get_empty()
+        )
+        self._meter = self._provider.get_meter(self._process_name)
+        return self._meter
 
     def collect_samples(self) -> list[MetricSample]:
         """Return samples of all metrics, sorted by name and attributes.
@@ -89,7 +116,7 @@
         A histogram has a sample for each bucket, which counts the values up to the
         bucket's upper bound ``le``, and one each for its sum and count.
         """
-        data = self._reader.get_metrics_data()
+        data = self._reader.get_metrics_data() if self._reader is not None else None
         if data is None:
             return []
         samples = [
@@ -123,10 +150,16 @@
 
     def shutdown(self) -> None:
         """Shut down the metric provider."""
-        self._provider.shutdown()
+        if self._provider is not None:
+            self._provider.shutdown()
 
 
 def _make_samples(name: str, point: object) -> list[MetricSample]:
+    from opentelemetry.sdk.metrics.export import (  # noqa: PLC0415
+        HistogramDataPoint,
+        NumberDataPoint,
+    )
+
     if isinstance(point, NumberDataPoint):
         return [MetricSample(name, _make_labels(point.attributes), point.value)]
     if not isinstance(point, HistogramDataPoint):
--- a/src/bamboolever/calls/parts.py
+++ b/src/bamboolever/calls/parts.py
@@ -25,11 +25,13 @@
 import math
 from dataclasses import dataclass
 from enum import Enum
-from typing import final
+from typing import TYPE_CHECKING, final
 
-from bamboolever.calls.dispatcher import RejectReason
 from bamboolever.calls.poison import Crash, CrashTracker
 
+if TYPE_CHECKING:
+    from bamboolever.calls.dispatcher import RejectReason
+
 CRASHES_TO_SUSPECT = 2
 TRIALS_TO_BLOCK = 2
 MAX_TRIALS = 3
@@ -84,9 +86,17 @@
     parts: tuple[int, ...] = ()
 
     @property
-    def reject_reason(self) -> RejectReason | None:
+    def reject_reason(self) -> "RejectReason | None":
         """Why the request is rejected; None if it may be sent."""
-        return _REJECT_REASONS.get(self.verdict)
+        # Agents track parts, but neither queue nor reject requests: not loading the
+        # dispatcher saves each of them half a megabyte.
+        from bamboolever.calls.dispatcher import RejectReason  # noqa: PLC0415
+
+        if self.verdict is PartVerdict.WAIT:
+            return RejectReason.SUSPECTED_PART
+        if self.verdict is PartVerdict.BLOCKED:
+            return RejectReason.BLOCKED_PART
+        return None
 
 
 @dataclass(frozen=True)
@@ -107,10 +117,6 @@
 
 
 FREE = PartDecision(PartVerdict.FREE)
-_REJECT_REASONS = {
-    PartVerdict.WAIT: RejectReason.SUSPECTED_PART,
-    PartVerdict.BLOCKED: RejectReason.BLOCKED_PART,
-}
 
 
 @final
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -94,6 +94,8 @@
         self._settings = settings
         self.task = IoTask("entry", clock=boottime_clock)
         self.telemetry = Telemetry("entry")
+        # The first request would wait for the import otherwise.
+        self.telemetry.prepare()
         self._store_pool = ConnectionPool(
             self.task,
             connect_timeout_s=storecalls.CONNECT_TIMEOUT_S,
--- a/src/bamboolever/platform/documents.py
+++ b/src/bamboolever/platform/documents.py
@@ -6,7 +6,7 @@
 
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import ConfigDict, Field, ValidationError
 
 from bamboolever.config.model import (
     Configuration,
@@ -28,6 +28,7 @@
 from bamboolever.net.addresses import parse_address
 from bamboolever.net.handlers import HttpLimits
 from bamboolever.platform.errors import AdapterError
+from bamboolever.platform.models import DeferredModel, validate
 
 _ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -38,8 +39,8 @@
 _DRAINING_STATE = "draining"
 
 
-class _Document(BaseModel):
-    model_config = ConfigDict(extra="ignore", strict=True, frozen=True)
+class _Document(DeferredModel):
+    model_config = ConfigDict(strict=True)
 
 
 class _Share(_Document):
@@ -89,7 +90,9 @@
     read_per_s: float = 0
     pairs_per_m: float = 0
     chunk: int = 2048
-    usual: _TypicalLengths = _TypicalLengths()
+    usual: _TypicalLengths = Field(
+        default_factory=lambda: validate(_TypicalLengths, {})
+    )
     layers: int = 1
     # The number of pieces and their size, whose product is the size of a version.
     chunks: int = 0
@@ -124,7 +127,7 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Tenant] = []
-    limits: _Limits = Field(default_factory=lambda: _Limits.model_validate({}))
+    limits: _Limits = Field(default_factory=lambda: validate(_Limits, {}))
 
 
 class _LayerRange(_Document):
@@ -179,7 +182,7 @@
     kind is unknown.
     """
     try:
-        wire = _Configuration.model_validate(document)
+        wire = validate(_Configuration, document)
         return Configuration(
             version=wire.version,
             routes=tuple(_to_route(route) for route in wire.routes),
@@ -207,7 +210,7 @@
     state is unknown.
     """
     try:
-        wire = _Upstream.model_validate(document)
+        wire = validate(_Upstream, document)
         if wire.state not in (_READY_STATE, _DRAINING_STATE):
             raise ValueError(f"unknown state {wire.state!r}")
         return UpstreamRecord(
@@ -232,7 +235,7 @@
     Raises `AdapterError` when fields are missing or of another type.
     """
     try:
-        wire = _ModelVersion.model_validate(document)
+        wire = validate(_ModelVersion, document)
     except ValidationError as error:
         raise AdapterError(f"version does not decode: {error}") from error
     return ModelVersion(wire.model, wire.version)
@@ -244,7 +247,7 @@
     Raises `AdapterError` when fields are missing or of another type.
     """
     try:
-        wire = _EngineReport.model_validate(document)
+        wire = validate(_EngineReport, document)
     except ValidationError as error:
         raise AdapterError(f"report does not decode: {error}") from error
     return EngineReport(
--- a/src/bamboolever/platform/nodefile.py
+++ b/src/bamboolever/platform/nodefile.py
@@ -5,16 +5,17 @@
 from pathlib import Path
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import Field, ValidationError
 
 from bamboolever.daemons.settings import Bounds, InstanceSettings
 from bamboolever.net.addresses import Address, parse_address
 from bamboolever.platform import names
 from bamboolever.platform.errors import AdapterError
+from bamboolever.platform.models import DeferredModel, validate
 
 
-class _Document(BaseModel):
-    model_config = ConfigDict(extra="ignore", frozen=True)
+class _Document(DeferredModel):
+    pass
 
 
 class _Bounds(_Document):
@@ -52,8 +53,8 @@
     listen: dict[str, str] = Field({}, alias="listenAddresses")
     port_range: tuple[int, int] = Field(alias="internalPortRange")
     is_first_start: bool = Field(True, alias="firstStart")
-    limits: _Limits = Field(default_factory=lambda: _Limits.model_validate({}))
-    bounds: _Bounds = Field(default_factory=lambda: _Bounds.model_validate({}))
+    limits: _Limits = Field(default_factory=lambda: validate(_Limits, {}))
+    bounds: _Bounds = Field(default_factory=lambda: validate(_Bounds, {}))
     store: _Store = Field(alias="platformSettings")
     # The address and the service of the upstream that this process runs next to.
     app: str | None = None
@@ -92,7 +93,7 @@
     is not ``IP:PORT``.
     """
     try:
-        node = NodeFile.model_validate(document)
+        node = validate(NodeFile, document)
         return _to_instance_settings(node)
     except (ValidationError, ValueError) as error:
         raise AdapterError(f"settings do not decode: {error}") from error
@@ -103,7 +104,7 @@
 
     ``document`` must be one that `NodeFile` accepts.
     """
-    node = NodeFile.model_validate(document)
+    node = validate(NodeFile, document)
     addresses = {f"listenAddresses.{name}": text for name, text in node.listen.items()}
     addresses["platformSettings.address"] = node.store.address
     if node.app:
