Cold starts: each entry keeps to its share of what a cold upstream takes

Cause: an upstream that has just started crashes if all entries together send it much more than its stated rate. Entries treated it like any other.

Change: the configuration's coldStartS and coldPerS and the settings' coldOverage and coldSlack are read. calls/coldstart.py decides whether an upstream is cold, from the list, the agents, refused and failed connections, silence and suspension of the own process, and keeps this entry's token bucket. ColdStartRule is the last eligibility rule; the dispatcher takes a token where it assigns a request. Requests without a token in time are rejected with `cold-upstreams` and told when one is due.

The replay of limits arms one timer for the next expiry now: with one for each request, the dispatches multiplied.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -11,9 +11,10 @@
 
 An upstream that has named a limit takes no request without a permit. Requests that such
 upstreams hold back go elsewhere, wait only if a permit may be due in time, and are
-otherwise told when one is.
+otherwise told when one is. The same holds for cold upstreams and this entry's tokens.
 """
 
+import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -57,6 +58,7 @@
     NO_UPSTREAM = "no-upstream"
     NO_ROOM = "no-room"
     LIMITED = "limited-upstreams"
+    COLD = "cold-upstreams"
     TIMED_OUT = "timed-out"
     STOPPING = "stopping"
     STALE_KEYS = "stale-keys"
@@ -70,13 +72,15 @@
 class Assignment:
     """The decision to send a request to an upstream.
 
-    ``has_used_permit`` is set if the upstream has named a limit. ``held_back`` are
-    those that could not take the request because of theirs.
+    ``has_used_permit`` is set if the upstream has named a limit, ``has_used_token`` if
+    it is cold. ``held_back`` are those that could not take the request because they are
+    limited or cold.
     """
 
     call: PendingCall
     placement: Placement
     has_used_permit: bool = False
+    has_used_token: bool = False
     held_back: tuple[str, ...] = ()
 
 
@@ -87,7 +91,7 @@
     ``retry_after_s`` is how long the caller should wait before it retries.
     ``usable_upstreams`` and ``waiting_calls`` are counts at the time of the decision,
     for the log. ``held_back`` are the upstreams that could not take the request because
-    of their limits.
+    they are limited or cold.
     """
 
     call: PendingCall
@@ -120,6 +124,7 @@
         self._neighbors_needed_until = 0.0
         self._queue: list[PendingCall] = []
         self._lacking_permits: dict[str, UpstreamView] = {}
+        self._next_token_at = math.inf
         self._random = random.Random(seed)
 
     @property
@@ -143,6 +148,7 @@
         self._upstreams = upstreams
         self._home = [view for view in upstreams if view.is_home]
         self._neighbors = [view for view in upstreams if not view.is_home]
+        self._rules.set_upstreams(upstreams)
 
     def take_lacking_permits(self) -> list[UpstreamView]:
         """Return the upstreams whose permits were lacking since the last call."""
@@ -160,7 +166,7 @@
         if not self._can_wait(call) and not self._has_eligible(call, now):
             held_back = self._find_held_back(call, now)
             if not self._may_get_permit(call, held_back, now):
-                self._want_permits(held_back, is_waiting=False)
+                self._want_permits(held_back, now, is_waiting=False)
                 return [self._reject(call, held_back, now)]
         self._queue.append(call)
         self._queue.sort(key=_queue_order)
@@ -180,13 +186,14 @@
         still_queued: list[PendingCall] = []
         home: dict[str | None, Sequence[UpstreamView]] = {}
         has_limits = self._has_limits(now)
+        self._next_token_at = math.inf
         for call in self._queue:
             placement = self._choose(call, self._home_for(call, home, now), now)
             held_back = self._find_held_back(call, now) if has_limits else []
             if placement is not None:
                 decision = self._assign(call, placement, held_back, now)
                 decisions.append(decision)
-                if decision.has_used_permit:
+                if decision.has_used_permit or decision.has_used_token:
                     # It may have been the last one.
                     home.clear()
             elif now >= self._expires_at(call) or self._is_hopeless(
@@ -195,13 +202,22 @@
                 decisions.append(self._reject(call, held_back, now))
             else:
                 still_queued.append(call)
-            self._want_permits(held_back, is_waiting=still_queued[-1:] == [call])
+            is_waiting = still_queued[-1:] == [call]
+            self._want_permits(held_back, now, is_waiting=is_waiting)
+            if is_waiting:
+                self._note_tokens(held_back, now)
         self._queue = still_queued
         return decisions
 
     def next_expiry_at(self) -> float | None:
-        """Return when the next queued request expires; None with an empty queue."""
-        return min((self._expires_at(call) for call in self._queue), default=None)
+        """Return when the next queued request expires; None with an empty queue.
+
+        Earlier if a token is due before that for which a request waits.
+        """
+        if not self._queue:
+            return None
+        expires_at = min(self._expires_at(call) for call in self._queue)
+        return min(expires_at, self._next_token_at)
 
     def _assign(
         self,
@@ -212,8 +228,11 @@
     ) -> Assignment:
         upstream = placement.upstream
         has_used_permit = upstream.limit.take_permit(now)
+        has_used_token = upstream.cold.take_token(now)
         upstream.add_call(call.call_id, call.prompt_tokens)
-        return Assignment(call, placement, has_used_permit, _ids_of(held_back))
+        return Assignment(
+            call, placement, has_used_permit, has_used_token, _ids_of(held_back)
+        )
 
     def _can_wait(self, call: PendingCall) -> bool:
         # A caller retries only once, and an engine may load the model meanwhile.
@@ -250,17 +269,31 @@
         return self.policy.choose(call, free[:NEIGHBOR_CHOICES], now)
 
     def _find_held_back(self, call: PendingCall, now: float) -> list[UpstreamView]:
-        """Return the upstreams that could serve the request if they had no limit.
+        """Return the upstreams that could serve the request but for a limit or cold.
 
-        Those of other cells are left out: this cell has no permits for them.
+        Those of other cells are left out: this cell has no permits or tokens for them.
         """
         return self._rules.find_held_back(call, self._home, now)
 
     def _has_limits(self, now: float) -> bool:
-        return any(view.limit.is_limited(now) for view in self._home)
+        return any(
+            view.limit.is_limited(now) or view.cold.is_cold(now) for view in self._home
+        )
+
+    def _note_tokens(self, held_back: list[UpstreamView], now: float) -> None:
+        due_at = (
+            view.cold.next_token_at(now)
+            for view in held_back
+            if not view.cold.may_send(now)
+        )
+        self._next_token_at = min(self._next_token_at, *due_at, math.inf)
 
-    def _want_permits(self, held_back: list[UpstreamView], *, is_waiting: bool) -> None:
+    def _want_permits(
+        self, held_back: list[UpstreamView], now: float, *, is_waiting: bool
+    ) -> None:
         for view in held_back:
+            if view.limit.may_send(now):
+                continue
             # A request that waits is looked at again and again, but wants one permit.
             if not is_waiting or not view.limit.wanted:
                 view.limit.want_permit()
@@ -270,12 +303,12 @@
         self, call: PendingCall, held_back: list[UpstreamView], now: float
     ) -> bool:
         expires_at = self._expires_at(call)
-        return any(view.limit.may_be_due_by(expires_at, now) for view in held_back)
+        return any(_may_take_by(view, expires_at, now) for view in held_back)
 
     def _is_hopeless(
         self, call: PendingCall, held_back: list[UpstreamView], now: float
     ) -> bool:
-        """Return whether a request waits for permits alone, and none comes in time."""
+        """Return whether a request waits for permits and tokens that come too late."""
         if not held_back or self._can_wait(call) or self._has_eligible(call, now):
             return False
         return not self._may_get_permit(call, held_back, now)
@@ -290,7 +323,10 @@
     ) -> RejectReason:
         if self._has_eligible(call, now):
             return RejectReason.NO_ROOM
-        return RejectReason.LIMITED if held_back else RejectReason.NO_UPSTREAM
+        if not held_back:
+            return RejectReason.NO_UPSTREAM
+        is_limited = any(not view.limit.may_send(now) for view in held_back)
+        return RejectReason.LIMITED if is_limited else RejectReason.COLD
 
     def _expires_at(self, call: PendingCall) -> float:
         latest_start = call.target_at - self.policy.min_first_byte_s(call)
@@ -314,8 +350,8 @@
         delay_s = MIN_RETRY_AFTER_S + RETRY_AFTER_JITTER_S * self._random.random()
         remaining_s = max(0.0, call.timeout_at - now)
         delay_s = min(delay_s, remaining_s * MAX_RETRY_AFTER_SHARE)
-        if reason is RejectReason.LIMITED:
-            delay_s = max(delay_s, _promise_permit(held_back, now))
+        if reason in (RejectReason.LIMITED, RejectReason.COLD):
+            delay_s = max(delay_s, _promise_turn(held_back, now))
         return Rejection(
             call,
             reason,
@@ -326,12 +362,35 @@
         )
 
 
-def _promise_permit(held_back: list[UpstreamView], now: float) -> float:
-    """Return the seconds until a permit is due that no other caller was promised."""
-    limits = [view.limit for view in held_back]
-    limit = min(limits, key=lambda each: each.next_permit_at(now))
-    limit.promise_permit(now)
-    return min(MAX_PROMISE_S, limit.promised_at - now)
+def _may_take_by(view: UpstreamView, time: float, now: float) -> bool:
+    """Return whether a held-back upstream may take a request until ``time``."""
+    limit = view.limit
+    if not limit.may_send(now) and not limit.may_be_due_by(time, now):
+        return False
+    return view.cold.next_token_at(now) <= time
+
+
+def _promise_turn(held_back: list[UpstreamView], now: float) -> float:
+    """Return the seconds until an upstream takes a request that no other was promised.
+
+    Promises its permit and its token.
+    """
+    view = min(held_back, key=lambda each: _next_turn_at(each, now))
+    turn_at = _next_turn_at(view, now)
+    if not view.limit.may_send(now):
+        view.limit.promise_permit(now)
+    if not view.cold.may_send(now):
+        view.cold.promise_token(now)
+    return min(MAX_PROMISE_S, turn_at - now)
+
+
+def _next_turn_at(view: UpstreamView, now: float) -> float:
+    turn_at = now
+    if not view.limit.may_send(now):
+        turn_at = view.limit.next_permit_at(now)
+    if not view.cold.may_send(now):
+        turn_at = max(turn_at, view.cold.next_promise_at(now))
+    return turn_at
 
 
 def _ids_of(views: list[UpstreamView]) -> tuple[str, ...]:
--- a/src/bamboolever/calls/eligibility.py
+++ b/src/bamboolever/calls/eligibility.py
@@ -28,6 +28,7 @@
     VERSION = "version"
     EJECTED = "ejected"
     LIMITED = "limited"
+    COLD = "cold"
 
 
 class EligibilityRule(ABC):
@@ -131,6 +132,31 @@
         return view.limit.may_send(now)
 
 
+@final
+class ColdStartRule(EligibilityRule):
+    """Excludes cold upstreams for which this entry has no token.
+
+    Cold engines of other cells are excluded: the rate is divided among the entries of
+    their own cell. ``is_needed`` is unset if no upstream of the service has a bound.
+    """
+
+    reason = IneligibleReason.COLD
+    is_rate = True
+
+    def __init__(self) -> None:
+        self.is_needed = False
+
+    def applies_to(self, call: PendingCall) -> bool:
+        """Return whether any upstream of the service can be cold."""
+        return self.is_needed
+
+    def admits(self, call: PendingCall, view: UpstreamView, now: float) -> bool:
+        """Return whether the upstream is not cold, or a token is left."""
+        if not view.is_home:
+            return not view.cold.is_cold(now)
+        return view.cold.may_send(now)
+
+
 @final
 class EligibilityRules:
     """The rules of one service, in the order in which they are checked."""
@@ -150,16 +176,24 @@
                 VersionRule(versions),
                 EjectionRule(),
                 LimitRule(),
+                ColdStartRule(),
             ]
         )
 
+    def set_upstreams(self, upstreams: Sequence[UpstreamView]) -> None:
+        """Take the upstreams of the service; rules that none of them needs are idle."""
+        for rule in self.rules:
+            if isinstance(rule, ColdStartRule):
+                rule.is_needed = any(view.cold.bound for view in upstreams)
+
     def find_eligible(
         self, call: PendingCall, upstreams: Sequence[UpstreamView], now: float
     ) -> list[UpstreamView]:
         """Return the upstreams that may take the request now."""
         eligible = self.find_usable(call, upstreams, now)
         for rule in self._rates:
-            eligible = [view for view in eligible if rule.admits(call, view, now)]
+            if rule.applies_to(call):
+                eligible = [view for view in eligible if rule.admits(call, view, now)]
         return eligible
 
     def find_held_back(
--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -13,6 +13,7 @@
 import math
 from dataclasses import dataclass, field
 
+from bamboolever.calls.coldstart import ColdStart
 from bamboolever.calls.engine import EngineLoad
 from bamboolever.calls.limits import UpstreamLimit
 from bamboolever.fleet.records import ModelVersion, UpstreamRecord, upstream_key
@@ -89,6 +90,7 @@
     round_trip_s: float = 0.0
     begin_by: float = math.inf
     limit: UpstreamLimit = field(default_factory=UpstreamLimit)
+    cold: ColdStart = field(default_factory=ColdStart)
     _reported_version: _ReportedVersion | None = None
     _failure_count: int = 0
     _next_ejection_s: float = MIN_EJECTION_S
--- a/src/bamboolever/config/model.py
+++ b/src/bamboolever/config/model.py
@@ -109,13 +109,17 @@
     """One service.
 
     ``engine`` is set for model services, ``origin`` for origins of weights.
-    ``max_connections`` is the limit that the service declares.
+    ``max_connections`` is the limit that the service declares. Its upstreams are cold
+    for ``cold_start_s`` seconds after a start and then take ``cold_per_s`` requests per
+    second from all entries together; 0 means that this is not bounded.
     """
 
     name: str
     max_connections: int
     engine: EngineProfile | None = None
     origin: WeightOrigin | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -107,6 +107,7 @@
         self._stopped_at = 0.0
         self._known_rollouts = 0
         self.fleet = EntryFleet(settings, int(time.time() * 1000))
+        self._watches: list[KindWatch] = []
         self._open_ports()
         self._watches = self._create_watches()
 
@@ -293,6 +294,16 @@
         if watch.revision is not None:
             rollouts = self.fleet.version_rollouts
             rollouts.confirm(watch.era, watch.revision, as_of)
+            if self._is_list_at(watch.era, watch.revision):
+                self.fleet.note_list_current(as_of)
+
+    def _is_list_at(self, era: int, revision: int) -> bool:
+        """Return whether the list of upstreams holds all changes up to a revision."""
+        for watch in self._watches:
+            if watch.kind == names.UPSTREAM_KIND:
+                known = watch.revision
+                return watch.era == era and known is not None and known >= revision
+        return False
 
     def _on_version(self, model_version: ModelVersion, revision: int | None) -> None:
         rollouts = self.fleet.version_rollouts
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -181,6 +181,8 @@
     def _send_load_heartbeat(self) -> None:
         now = self._task.now()
         self._fleet.expire_peers(now)
+        self._fleet.note_awake(now)
+        self._fleet.log_cold_periods(self._telemetry)
         if now - self._load_sent_at >= LOAD_HEARTBEAT_S:
             self._send_load()
         if now - self._summaries_asked_at >= MAX_SUMMARY_INTERVAL_S:
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -13,6 +13,14 @@
 import random
 from dataclasses import replace
 
+from bamboolever._subset import score_member
+from bamboolever._telemetry import Telemetry
+from bamboolever.calls.coldstart import (
+    ColdCause,
+    ColdStart,
+    ColdStartBound,
+    ColdStartScope,
+)
 from bamboolever.calls.dispatcher import ServiceDispatcher
 from bamboolever.calls.engine import (
     EngineLoad,
@@ -50,8 +58,9 @@
 # An agent's notice that its engine switches versions keeps new calls away for this
 # long, so that an agent that falls silent does not block its engine for good.
 SWITCH_NOTICE_TTL_S = 4.0
-# Limits kept of upstreams that are listed no more.
+# Limits and cold states kept of upstreams that are listed no more.
 MAX_UNLISTED_LIMITS = 256
+MAX_UNLISTED_COLD = 256
 
 
 class EntryFleet:
@@ -73,6 +82,8 @@
         self._engines_by_address: dict[Address, UpstreamView] = {}
         self._views_by_cell: dict[str, list[UpstreamView]] = {}
         self._unlisted_limits: dict[int, UpstreamLimit] = {}
+        self._unlisted_cold: dict[str, ColdStart] = {}
+        self._cold_scope = ColdStartScope()
         self._cells = CellMap()
         self._sequence = 0
         self._random = random.Random(settings.name)
@@ -155,6 +166,7 @@
         """
         records = self.upstreams.records(now)
         self._refresh_cells(records)
+        self._note_entries(now)
         known, self._views = self._views, {}
         self._views_by_key = {}
         self._engines_by_address = {}
@@ -164,13 +176,14 @@
             cell = self._cell_of(record)
             if cell not in (None, self.own_cell, *self.neighbors):
                 continue
-            view = self._refresh_view(known.get(record.instance_id), record, cell)
+            view = self._refresh_view(known.get(record.instance_id), record, cell, now)
             self._add_view(view, cell, now)
             by_service.setdefault(record.service, []).append(view)
         for service in {*by_service, *self._dispatchers}:
             self.dispatcher(service).set_upstreams(by_service.get(service, []))
         listed = {record.instance_id: record for record in records}
         self._keep_limits(known, now)
+        self._keep_cold(known)
         return [
             view
             for view in known.values()
@@ -185,6 +198,14 @@
         while len(self._unlisted_limits) > MAX_UNLISTED_LIMITS:
             del self._unlisted_limits[next(iter(self._unlisted_limits))]
 
+    def _keep_cold(self, known: dict[str, UpstreamView]) -> None:
+        """Keep the cold states of upstreams that are listed no more."""
+        for name, view in known.items():
+            if view.cold.bound is not None and name not in self._views:
+                self._unlisted_cold[name] = view.cold
+        while len(self._unlisted_cold) > MAX_UNLISTED_COLD:
+            del self._unlisted_cold[next(iter(self._unlisted_cold))]
+
     def _refresh_cells(self, records: list[UpstreamRecord]) -> None:
         engines = [
             EngineLocation(record.instance_id, record.availability_zone)
@@ -213,15 +234,30 @@
         return self._cells.cell_of(record.instance_id, record.availability_zone)
 
     def _refresh_view(
-        self, view: UpstreamView | None, record: UpstreamRecord, cell: str | None
+        self,
+        view: UpstreamView | None,
+        record: UpstreamRecord,
+        cell: str | None,
+        now: float,
     ) -> UpstreamView:
         if view is None or view.record.started_ms != record.started_ms:
-            view = UpstreamView(record)
+            cold = self._unlisted_cold.pop(record.instance_id, None) or ColdStart()
+            if view is not None:
+                cold = view.cold
+            view = UpstreamView(record, cold=cold)
             view.limit = self._unlisted_limits.pop(view.key, view.limit)
         view.record = record
         view.layers = self._layer_count(record.service)
         view.full_pass_s = self._full_pass_s(record.service)
         view.is_home = cell is None or cell == self.own_cell
+        view.cold.configure(
+            self._cold_bound(record.service),
+            self._cold_scope,
+            name=record.instance_id,
+            seed=score_member(f"cold\0{view.key}", self._settings.name),
+            is_in_cell=cell is not None,
+        )
+        view.cold.on_record(record, now)
         return view
 
     def _add_view(self, view: UpstreamView, cell: str | None, now: float) -> None:
@@ -338,8 +374,42 @@
             if key in self._views_by_key:
                 self._views_by_key[key].is_leaving = True
 
+    # Cold upstreams.
+
+    def note_awake(self, now: float) -> None:
+        """Call before requests are placed, and twice a second.
+
+        After a suspension of this process, all upstreams with a bound on the requests
+        while they are cold are assumed to have started meanwhile.
+        """
+        if self._cold_scope.note_awake(now):
+            for view in self._views.values():
+                view.cold.assume(ColdCause.SUSPENDED, now)
+
+    def _note_entries(self, now: float) -> None:
+        self._cold_scope.cells = self.cell_count
+        self._cold_scope.note_entries(1 + len(self.peers.recipients()), now)
+
+    def note_list_current(self, as_of: float) -> None:
+        """Record that the list of upstreams was the newest at ``as_of``."""
+        self._cold_scope.note_list_current(as_of)
+
+    def log_cold_periods(self, telemetry: Telemetry) -> None:
+        """Log and count the cold periods that began since the last call."""
+        for period in self._cold_scope.take_begun():
+            telemetry.count("cold.begun", cause=period.cause.value)
+            logger.info(
+                "upstream cold",
+                extra={
+                    "upstream": period.upstream,
+                    "cause": period.cause.value,
+                    "seconds": period.seconds,
+                },
+            )
+
     def expire_peers(self, now: float) -> None:
         """Take silent entries out of the upstreams' loads; call periodically."""
+        self._note_entries(now)
         for key in self.peers.expire(now) | self.guests.expire(now):
             self._update_peer_load(key, now)
 
@@ -356,7 +426,8 @@
                 served.version if served is not None else 0,
                 view.can_accept_requests(now)
                 and not view.is_ejected(now)
-                and not view.limit.is_limited(now),
+                and not view.limit.is_limited(now)
+                and not view.cold.is_cold(now),
             )
         return CellSummary(self.own_cell, upstreams)
 
@@ -377,6 +448,8 @@
             view.switching_until = (
                 0.0 if state.takes_requests else now + SWITCH_NOTICE_TTL_S
             )
+            if state.takes_requests:
+                view.cold.on_heard(now, is_home=False)
 
     # States of agents.
 
@@ -401,7 +474,9 @@
             neighbor.add_entries(state.entries, now)
         if state.cell != self.own_cell:
             return False
-        return self.peers.add_addresses(state.entries, now)
+        is_any_new = self.peers.add_addresses(state.entries, now)
+        self._note_entries(now)
+        return is_any_new
 
     def find_ended(self, state: AgentState) -> UpstreamView | None:
         """Return the upstream of which an agent reports that it has ended, if any.
@@ -420,6 +495,9 @@
         self, view: UpstreamView, state: AgentState, now: float
     ) -> None:
         view.slowdown = max(1.0, state.slowdown)
+        view.cold.on_agent_state(
+            state.started_ms, now, is_down=state.is_down, is_home=view.is_home
+        )
         if state.version is not None:
             view.on_served_version(state.model, state.version, now)
         view.switching_until = now + SWITCH_NOTICE_TTL_S if state.is_switching else 0.0
@@ -440,6 +518,18 @@
         service = self._configuration.services.get(record.service)
         return service is not None and service.engine is not None
 
+    def _cold_bound(self, name: str) -> ColdStartBound | None:
+        service = self._configuration.services.get(name)
+        if service is None or not service.cold_per_s or not service.cold_start_s:
+            return None
+        bounds = self._settings.bounds
+        return ColdStartBound(
+            service.cold_start_s,
+            service.cold_per_s,
+            bounds.cold_overage,
+            bounds.cold_slack,
+        )
+
     def _layer_count(self, name: str) -> int:
         service = self._configuration.services.get(name)
         if service is None or service.engine is None:
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -114,6 +114,7 @@
         self._awaiting_placement[relay.call_id] = relay
         dispatcher = self._fleet.dispatcher(relay.service)
         now = self.task.now()
+        self._fleet.note_awake(now)
         self._apply_decisions(dispatcher.submit(pending, now))
         self._exchange.limits.ask(dispatcher.take_lacking_permits())
 
@@ -303,7 +304,9 @@
 
     def _dispatch_service(self, service: str) -> None:
         dispatcher = self._fleet.dispatcher(service)
-        self._apply_decisions(dispatcher.place_waiting(self.task.now()))
+        now = self.task.now()
+        self._fleet.note_awake(now)
+        self._apply_decisions(dispatcher.place_waiting(now))
         self._exchange.limits.ask(dispatcher.take_lacking_permits())
 
     def _apply_decisions(self, decisions: list[Decision]) -> None:
@@ -330,6 +333,8 @@
             self._telemetry.count("limit.held_back", service=relay.service)
         if isinstance(decision, Assignment) and decision.has_used_permit:
             self._telemetry.count("permit.used", service=relay.service)
+        if isinstance(decision, Assignment) and decision.has_used_token:
+            self._telemetry.count("cold.token_used", service=relay.service)
 
     def _find_part_rejection(self, relay: CallRelay) -> RejectReason | None:
         """Return why a call must not be sent now, else make it a trial if it is one."""
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -21,6 +21,7 @@
 
 from typing import final
 
+from bamboolever.calls.coldstart import ColdCause
 from bamboolever.calls.dispatcher import Rejection, RejectReason
 from bamboolever.calls.parts import WELL_BEGUN_EVENTS, PromptParts
 from bamboolever.calls.placement import PendingCall, Placement
@@ -232,6 +233,7 @@
         version = wire.response_version(head)
         if version is not None:
             view.response_version = version
+        view.cold.on_response(self._sent_at, self._task.now())
         self._note_availability(view, head)
         self._note_limit(view, head)
         for name, value in wire.find_unknown_headers(head):
@@ -318,6 +320,7 @@
             self._on_attempt_failed(AttemptOutcome.UNKNOWN, truncation)
             return
         view.on_success()
+        view.cold.on_response(self._sent_at, self._task.now())
         if self._is_proven_complete():
             self._context.on_completed(self, view, self._sent_at)
         else:
@@ -348,6 +351,7 @@
         assert view is not None
         if failure.kind is FailureKind.CONNECT:
             view.on_unreachable(self._task.now())
+            view.cold.assume(ColdCause.UNREACHABLE, self._task.now())
             if failure.is_refused:
                 self._context.on_connection_refused(view)
         elif failure.is_request_sent:
--- a/src/bamboolever/daemons/settings.py
+++ b/src/bamboolever/daemons/settings.py
@@ -19,6 +19,9 @@
     The retries of a service, across all entries, may be ``retry_ratio`` of its first
     attempts plus ``retry_slack``. ``retry_window_s`` and ``drain_timeout_s`` are
     part of the contract, but the daemons do not read them.
+
+    A cold upstream may get, in any second, its rate times ``cold_overage`` plus
+    ``cold_slack`` requests from all entries together.
     """
 
     drain_timeout_s: float = 2.0
@@ -29,6 +32,8 @@
     retry_slack: float = 0.0
     version_timeout_s: float = 8.0
     configuration_timeout_s: float = 2.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/platform/documents.py
+++ b/src/bamboolever/platform/documents.py
@@ -104,6 +104,8 @@
     origin: str | None = None
     zone: str = ""
     link_mbps: float = Field(0, alias="linkMbps")
+    cold_start_s: float = Field(0, alias="coldStartS")
+    cold_per_s: float = Field(0, alias="coldPerS")
 
 
 class _Tenant(_Document):
@@ -289,7 +291,14 @@
             max_connections=wire.max_connections,
         )
     engine = _to_engine_profile(wire.engine) if wire.engine else None
-    return Service(wire.name, wire.max_connections, engine, origin)
+    return Service(
+        wire.name,
+        wire.max_connections,
+        engine,
+        origin,
+        cold_start_s=max(0.0, wire.cold_start_s),
+        cold_per_s=max(0.0, wire.cold_per_s),
+    )
 
 
 def _to_engine_profile(wire: _Engine) -> EngineProfile:
--- a/src/bamboolever/platform/names.py
+++ b/src/bamboolever/platform/names.py
@@ -30,7 +30,7 @@
 # The platform's headers that nothing decodes, with the reason.
 UNUSED_HEADERS = {
     b"Bamboolever-Server-Load": "entries know the load from each other, and sooner",
-    b"Bamboolever-Cold-Remaining-Ms": "the store's list states it; no health checks",
+    b"Bamboolever-Cold-Remaining-Ms": "the store's list and the agents tell of starts",
     b"Bamboolever-Length-Hint": "forwarded; no decision needs the response's length",
 }
 USED_HEADERS = frozenset(
--- a/src/bamboolever/platform/nodefile.py
+++ b/src/bamboolever/platform/nodefile.py
@@ -29,6 +29,8 @@
     # unit; it is in milliseconds too.
     version_ms: float = 8000
     configuration_apply_ms: float = Field(2000, alias="configurationApplyMs")
+    cold_overage: float = Field(1, alias="coldOverage")
+    cold_slack: float = Field(0, alias="coldSlack")
 
 
 class _Store(_Document):
@@ -151,6 +153,8 @@
             retry_slack=bounds.retry_slack,
             version_timeout_s=bounds.version_ms / 1000,
             configuration_timeout_s=bounds.configuration_apply_ms / 1000,
+            cold_overage=bounds.cold_overage,
+            cold_slack=bounds.cold_slack,
         ),
     )
 
--- a/testing/limitreplay.py
+++ b/testing/limitreplay.py
@@ -3,7 +3,8 @@
 No sockets and no real clock: datagrams and requests take a random time, and datagrams
 may be lost. Each entry has the dispatcher, the peers and the limits of the real one. A
 frozen entry does nothing until it is awake again; one that was cut off loses its
-datagrams to and from the others, but reaches the upstreams.
+datagrams to and from the others, but reaches the upstreams. Upstreams may crash, refuse
+connections for a while and come back cold, of which the entries' lists tell later.
 """
 
 import heapq
@@ -13,7 +14,9 @@
 
 from sitebuilders import make_pending, make_profile, make_record
 
+from bamboolever._subset import score_member
 from bamboolever._telemetry import Telemetry
+from bamboolever.calls.coldstart import ColdCause, ColdStart, ColdStartScope
 from bamboolever.calls.dispatcher import Assignment, ServiceDispatcher
 from bamboolever.calls.placement import PlainServicePolicy, PredictedLatencyPolicy
 from bamboolever.calls.upstream import UpstreamView
@@ -44,6 +47,8 @@
     limit: float | None = None
     started_ms: int = 1
     arrivals: list = field(default_factory=list)
+    is_down: bool = False
+    cold_until: float = 0.0
 
     def times(self, *, after=0.0, entries=None):
         """Return when requests arrived, from these entries or from all."""
@@ -96,6 +101,7 @@
             replay.make_policy(), VersionRollouts(8.0), seed=number
         )
         self.scope = ReplayedScope(self, replay.share)
+        self.cold_scope = ColdStartScope()
         self.limits = UpstreamLimits(
             lambda: replay.now,
             self.telemetry,
@@ -108,6 +114,8 @@
             started_ms=self.started_ms,
         )
         self.armed = 0
+        # When the next dispatch is due that waits for an expiry or a token.
+        self.dispatch_at = 0.0
         self.is_alive = True
         self.outcomes = []
 
@@ -141,22 +149,44 @@
                     upstream.name,
                     slots=self.replay.slots,
                     started_ms=upstream.started_ms,
+                    cold_remaining_s=max(0.0, upstream.cold_until - self.replay.now),
                 )
-                self.views[upstream.name] = UpstreamView(record, layers=LAYERS)
+                cold = ColdStart() if view is None else view.cold
+                view = UpstreamView(record, layers=LAYERS, cold=cold)
+                self.views[upstream.name] = view
+                view.cold.configure(
+                    self.replay.cold,
+                    self.cold_scope,
+                    name=upstream.name,
+                    seed=score_member(f"cold\0{view.key}", f"entry-{self.number}"),
+                    is_in_cell=True,
+                )
+                view.cold.on_record(record, self.replay.now)
         self.dispatcher.set_upstreams(list(self.views.values()))
 
     def heartbeat(self):
         self.peers.expire(self.replay.now)
+        self.note_entries()
+        self.note_awake()
         self.limits.repeat()
         self.replay.later(self, HEARTBEAT_S, self.heartbeat)
 
+    def note_entries(self):
+        count = 1 + len(self.peers.recipients())
+        self.cold_scope.note_entries(count, self.replay.now)
+
+    def note_awake(self):
+        if self.cold_scope.note_awake(self.replay.now):
+            for view in self.views.values():
+                view.cold.assume(ColdCause.SUSPENDED, self.replay.now)
+
     def send_load(self):
         loads = {view.key: view.own_load for view in self.views.values() if view.calls}
         load = EntryLoad(
             f"entry-{self.number}", self.started_ms, next(self.sequence), loads
         )
         self.send_to_all(load)
-        self.replay.later(self, LOAD_INTERVAL_S, self.send_load)
+        self.replay.later(self, self.replay.load_interval_s, self.send_load)
 
     def apply_load(self, load, sender):
         now = self.replay.now
@@ -175,6 +205,7 @@
         self.dispatch_later()
 
     def submit(self, call):
+        self.note_awake()
         self.carry_out(self.dispatcher.submit(call, self.replay.now))
 
     def carry_out(self, decisions):
@@ -186,12 +217,15 @@
                 self.outcomes.append((now, decision))
         self.limits.ask(self.dispatcher.take_lacking_permits())
         expiry_at = self.dispatcher.next_expiry_at()
-        if expiry_at is not None:
-            wait_s = max(0.0, expiry_at - now) + ROUNDING_S
-            self.replay.later(self, wait_s, self.dispatch)
+        if expiry_at is None or now < self.dispatch_at <= expiry_at + ROUNDING_S:
+            return
+        wait_s = max(0.0, expiry_at - now) + ROUNDING_S
+        self.dispatch_at = now + wait_s
+        self.replay.later(self, wait_s, self.dispatch)
 
     def on_head(self, assignment, view, per_s, sent_at):
         view.on_first_event(assignment.call.call_id)
+        view.cold.on_response(sent_at, self.replay.now)
         self.limits.on_response(view, per_s, sent_at)
 
     def on_end(self, assignment, view):
@@ -199,6 +233,11 @@
         self.outcomes.append((self.replay.now, assignment))
         self.dispatch()
 
+    def on_refused(self, assignment, view):
+        view.on_unreachable(self.replay.now)
+        view.cold.assume(ColdCause.UNREACHABLE, self.replay.now)
+        self.on_end(assignment, view)
+
     def rejections(self, *, after=0.0):
         return [
             outcome
@@ -213,6 +252,7 @@
     Each is answered from ``head_s`` to ``service_s`` after it arrived, by an engine if
     ``is_engine``. An upstream has ``slots``. ``share`` is the share of
     permits that these entries may use. The share ``loss`` of the datagrams is lost.
+    ``cold`` is the bound on the requests to upstreams that have just started.
     """
 
     def __init__(
@@ -228,7 +268,11 @@
         loss=0.0,
         share=1.0,
         seed=0,
+        cold=None,
+        load_interval_s=LOAD_INTERVAL_S,
     ):
+        self.cold = cold
+        self.load_interval_s = load_interval_s
         self.random = random.Random(seed)
         self.per_s = per_s
         self.head_s = head_s
@@ -306,6 +350,30 @@
             if entry.is_alive:
                 self.later(entry, 0.0, entry.refresh_views)
 
+    def crash_upstream(self, index, *, down_s, told_s):
+        """Refuse connections for ``down_s``, and start again cold under the same id.
+
+        The list tells each entry of it within ``told_s`` after the start.
+        """
+        self.upstreams[index].is_down = True
+        self.at(self.now + down_s, lambda: self._start_upstream(index, told_s))
+
+    def _start_upstream(self, index, told_s):
+        old = self.upstreams[index]
+        self.upstreams[index] = ReplayedUpstream(
+            old.name,
+            started_ms=old.started_ms + 1,
+            cold_until=self.now + self.cold.cold_s,
+        )
+        for entry in self.entries:
+            if entry.is_alive:
+                delay_s = self.random.uniform(0.0, told_s)
+                self.later(entry, delay_s, entry.refresh_views)
+
+    def start_entry(self):
+        """Start an entry beside the others."""
+        self.entries.append(self._start_entry(len(self.entries)))
+
     def _replace_entry(self, number):
         self.entries[number] = self._start_entry(number)
 
@@ -318,12 +386,14 @@
             entry, self.random.uniform(0, 0.3), lambda: self._introduce(entry, others)
         )
         self.later(entry, self.random.uniform(0, HEARTBEAT_S), entry.heartbeat)
-        self.later(entry, self.random.uniform(0, LOAD_INTERVAL_S), entry.send_load)
+        delay_s = self.random.uniform(0, self.load_interval_s)
+        self.later(entry, delay_s, entry.send_load)
         return entry
 
     def _introduce(self, entry, others):
         # Agents tell each entry of the others.
         entry.peers.add_addresses(others, self.now)
+        entry.note_entries()
         for other in self.entries:
             if other is not entry and other.is_alive:
                 other.peers.add_addresses((entry.address,), self.now)
@@ -370,11 +440,17 @@
         hop_s = self.random.uniform(0.001, MAX_HOP_S)
 
         def arrive():
-            self.upstreams[index].arrivals.append((self.now, entry.number))
-            self.at(self.now + self.head_s, respond)
+            upstream = self.upstreams[index]
+            if upstream.is_down:
+                self.later(entry, hop_s, lambda: entry.on_refused(assignment, view))
+                return
+            upstream.arrivals.append((self.now, entry.number))
+            self.at(self.now + self.head_s, lambda: respond(upstream))
             self.at(self.now + self.service_s, end)
 
-        def respond():
+        def respond(upstream):
+            if upstream.is_down:
+                return
             per_s = self.upstreams[index].limit
             self.later(
                 entry, hop_s, lambda: entry.on_head(assignment, view, per_s, sent_at)
--- a/testing/loadreplay.py
+++ b/testing/loadreplay.py
@@ -13,6 +13,8 @@
 
 from sitebuilders import make_pending, make_profile, make_record
 
+from bamboolever._subset import score_member
+from bamboolever.calls.coldstart import ColdStartScope
 from bamboolever.calls.dispatcher import Assignment, ServiceDispatcher
 from bamboolever.calls.engine import (
     EngineLoad,
@@ -62,6 +64,7 @@
     queue: deque = field(default_factory=deque)
     is_busy: bool = False
     most_at_once: int = 0
+    arrivals: list = field(default_factory=list)
 
     def add(self, call):
         self.queue.append(call)
@@ -88,12 +91,25 @@
 class LoadReplay:
     """Entries that share engines; ``arrivals`` are calls in the order of their time.
 
-    The version of all engines expires at ``expires_at``, if that is given.
+    The version of all engines expires at ``expires_at``, if that is given. The first
+    ``cold_engines`` engines have just started; ``cold`` is the bound of all.
     """
 
     def __init__(
-        self, *, entries, engines, arrivals, seed=0, expires_at=None, **profile
+        self,
+        *,
+        entries,
+        engines,
+        arrivals,
+        seed=0,
+        expires_at=None,
+        cold=None,
+        cold_engines=0,
+        **profile,
     ):
+        self.cold = cold
+        self.cold_engines = cold_engines
+        self.entry_count = entries
         self.expires_at = expires_at
         self.withdrawn = 0
         self.profile = make_profile(**profile)
@@ -101,7 +117,7 @@
         self.random = random.Random(seed)
         self.arrivals = arrivals
         self.calls = {call.call_id: call for call in arrivals}
-        self.views = [self._make_views() for _ in range(entries)]
+        self.views = [self._make_views(number) for number in range(entries)]
         self.dispatchers = [
             self._make_dispatcher(number, views)
             for number, views in enumerate(self.views)
@@ -113,11 +129,26 @@
         self.load_sent_at = [-1.0] * entries
         self.expiry_at = [-1.0] * entries
 
-    def _make_views(self):
-        views = [
-            UpstreamView(make_record(f"engine-{number}", slots=self.profile.slots))
-            for number in range(len(self.engines))
-        ]
+    def _make_views(self, entry):
+        scope = ColdStartScope()
+        scope.note_entries(self.entry_count, 0.0)
+        views = []
+        for number in range(len(self.engines)):
+            is_cold = number < self.cold_engines
+            record = make_record(
+                f"engine-{number}",
+                slots=self.profile.slots,
+                cold_remaining_s=self.cold.cold_s if is_cold else 0.0,
+            )
+            views.append(UpstreamView(record))
+            views[-1].cold.configure(
+                self.cold,
+                scope,
+                name=record.instance_id,
+                seed=score_member(record.instance_id, f"entry-{entry}"),
+                is_in_cell=True,
+            )
+            views[-1].cold.on_record(record, 0.0)
         for view in views:
             view.round_trip_s = 2 * HOP_S
             view.full_pass_s = full_pass_s(self.profile)
@@ -238,6 +269,7 @@
         call.left_tokens = call.output_tokens
         call.unread_tokens = call.prompt_tokens
         engine = self.engines[number]
+        engine.arrivals.append(now)
         engine.add(call)
         if not engine.is_busy:
             engine.is_busy = True
--- a/testing/platform/test_documents.py
+++ b/testing/platform/test_documents.py
@@ -104,6 +104,17 @@
     assert configuration.limits.idle_timeout_s == 15.0
 
 
+def test_bound_on_requests_to_cold_upstreams_is_decoded():
+    services = [
+        {"name": "a", "coldStartS": 3, "coldPerS": 32},
+        {"name": "b"},
+    ]
+    document = {"version": 1, "services": services}
+    decoded = documents.decode_configuration(document).services
+    assert (decoded["a"].cold_start_s, decoded["a"].cold_per_s) == (3.0, 32.0)
+    assert (decoded["b"].cold_start_s, decoded["b"].cold_per_s) == (0.0, 0.0)
+
+
 def test_configuration_with_an_unknown_route_kind_is_rejected():
     invalid = copy.deepcopy(CONFIGURATION)
     invalid["routes"][0]["kind"] = "sometimes"
