--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -13,6 +13,7 @@
 import math
 from dataclasses import dataclass, field
 
+from bamboolever.calls.coldstart import ColdStart
 from bamboolever.calls.engine import EngineLoad
 from bamboolever.calls.limits import UpstreamLimit
 from bamboolever.calls.slotclaims import SlotClaims
@@ -96,6 +97,7 @@
     limit: UpstreamLimit = field(default_factory=UpstreamLimit)
     claims: SlotClaims = field(default_factory=SlotClaims)
     region: str | None = None
+    cold: ColdStart = field(default_factory=ColdStart)
     _reported_version: _ReportedVersion | None = None
     _failure_count: int = 0
     _next_ejection_s: float = MIN_EJECTION_S
