One cell for up to 48 engines

Cause: at the 33rd engine each zone becomes a cell of its own. Engines of other cells are used to three quarters of their slots and known from summaries only.

Change: the limit of one cell is 48 engines. Loads are told to more entries; their cost grows with the entries of a cell, of which deployments of this size have up to 22.

--- a/src/bamboolever/fleet/cells.py
+++ b/src/bamboolever/fleet/cells.py
@@ -19,8 +19,10 @@
 
 from bamboolever._subset import SCORE_BITS, rank_members, score_member
 
-# Up to this number of engines, all zones form one cell.
-MAX_SHARED_ENGINES = 32
+# Up to this number of engines, all zones form one cell. Cells of one zone each cannot
+# fill each other's engines to the last slot, which a fleet of this size feels when it
+# is short of room.
+MAX_SHARED_ENGINES = 48
 # Engines that a cell of one zone has at most, on average.
 MAX_CELL_ENGINES = 24
 # Other cells that an entry may send requests to.
--- a/testing/daemons/test_entryfleet.py
+++ b/testing/daemons/test_entryfleet.py
@@ -17,6 +17,7 @@
 
 from bamboolever.config.model import Configuration, Service
 from bamboolever.daemons.entryfleet import EntryFleet
+from bamboolever.fleet.cells import MAX_SHARED_ENGINES
 from bamboolever.fleet.messages import AgentState, RolloutAge
 from bamboolever.net.addresses import Address
 from bamboolever.platform.documents import decode_configuration
@@ -345,16 +346,16 @@
 def test_entries_stay_peers_while_the_fleet_divides_into_cells(site):
     """Guards against entries that knew no peer after an engine had been added.
 
-    With the 33rd engine each cell changes. The entry that watched the store told
+    With one engine more each cell changes. The entry that watched the store told
     nobody of it, so that the others and their agents heard seconds later.
     """
     first = _make_entry_fleet(site, "a", "127.0.0.1")
     second = _make_entry_fleet(site, "b", "127.0.0.2")
-    _list_engines(first, 32)
-    _list_engines(second, 32)
+    _list_engines(first, MAX_SHARED_ENGINES)
+    _list_engines(second, MAX_SHARED_ENGINES)
     load = second.build_load_report(is_ready=True)
     first.apply_peer_load(second.own_address, load, 0.0)
-    _list_engines(first, 33)
+    _list_engines(first, MAX_SHARED_ENGINES + 1)
     assert first.own_cell != second.own_cell
     stale = second.build_load_report(is_ready=True)
     first.apply_peer_load(second.own_address, stale, 0.1)
