Plain services: choose by stated load and slowness

Cause: entries did not read the load that upstreams state with responses, so a plain service's upstream that was 2.5 times slower for a while got as many requests as the others. Of equal upstreams, every entry chose the first one of the list.

Change: the header decodes into a `StatedLoad`; a malformed one is counted. An upstream's view keeps the last one with its time. `PlainServicePolicy` multiplies the load, with the request itself, by the slowness, which holds for 600 ms and fades to its mean. Ties go to the nearest, then to any by a seeded source. Engines' predictions use a slowness that is newer than the agent's report. A plain upstream that said it is slow is not charged with a failure for its silence.

--- a/src/bamboolever/calls/placement.py
+++ b/src/bamboolever/calls/placement.py
@@ -6,9 +6,11 @@
 
 Load pattern: several entries share upstreams of unequal load, speed and distance. A
 request that is sent to a full upstream misses its latency target while another
-upstream has a free slot.
+upstream has a free slot. Upstreams that are equal for all entries are chosen at random,
+since all would choose the first one of the list at the same moment.
 """
 
+import random
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -128,17 +130,23 @@
 
 @final
 class PlainServicePolicy(PlacementPolicy):
-    """For services without engines: the lowest load per slot, adjusted by distance."""
+    """For services without engines: the lowest load per slot, adjusted by distance.
 
-    def __init__(self, penalty: DistancePenalty):
+    The load of an upstream that states its slowness is multiplied by it.
+    """
+
+    def __init__(self, penalty: DistancePenalty, *, seed: int | str = 0):
         self._penalty = penalty
+        self._random = random.Random(seed)
 
     def choose(
         self, call: PendingCall, upstreams: Sequence[UpstreamView], now: float
     ) -> Placement | None:
         """Return the upstream with the lowest adjusted load.
 
-        Upstreams whose load has reached `PLAIN_MAX_LOAD` are left out.
+        Upstreams whose load has reached `PLAIN_MAX_LOAD` are left out; a stated load is
+        not counted for that, as it may have changed. Of equal ones, the nearest is
+        chosen, and of equally near ones any.
         """
         free = [
             view
@@ -147,19 +155,23 @@
         ]
         if not free:
             return None
-        best = min(free, key=self._score)
+        best = min(free, key=lambda view: self._rank(view, now))
         return Placement(best, 0.0)
 
     def min_first_byte_s(self, call: PendingCall) -> float:
         """Return 0, as the latency of plain services is not predicted."""
         return 0.0
 
-    def _score(self, view: UpstreamView) -> float:
+    def _rank(self, view: UpstreamView, now: float) -> tuple[float, float, float]:
         # A near upstream is preferred until its load per slot exceeds that of a far
-        # one by the distance term.
-        slot_load = view.load.active / max(1, view.record.slots)
-        distance = min(1.0, self._penalty(view) / OTHER_REGION_PENALTY_S)
-        return slot_load + MAX_DISTANCE_LOAD * distance
+        # one by the distance term. The request itself is multiplied by the slowness
+        # too, as an idle upstream would otherwise never count as slow.
+        slowness = view.slowness_at(now)
+        load = view.active_at(now) * slowness + (slowness - 1.0)
+        penalty_s = self._penalty(view)
+        distance = min(1.0, penalty_s / OTHER_REGION_PENALTY_S)
+        score = load / max(1, view.record.slots) + MAX_DISTANCE_LOAD * distance
+        return score, penalty_s, self._random.random()
 
 
 @final
@@ -190,7 +202,7 @@
         best: Placement | None = None
         best_score = 0.0
         for view in upstreams:
-            load = view.load
+            load = view.load_at(now)
             slots = min(view.record.slots, self._profile.slots)
             if load.active >= slots * slot_share or not view.can_claim_slot(slots, now):
                 continue
--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -7,15 +7,24 @@
 Load pattern: an upstream that fails a part of its requests while its health check
 passes. Outlier ejection is therefore based on the outcomes of requests. It ends after
 a backoff.
+
+Another load pattern: upstreams that are slower for some hundred milliseconds at a
+time because of other processes on their machines. An upstream may state its load and
+slowness with a response; what it stated fades as it ages.
 """
 
 import functools
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bamboolever.calls.engine import EngineLoad
 from bamboolever.calls.limits import UpstreamLimit
-from bamboolever.fleet.records import ModelVersion, UpstreamRecord, upstream_key
+from bamboolever.fleet.records import (
+    ModelVersion,
+    StatedLoad,
+    UpstreamRecord,
+    upstream_key,
+)
 
 # Consecutive failures after which an upstream is ejected.
 FAILURES_TO_EJECT = 3
@@ -35,6 +44,21 @@
 MAX_ROUND_TRIP_S = 0.4
 # Agents send their state once a second, in response to a hello.
 AGENT_STATE_MAX_AGE_S = 2.5
+# A stated load says less than the other entries' reports, which come every 40 ms, once
+# requests of that moment have ended. Plain requests take some 20 to 70 ms.
+STATED_LOAD_MAX_AGE_S = 0.1
+# The slowness of an upstream holds for about this long, and then fades to its mean over
+# as long again.
+SLOWNESS_HOLD_S = 0.6
+SLOWNESS_FADE_S = 0.6
+# Time over which the mean slowness of an upstream is taken.
+SLOWNESS_MEAN_S = 30.0
+# Stated values beyond these are taken as these, so that a wrong one neither keeps all
+# requests away nor attracts them all.
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 10.0
+# From this slowness on, a silent upstream may just be slow.
+SLOW_FROM = 1.2
 
 
 @dataclass
@@ -69,7 +93,8 @@
     number of layers of a complete model, and ``full_pass_s`` the seconds of an engine's
     longest pass. ``round_trip_s`` was seen when a connection was opened. Requests must
     begin before ``begin_by``. ``_reported_version`` is the version in the agent's last
-    report.
+    report, ``slowdown_at`` when its slowdown was reported. ``stated_load`` is the last
+    load that it stated with a response, at ``stated_at``.
     """
 
     record: UpstreamRecord
@@ -84,12 +109,18 @@
     is_leaving: bool = False
     response_version: int | None = None
     slowdown: float = 1.0
+    slowdown_at: float = -math.inf
+    stated_load: StatedLoad | None = None
+    stated_at: float = -math.inf
     layers: int = 0
     full_pass_s: float = 0.0
     round_trip_s: float = 0.0
     begin_by: float = math.inf
     limit: UpstreamLimit = field(default_factory=UpstreamLimit)
     _reported_version: _ReportedVersion | None = None
+    _slowness: float | None = None
+    _slowness_at: float = -math.inf
+    _mean_slowness: float = 1.0
     _failure_count: int = 0
     _next_ejection_s: float = MIN_EJECTION_S
     _unstarted_calls: int = 0
@@ -136,6 +167,69 @@
             self.slowdown,
         )
 
+    def load_at(self, now: float) -> EngineLoad:
+        """Return `load`, with the stated slowness if it is newer than the agent's.
+
+        A stated slowness that no longer holds is ignored.
+        """
+        load = self.load
+        is_newer = self._slowness_at > self.slowdown_at
+        if self._slowness is None or not is_newer:
+            return load
+        if now - self._slowness_at > SLOWNESS_HOLD_S:
+            return load
+        return replace(load, slowdown=max(1.0, self._slowness))
+
+    def active_at(self, now: float) -> int:
+        """Return the number of requests that the entries know of, or the stated one.
+
+        The higher one counts. The stated number counts while it is fresh.
+        """
+        stated = self.stated_load
+        if stated is None or now - self.stated_at > STATED_LOAD_MAX_AGE_S:
+            return self.active
+        return max(self.active, stated.active)
+
+    def slowness_at(self, now: float) -> float:
+        """Return how much longer than usual work is expected to take; 1.0 as long.
+
+        This is the stated value, which fades to the upstream's mean as it ages. It is
+        1.0 if none was ever stated.
+        """
+        if self._slowness is None:
+            return 1.0
+        age_s = now - self._slowness_at
+        fresh_share = 1 - max(0.0, age_s - SLOWNESS_HOLD_S) / SLOWNESS_FADE_S
+        difference = self._slowness - self._mean_slowness
+        return self._mean_slowness + max(0.0, fresh_share) * difference
+
+    def may_be_slow(self, now: float) -> bool:
+        """Return whether its silence may come from a slowness that it stated.
+
+        An upstream that has stated nothing for a while is silent for another reason.
+        """
+        if self._slowness is None or self._slowness < SLOW_FROM:
+            return False
+        return now - self._slowness_at <= SLOWNESS_HOLD_S + SLOWNESS_FADE_S
+
+    def on_stated_load(self, load: StatedLoad, now: float) -> None:
+        """Keep the load that the upstream stated with a response at ``now``.
+
+        One that is older than the last one is ignored.
+        """
+        if now < self.stated_at:
+            return
+        self.stated_load, self.stated_at = load, now
+        if load.slowness is None:
+            return
+        slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, load.slowness))
+        # A statement stands for the time since the last one, but not for longer than
+        # a slowness holds.
+        known_s = min(SLOWNESS_HOLD_S, now - self._slowness_at)
+        weight = -math.expm1(-known_s / SLOWNESS_MEAN_S)
+        self._mean_slowness += weight * (slowness - self._mean_slowness)
+        self._slowness, self._slowness_at = slowness, now
+
     @property
     def withdrawal_lead_s(self) -> float:
         """Seconds before its end at which a version's requests are withdrawn.
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -373,6 +373,7 @@
             view.peer_load = state.load
             view.peer_load_at = now
             view.slowdown = max(1.0, state.load.slowdown)
+            view.slowdown_at = now
             view.on_served_version(state.model, state.version, now)
             view.switching_until = (
                 0.0 if state.takes_requests else now + SWITCH_NOTICE_TTL_S
@@ -420,6 +421,7 @@
         self, view: UpstreamView, state: AgentState, now: float
     ) -> None:
         view.slowdown = max(1.0, state.slowdown)
+        view.slowdown_at = now
         if state.version is not None:
             view.on_served_version(state.model, state.version, now)
         view.switching_until = now + SWITCH_NOTICE_TTL_S if state.is_switching else 0.0
@@ -455,7 +457,8 @@
     def _make_policy(self, name: str) -> PlacementPolicy:
         service = self._configuration.services.get(name)
         if service is None or service.engine is None:
-            return PlainServicePolicy(self._distance_penalty_s)
+            seed = f"{self._settings.name}/{name}"
+            return PlainServicePolicy(self._distance_penalty_s, seed=seed)
         return self._placement_factory(service.engine, self._distance_penalty_s)
 
     def _distance_penalty_s(self, view: UpstreamView) -> float:
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -234,6 +234,7 @@
             view.response_version = version
         self._note_availability(view, head)
         self._note_limit(view, head)
+        self._note_load(view, head)
         for name, value in wire.find_unknown_headers(head):
             self._context.on_unknown_header(
                 view, name.lower().decode("latin-1"), value.decode("latin-1")
@@ -278,6 +279,15 @@
             return
         self._context.on_limit_stated(view, per_s, self._sent_at)
 
+    def _note_load(self, view: UpstreamView, head: ResponseHead) -> None:
+        try:
+            load = wire.stated_load(head)
+        except wire.HeaderError:
+            self._context.count("upstream.malformed_load", service=self.service)
+            return
+        if load is not None:
+            view.on_stated_load(load, self._task.now())
+
     def on_data(self, data: bytes) -> None:
         """Forward a stream's complete events, or buffer the body of another response.
 
@@ -578,6 +588,11 @@
         if self._is_done or self._upstream_connection is None:
             return
         self._cancel_attempt()
-        if self._upstream is not None and self._is_stream():
-            self._upstream.on_unreachable(self._task.now())
-        self._on_attempt_failed(AttemptOutcome.UNKNOWN, "silent upstream")
+        view, now = self._upstream, self._task.now()
+        if view is not None and self._is_stream():
+            view.on_unreachable(now)
+        # An upstream that said that it is slow is not a failing one.
+        is_slow = view is not None and not self._is_stream() and view.may_be_slow(now)
+        self._on_attempt_failed(
+            AttemptOutcome.UNKNOWN, "silent upstream", is_fault=not is_slow
+        )
--- a/src/bamboolever/fleet/records.py
+++ b/src/bamboolever/fleet/records.py
@@ -41,6 +41,25 @@
         )
 
 
+@dataclass(frozen=True)
+class StatedLoad:
+    """The load that an upstream states with a response.
+
+    ``running`` and ``waiting`` are requests of all entries. ``slowness`` is how much
+    longer than usual work takes at this moment, 1.0 as long; None if not stated.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float | None = None
+
+    @property
+    def active(self) -> int:
+        """Number of all requests at the upstream."""
+        return self.running + self.waiting
+
+
 @dataclass(frozen=True)
 class UpstreamRecord:
     """One upstream in the store's list.
--- a/src/bamboolever/platform/calls.py
+++ b/src/bamboolever/platform/calls.py
@@ -3,6 +3,7 @@
 import re
 from dataclasses import dataclass
 
+from bamboolever.fleet.records import StatedLoad
 from bamboolever.net.addresses import Address
 from bamboolever.net.messages import (
     Header,
@@ -31,6 +32,9 @@
 _UNAVAILABLE_STATUS = 503
 # A float would also accept signs, exponents and words.
 _DECIMAL = re.compile(rb"\s*[0-9]{1,15}(?:\.[0-9]{1,15})?\s*")
+_COUNT = re.compile(rb"\s*[0-9]{1,9}\s*")
+# The slowness that an upstream states while work takes as long as usual.
+_USUAL_SLOWNESS = 100
 
 
 class HeaderError(Exception):
@@ -192,6 +196,26 @@
     return float(value)
 
 
+def stated_load(head: ResponseHead) -> StatedLoad | None:
+    """Return the load that the upstream states, or None if it states none.
+
+    A response from another process than the expected one states nothing. Raises
+    `HeaderError` unless there are three counts and, possibly, a positive slowness.
+    """
+    value = head.get(names.SERVER_LOAD.lower())
+    if value is None or is_misdirected(head):
+        return None
+    counts, slowness = value.split(b",")[:3], value.split(b",")[3:]
+    if len(counts) < 3 or len(slowness) > 1 or not all(map(_COUNT.fullmatch, counts)):
+        raise HeaderError(f"not a load: {value[:40]!r}")
+    running, waiting, slots = map(int, counts)
+    if not slowness:
+        return StatedLoad(running, waiting, slots)
+    if _DECIMAL.fullmatch(slowness[0]) is None or float(slowness[0]) == 0:
+        raise HeaderError(f"not a slowness: {value[:40]!r}")
+    return StatedLoad(running, waiting, slots, float(slowness[0]) / _USUAL_SLOWNESS)
+
+
 def find_unknown_headers(head: ResponseHead) -> list[Header]:
     """Return the platform's headers that this version does not know."""
     return [
--- a/src/bamboolever/platform/names.py
+++ b/src/bamboolever/platform/names.py
@@ -16,6 +16,7 @@
 RETRY_AFTER = b"Retry-After"
 LEAVING = b"Server-Leaving"
 LIMIT = b"Server-Limit"
+SERVER_LOAD = b"Bamboolever-Server-Load"
 STORE_ERA = b"Store-Era"
 MODEL = b"Bamboolever-Model"
 TOKEN_COUNTS = b"Bamboolever-Token-Counts"
@@ -29,7 +30,6 @@
 HEADER_PREFIXES = (b"bamboolever-", b"server-", b"store-")
 # The platform's headers that nothing decodes, with the reason.
 UNUSED_HEADERS = {
-    b"Bamboolever-Server-Load": "entries know the load from each other, and sooner",
     b"Bamboolever-Cold-Remaining-Ms": "the store's list states it; no health checks",
     b"Bamboolever-Length-Hint": "forwarded; no decision needs the response's length",
 }
@@ -45,6 +45,7 @@
         INSTANCE_ID,
         LEAVING,
         LIMIT,
+        SERVER_LOAD,
         STORE_ERA,
         MODEL,
         TOKEN_COUNTS,
--- a/testing/calls/test_upstream.py
+++ b/testing/calls/test_upstream.py
@@ -7,9 +7,13 @@
     AGENT_STATE_MAX_AGE_S,
     CLAIM_DELAY_SPREAD_S,
     FAILURES_TO_EJECT,
+    MAX_SLOWNESS,
     MIN_CLAIM_DELAY_S,
     MIN_EJECTION_S,
+    SLOWNESS_FADE_S,
+    SLOWNESS_HOLD_S,
 )
+from bamboolever.fleet.records import StatedLoad
 
 
 def _fail(view, now):
@@ -110,3 +114,55 @@
     view.update_peer_load(EngineLoad(writing=6), 0.0, 0.5)
     view.update_peer_load(EngineLoad(writing=4), 1.0, 0.5)
     assert view.can_claim_slot(8, 1.0)
+
+
+def _state(view, slowness, now):
+    view.on_stated_load(StatedLoad(1, 0, 6, slowness), now)
+
+
+def test_stated_slowness_holds_and_then_fades_to_the_mean():
+    view = make_view()
+    assert view.slowness_at(0.0) == 1.0
+    _state(view, 2.5, 0.0)
+    assert view.slowness_at(SLOWNESS_HOLD_S) == 2.5
+    middle = view.slowness_at(SLOWNESS_HOLD_S + SLOWNESS_FADE_S / 2)
+    end = view.slowness_at(SLOWNESS_HOLD_S + SLOWNESS_FADE_S)
+    assert 1.0 < end < middle < 2.5
+    assert view.slowness_at(100.0) == end < 1.1
+
+
+def test_mean_slowness_is_taken_over_time_not_over_statements():
+    """Guards against a mean that a burst of responses within one slow time sets."""
+    view = make_view()
+    for number in range(1000):
+        _state(view, 2.5, number * 0.0005)
+    assert view.slowness_at(100.0) < 1.1
+    for number in range(1000):
+        _state(view, 2.5 if number % 20 < 3 else 1.0, 1.0 + number * 0.2)
+    assert 1.1 < view.slowness_at(1000.0) < 1.4
+
+
+def test_statement_without_slowness_keeps_the_last_one():
+    view = make_view()
+    _state(view, 2.5, 0.0)
+    view.on_stated_load(StatedLoad(3, 0, 6), 0.1)
+    assert view.slowness_at(0.1) == 2.5
+    assert view.active_at(0.1) == 3
+
+
+def test_older_statement_is_ignored_and_a_wild_one_bounded():
+    view = make_view()
+    _state(view, 1e9, 1.0)
+    _state(view, 1.0, 0.9)
+    assert view.slowness_at(1.0) == MAX_SLOWNESS
+
+
+def test_silence_is_put_down_to_slowness_only_while_it_was_stated():
+    """Guards against an upstream that hangs after it was slow and is never ejected."""
+    view = make_view()
+    assert not view.may_be_slow(0.0)
+    _state(view, 2.5, 0.0)
+    assert view.may_be_slow(0.7)
+    assert not view.may_be_slow(SLOWNESS_HOLD_S + SLOWNESS_FADE_S + 0.1)
+    _state(view, 1.0, 2.0)
+    assert not view.may_be_slow(2.0)
--- a/testing/platform/test_calls.py
+++ b/testing/platform/test_calls.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bamboolever.fleet.records import StatedLoad
 from bamboolever.net.messages import Request, ResponseHead
 from bamboolever.platform import calls
 
@@ -107,3 +108,46 @@
 def test_any_header_values_decode(values):
     headers = tuple(values.items())
     calls.decode_call(Request(b"GET", b"/", headers))
+
+
+def _state_load(value, status=200):
+    return calls.stated_load(
+        ResponseHead(status, ((b"bamboolever-server-load", value),))
+    )
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,1,6", StatedLoad(3, 1, 6)),
+        (b" 3, 1 ,6 ,250", StatedLoad(3, 1, 6, 2.5)),
+        (b"0,0,6,100", StatedLoad(0, 0, 6, 1.0)),
+        (b"0,0,6,112.5", StatedLoad(0, 0, 6, 1.125)),
+    ],
+)
+def test_stated_load_has_three_or_four_figures(value, load):
+    assert _state_load(value) == load
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"3", b"3,1", b"3,1,6,", b"3,1,6,0", b"3,1,6,-1", b"3,1,6,nan", b"a,1,6"]
+    + [b"3,1,6,100,1", b"1.5,1,6", b"-1,1,6", b"1e3,1,6", b"3,1,6,1e2", b"9" * 20],
+)
+def test_malformed_load_is_an_error(value):
+    with pytest.raises(calls.HeaderError):
+        _state_load(value)
+
+
+def test_load_of_another_process_than_the_expected_one_is_ignored():
+    assert _state_load(b"3,1,6,250", status=421) is None
+    assert calls.stated_load(ResponseHead(200, ())) is None
+
+
+@given(st.binary(max_size=30))
+def test_any_load_decodes_or_is_a_header_error(value):
+    try:
+        load = _state_load(value)
+    except calls.HeaderError:
+        return
+    assert load.slowness is None or load.slowness > 0
