Hedged requests: a second attempt beside a slow one

Cause: a request whose upstream was slow waited for it until the target latency had passed, although another upstream would have answered in the usual time.

Change: on idempotent routes, an attempt that takes longer than the 95th percentile of the service's observed times gets a second one at another upstream, in another zone if one has room. The operator's share (--hedge-share, 0 by default) is a token bucket of each entry's own first attempts; each hedge also takes from the retry budget. None is sent while a request of the service waits or the upstreams are more than 70 percent full. The first complete success ends the call, and the other attempt's connection is closed. What a response's head says of its upstream moves to `daemons.responsefacts`, as both attempts note it.

Test: relays over fakes of connections. With one of ten upstreams at 300 ms instead of 30 and a share of 0.2, the 97th percentile is below half of 300 ms, and 300 ms without; 36 entries together keep to a share of 0.05; each call has one answer, and nothing is left after failures, timeouts and callers that leave.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -20,6 +20,7 @@
 from enum import Enum
 
 from bamboolever.calls.eligibility import EligibilityRules
+from bamboolever.calls.hedging import MAX_HEDGE_LOAD, HedgeRefusal
 from bamboolever.calls.placement import PendingCall, Placement, PlacementPolicy
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.fleet.versions import VersionRollouts
@@ -166,6 +167,47 @@
         self._queue.sort(key=_queue_order)
         return self.place_waiting(now)
 
+    def choose_hedge(self, call: PendingCall, now: float) -> Placement | HedgeRefusal:
+        """Return where to send a second attempt of a request, or why to send none.
+
+        ``call.tried`` has the upstream of the first attempt. Another zone than its is
+        used if an upstream there has room. The request is never queued, and is counted
+        at the upstream only by `assign_hedge`.
+        """
+        if self._queue:
+            return HedgeRefusal.WAITING
+        eligible = [
+            view
+            for view in self._eligible(call, self._home, now)
+            if not view.is_ejected(now)
+        ]
+        if not eligible:
+            return HedgeRefusal.NO_UPSTREAM
+        slots = sum(view.record.slots for view in eligible)
+        if sum(view.active_at(now) for view in eligible) > MAX_HEDGE_LOAD * slots:
+            return HedgeRefusal.NO_ROOM
+        free = [
+            view
+            for view in eligible
+            if view.active_at(now) < MAX_HEDGE_LOAD * view.record.slots
+        ]
+        slow_zones = {
+            view.record.availability_zone
+            for view in self._upstreams
+            if view.instance_id in call.tried
+        }
+        elsewhere = [
+            view for view in free if view.record.availability_zone not in slow_zones
+        ]
+        placement = self.policy.choose(call, elsewhere or free, now)
+        return HedgeRefusal.NO_ROOM if placement is None else placement
+
+    def assign_hedge(
+        self, call: PendingCall, placement: Placement, now: float
+    ) -> Assignment:
+        """Count a hedged request at the upstream that `choose_hedge` returned."""
+        return self._assign(call, placement, [], now)
+
     def cancel(self, call_id: int) -> None:
         """Remove a request from the queue after its caller disconnected."""
         self._queue = [call for call in self._queue if call.call_id != call_id]
--- a/src/bamboolever/daemons/calllog.py
+++ b/src/bamboolever/daemons/calllog.py
@@ -136,6 +136,8 @@
                 "partial_event_bytes": record.partial_event_bytes,
                 "tried_parts": len(relay.prompt.tried),
                 "held_back": record.held_back,
+                "hedge_upstream": record.hedge_upstream,
+                "hedge_outcome": record.hedge_outcome,
             },
         )
 
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -33,6 +33,7 @@
 from bamboolever.daemons.calllog import CallLog
 from bamboolever.daemons.entryexchange import EntryExchange
 from bamboolever.daemons.entryfleet import EntryFleet
+from bamboolever.daemons.hedges import Hedges
 from bamboolever.daemons.relay import CallRelay
 from bamboolever.daemons.relaycontext import RelayContext
 from bamboolever.daemons.settings import InstanceSettings
@@ -84,6 +85,7 @@
         self._relays: dict[ServerConnection, CallRelay] = {}
         self._awaiting_placement: dict[int, CallRelay] = {}
         self._retry_budgets: dict[str, RetryBudget] = {}
+        self.hedges = Hedges(settings.hedge_share, task, telemetry, fleet, self)
         self._expiry_timer: Timer | None = None
         self._next_expiry_at: float | None = None
         self._is_dispatch_scheduled = False
@@ -279,15 +281,16 @@
         self._exchange.crashes.on_response(upstream.key, sent_at)
         self.on_broken_response(relay, upstream, sent_at)
 
-    def acquire_retry(self, relay: CallRelay) -> str | None:
+    def acquire_retry(self, relay: CallRelay, *, is_hedge: bool = False) -> str | None:
         """Take one retry of a call from its service's budget.
 
-        Returns None if the call may be sent again, else the reason why not.
+        Returns None if the call may be sent again, else the reason why not. With
+        ``is_hedge``, the attempt under way counts as one that may have run.
         """
         crashes = self._exchange.crashes
         now = self.task.now()
         is_blocked = crashes.tracker.is_blocked(relay.digest, now)
-        if relay.may_have_run:
+        if relay.may_have_run or is_hedge:
             is_blocked = not crashes.tracker.may_retry(relay.digest, now)
         if is_blocked:
             return "crashes-upstreams"
--- a/src/bamboolever/daemons/process.py
+++ b/src/bamboolever/daemons/process.py
@@ -3,6 +3,7 @@
 import argparse
 import dataclasses
 import logging
+import math
 import signal
 import sys
 from pathlib import Path
@@ -51,6 +52,7 @@
             placement=options.placement,
             piece_policy=options.pieces,
             metrics_port=options.metrics_port,
+            hedge_share=options.hedge_share,
         )
         daemon = make_daemon(options.role, settings)
     except (AdapterError, LookupError, ValueError) as error:
@@ -90,9 +92,30 @@
         type=int,
         help="port of the metrics; default: the port after the internal port",
     )
+    parser.add_argument(
+        "--hedge-share",
+        type=_parse_share,
+        default=InstanceSettings.hedge_share,
+        help="second attempts of slow idempotent requests that an entry may send, as a "
+        "share of a service's requests, such as 0.05; 0, the default, sends none",
+    )
     return parser
 
 
+def _parse_share(text: str) -> float:
+    """Return the share that an argument states.
+
+    Raises `argparse.ArgumentTypeError` unless it is a number from 0 to 1.
+    """
+    try:
+        share = float(text)
+    except ValueError:
+        share = math.nan
+    if not 0 <= share <= 1:
+        raise argparse.ArgumentTypeError(f"{text!r} is not a number from 0 to 1")
+    return share
+
+
 def make_daemon(role: str, settings: InstanceSettings) -> PlatformDaemon:
     """Return the daemon of a role, importing only the modules that it needs."""
     if role == "entry":
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -17,11 +17,15 @@
 - A request that may have run is retried only if the route allows it. The caller gets
   503 if the request has certainly not run. Otherwise it gets the upstream's error
   response, 502 if there is none, or 504 after the timeout.
+- A second attempt may be sent beside a slow one (`daemons.hedges`). The first complete
+  success ends the call and the other attempt. An attempt that fails while the other one
+  is under way leaves the call to that one.
 """
 
 from typing import final
 
 from bamboolever.calls.dispatcher import Rejection, RejectReason
+from bamboolever.calls.hedging import HedgeInput
 from bamboolever.calls.parts import WELL_BEGUN_EVENTS, PromptParts
 from bamboolever.calls.placement import PendingCall, Placement
 from bamboolever.calls.retry import AttemptOutcome, RetryInput, find_retry_refusal
@@ -29,6 +33,7 @@
 from bamboolever.config.model import Route, RouteKind, Workspace
 from bamboolever.daemons.attempttimers import AttemptTimers
 from bamboolever.daemons.eventstream import EventStream
+from bamboolever.daemons.hedgedattempt import HedgedAttempt
 from bamboolever.daemons.ownresponses import (
     FAILED_STATUS,
     REJECTED_STATUS,
@@ -39,10 +44,12 @@
 )
 from bamboolever.daemons.relaycontext import CallRecord, RelayContext
 from bamboolever.daemons.responsebuffer import ResponseBuffer
+from bamboolever.daemons.responsefacts import may_be_of_another_request, note_response
 from bamboolever.net.client import ClientConnection
 from bamboolever.net.exchange import ExchangeFailure, FailureKind, ResponseHandler
 from bamboolever.net.messages import BodyFraming, Request, ResponseHead
 from bamboolever.net.server import ServerConnection
+from bamboolever.net.timers import RearmableTimer
 from bamboolever.platform import calls as wire
 from bamboolever.platform.calls import CallMetadata, UpstreamHeaders
 
@@ -105,6 +112,10 @@
         self._response_body = ResponseBuffer(context.buffers)
         self._stream = EventStream(connection, metadata.last_event_id)
         self._may_have_run = False
+        self._hedge: HedgedAttempt | None = None
+        self._hedge_timer = RearmableTimer(self._task)
+        # The failure of the first attempt while the hedged request is awaited.
+        self._unanswered: tuple[AttemptOutcome, str] | None = None
         self._timeout_timer = self._task.call_later(
             self._timeout_at - self.arrived_at, self._on_timeout
         )
@@ -145,6 +156,8 @@
         )
         self._note_round_trip(view)
         self._timers.start_attempt()
+        if self._attempts == 1:
+            self._await_slowness()
 
     def on_rejected(self, rejection: Rejection) -> None:
         """End the call; called when the dispatcher finds no upstream that can serve it.
@@ -163,6 +176,9 @@
         self._reject(rejection.reason, rejection.retry_after_s)
 
     def _enqueue(self) -> None:
+        self._context.enqueue(self, self._make_pending())
+
+    def _make_pending(self) -> PendingCall:
         now = self._task.now()
         target_at = (
             self.arrived_at + self.route.target_latency_s - self.first_attempt_age_s
@@ -170,7 +186,7 @@
         priority = self.route.priority
         if self._workspace is not None and self._workspace.priority is not None:
             priority = self._workspace.priority
-        pending = PendingCall(
+        return PendingCall(
             call_id=self.call_id,
             arrived_at=now,
             target_at=target_at,
@@ -182,7 +198,6 @@
             tried=self._tried,
             is_resumed=self._stream.is_begun,
         )
-        self._context.enqueue(self, pending)
 
     def _build_upstream_headers(self, view: UpstreamView) -> UpstreamHeaders:
         workspace = self._workspace.name if self._workspace is not None else None
@@ -209,36 +224,20 @@
         """Return whether a second copy of the response would be told by its id."""
         return wire.echoed_attempt_id(head) is not None
 
-    def _may_be_of_another_request(self, head: ResponseHead) -> bool:
-        # On a new connection there was no earlier request.
-        connection = self._upstream_connection
-        if wire.echoed_attempt_id(head) is not None or connection is None:
-            return False
-        return connection.request_count > 1
-
     def on_head(self, head: ResponseHead) -> None:
         """Classify a response by its head; called before its body arrives.
 
         The attempt has not run, has failed, or continues as a signed success. What may
         belong to another request proves nothing.
         """
-        if self._may_be_of_another_request(head):
+        if may_be_of_another_request(head, self._upstream_connection):
             self._fail_attempt("a failure without an attempt id")
             return
         self._response_head = head
         self.record.body_framing = head.body_framing
         view = self._upstream
         assert view is not None
-        version = wire.response_version(head)
-        if version is not None:
-            view.response_version = version
-        self._note_availability(view, head)
-        self._note_limit(view, head)
-        self._note_load(view, head)
-        for name, value in wire.find_unknown_headers(head):
-            self._context.on_unknown_header(
-                view, name.lower().decode("latin-1"), value.decode("latin-1")
-            )
+        note_response(self._context, view, head, self._sent_at)
         self._note_round_trip(view)
         if not self._is_stream():
             self._timers.on_begun()
@@ -260,34 +259,6 @@
             return
         self._first_response_head = head
 
-    def _note_availability(self, view: UpstreamView, head: ResponseHead) -> None:
-        if wire.is_upstream_leaving(head) and not view.is_leaving:
-            view.is_leaving = True
-            self._context.on_upstream_closed(view, "leaving", None)
-        retry_after_s = wire.upstream_retry_after_s(head)
-        if retry_after_s is not None:
-            view.close_for(retry_after_s, self._task.now())
-            self._context.on_upstream_closed(view, "retry-after", retry_after_s)
-
-    def _note_limit(self, view: UpstreamView, head: ResponseHead) -> None:
-        if not wire.states_limit(head):
-            return
-        try:
-            per_s = wire.upstream_limit_per_s(head)
-        except wire.HeaderError as error:
-            self._context.on_malformed_limit(view, error)
-            return
-        self._context.on_limit_stated(view, per_s, self._sent_at)
-
-    def _note_load(self, view: UpstreamView, head: ResponseHead) -> None:
-        try:
-            load = wire.stated_load(head)
-        except wire.HeaderError:
-            self._context.count("upstream.malformed_load", service=self.service)
-            return
-        if load is not None:
-            view.on_stated_load(load, self._task.now())
-
     def on_data(self, data: bytes) -> None:
         """Forward a stream's complete events, or buffer the body of another response.
 
@@ -335,6 +306,7 @@
         if self._is_event_stream():
             self._end_stream()
             return
+        self._observe_time()
         self._record_first_byte()
         self._forward_response()
 
@@ -364,6 +336,70 @@
             self._context.on_broken_response(self, view, self._sent_at)
         self._on_attempt_failed(outcome, detail)
 
+    # Hedged requests.
+
+    def _await_slowness(self) -> None:
+        self._context.hedges.on_first_attempt(self.service)
+        delay_s = self._context.hedges.find_delay_s(self)
+        if delay_s is not None:
+            self._hedge_timer.arm(delay_s, self._on_slow)
+
+    def _on_slow(self) -> None:
+        if self._is_done or self._upstream_connection is None:
+            return
+        if self._attempt_outcome is not None:
+            return
+        remaining_s = self._timeout_at - self._task.now()
+        inputs = HedgeInput(self._attempts, self.route.max_attempts, remaining_s)
+        placement = self._context.hedges.acquire(self, self._make_pending(), inputs)
+        if placement is None:
+            return
+        view = placement.upstream
+        self._attempts += 1
+        self._tried.add(view.instance_id)
+        self.record.hedge_upstream = view.instance_id
+        self._hedge = HedgedAttempt(self._context, self, view)
+        self._hedge.start(
+            wire.forward_request(self._request, self._build_upstream_headers(view))
+        )
+        self._context.on_capacity_changed(self.service)
+
+    def on_hedge_won(self, head: ResponseHead, body: bytes) -> None:
+        """End the call with the complete success of the hedged request."""
+        if self._is_done:
+            return
+        self._end_hedge("won")
+        if self._upstream_connection is not None:
+            self._cancel_attempt()
+            self._observe_time()
+        self._response_head = head
+        self.record.body_framing = head.body_framing
+        self.record.first_byte_s = self._task.now() - self.arrived_at
+        self._forward_response(body)
+
+    def on_hedge_failed(self, outcome: AttemptOutcome) -> None:
+        """Go on with the first attempt, or with its failure if it has ended."""
+        if self._is_done:
+            return
+        self._end_hedge("failed")
+        if outcome is not AttemptOutcome.NOT_RUN:
+            self._may_have_run = True
+        if self._unanswered is not None:
+            (first_outcome, detail), self._unanswered = self._unanswered, None
+            self._retry_or_end(first_outcome, detail)
+
+    def _end_hedge(self, outcome: str) -> None:
+        hedge, self._hedge = self._hedge, None
+        if hedge is not None:
+            hedge.cancel()
+            self.record.hedge_outcome = outcome
+            self._context.hedges.on_ended(self.service, outcome)
+
+    def _observe_time(self) -> None:
+        if not self._is_stream():
+            elapsed_s = self._task.now() - self._sent_at
+            self._context.hedges.on_response(self.service, elapsed_s)
+
     def _end_rejected_attempt(self) -> None:
         if self._is_done or self._upstream_connection is None:
             return
@@ -450,6 +486,7 @@
         self, outcome: AttemptOutcome, detail: str, *, is_fault: bool = True
     ) -> None:
         self._timers.end_attempt()
+        self._hedge_timer.disarm()
         now = self._task.now()
         view = self._upstream
         if view is not None:
@@ -460,12 +497,22 @@
         if outcome is not AttemptOutcome.NOT_RUN:
             self._may_have_run = True
         self.record.attempt_failures.append(detail)
+        if self._hedge is not None:
+            self._unanswered = (outcome, detail)
+            self._context.log.attempt_failed(
+                self, outcome.value, detail, "hedge-under-way"
+            )
+            self._context.on_capacity_changed(self.service)
+            return
+        self._retry_or_end(outcome, detail)
+
+    def _retry_or_end(self, outcome: AttemptOutcome, detail: str) -> None:
         inputs = RetryInput(
             outcome=outcome,
             is_retry_safe=self.route.is_retry_safe,
             attempts=self._attempts,
             max_attempts=self.route.max_attempts,
-            remaining_s=self._timeout_at - now,
+            remaining_s=self._timeout_at - self._task.now(),
             is_position_known=self._stream.is_position_known,
         )
         refusal = find_retry_refusal(inputs) or self._context.acquire_retry(self)
@@ -486,12 +533,14 @@
 
     # Final outcomes.
 
-    def _forward_response(self) -> None:
+    def _forward_response(self, body: bytes | None = None) -> None:
+        """Send the response; ``body`` None means the one that is buffered."""
         head = self._response_head
         assert head is not None
         self.record.status = head.status
         headers = wire.response_headers(head)
-        body = self._response_body.take()
+        if body is None:
+            body = self._response_body.take()
         self._finish("served" if head.is_success else "upstream-error")
         self.caller_connection.respond(head.status, headers, body)
 
@@ -537,6 +586,8 @@
         self.record.detail = detail
         self._timeout_timer.cancel()
         self._timers.end_attempt()
+        self._hedge_timer.disarm()
+        self._end_hedge("lost" if outcome == "served" else "cancelled")
         self._response_body.take()
         if self._upstream is not None:
             self._upstream.remove_call(self.call_id)
@@ -591,6 +642,7 @@
         view, now = self._upstream, self._task.now()
         if view is not None and self._is_stream():
             view.on_unreachable(now)
+        self._observe_time()
         # An upstream that said that it is slow is not a failing one.
         is_slow = view is not None and not self._is_stream() and view.may_be_slow(now)
         self._on_attempt_failed(
--- a/src/bamboolever/daemons/relaycontext.py
+++ b/src/bamboolever/daemons/relaycontext.py
@@ -9,6 +9,7 @@
 from bamboolever.calls.placement import PendingCall
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.daemons.calllog import CallLog
+from bamboolever.daemons.hedges import Hedges
 from bamboolever.net.client import ConnectionPool
 from bamboolever.net.messages import BodyFraming
 
@@ -20,13 +21,14 @@
     """Shared resources and callbacks that relays use, on the task's thread.
 
     ``pool`` holds the connections to upstreams. ``buffers`` bounds the responses that
-    are buffered.
+    are buffered. ``hedges`` decides about second attempts beside slow ones.
     """
 
     task: IoTask
     pool: ConnectionPool
     buffers: BufferBudget
     log: CallLog
+    hedges: Hedges
 
     @abstractmethod
     def enqueue(self, relay: "CallRelay", pending: PendingCall) -> None:
@@ -115,10 +117,13 @@
         """
 
     @abstractmethod
-    def acquire_retry(self, relay: "CallRelay") -> str | None:
+    def acquire_retry(
+        self, relay: "CallRelay", *, is_hedge: bool = False
+    ) -> str | None:
         """Take one retry of the call from its service's budget.
 
         Returns None if the call may be sent again, else the reason why not.
+        ``is_hedge`` is set if it is sent beside an attempt that is under way.
         """
 
     @abstractmethod
@@ -147,7 +152,8 @@
     response. ``events`` counts the events of a stream that were forwarded, and
     ``partial_event_bytes`` is how many bytes of the next one had arrived when the last
     attempt ended. ``held_back`` are the upstreams that could not take the call at its
-    last placement or rejection because of their limits.
+    last placement or rejection because of their limits. ``hedge_upstream`` is the id
+    of the hedged request's upstream, and ``hedge_outcome`` how it ended.
     """
 
     upstreams: list[str] = field(default_factory=list)
@@ -165,8 +171,11 @@
     events: int = 0
     partial_event_bytes: int = 0
     held_back: tuple[str, ...] = ()
+    hedge_upstream: str | None = None
+    hedge_outcome: str | None = None
 
     @property
     def is_routine(self) -> bool:
-        """Whether the call was served without a failed attempt."""
-        return self.outcome == "served" and not self.attempt_failures
+        """Whether the call was served by its first attempt alone."""
+        is_single = not self.attempt_failures and self.hedge_upstream is None
+        return self.outcome == "served" and is_single
--- a/src/bamboolever/daemons/settings.py
+++ b/src/bamboolever/daemons/settings.py
@@ -37,7 +37,8 @@
 
     An entry listens on ``caller_address`` and ``readiness_address``; an agent runs
     beside the upstream at ``upstream_address``. ``placement`` and ``piece_policy``
-    are names of policies.
+    are names of policies. ``hedge_share`` is the number of hedged requests that an
+    entry sends at most for each request of a service; 0 turns them off.
     """
 
     name: str
@@ -57,6 +58,7 @@
     bounds: Bounds = field(default_factory=Bounds)
     placement: str = "predicted"
     piece_policy: str = "region-chain"
+    hedge_share: float = 0.0
     metrics_port: int | None = None
 
     @property
