Replay hedged requests over the entries of a plain service

Cause: the tests of hedged requests used one entry and fixed answers; nothing showed what the share is worth on uneven upstreams, nor whether it harms other requests.

Change: the replay of plain services sends and cancels hedged requests. What takes five times as long is the attempt, or the request wherever it runs.

--- a/testing/plainreplay.py
+++ b/testing/plainreplay.py
@@ -15,7 +15,8 @@
 
 from bamboolever.calls.dispatcher import Assignment, ServiceDispatcher
 from bamboolever.calls.engine import EngineLoad
-from bamboolever.calls.placement import PlainServicePolicy
+from bamboolever.calls.hedging import ServiceHedging
+from bamboolever.calls.placement import Placement, PlainServicePolicy
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.fleet.records import StatedLoad
 from bamboolever.fleet.versions import VersionRollouts
@@ -39,8 +40,22 @@
     entry: int
     arrived_at: float
     work_s: float
+    is_tail: bool = False
+    is_idempotent: bool = False
     total_s: float | None = None
     is_rejected: bool = False
+    attempts: list = field(default_factory=list)
+
+
+@dataclass(eq=False)
+class ReplayedAttempt:
+    """One attempt of a request at the upstream with this number."""
+
+    request: ReplayedRequest
+    number: int
+    sent_at: float
+    is_tail: bool
+    is_cancelled: bool = False
 
 
 @dataclass
@@ -49,12 +64,12 @@
 
     slowness: float = 1.0
     history: list = field(default_factory=list)
-    running: int = 0
+    running: set = field(default_factory=set)
     queue: deque = field(default_factory=deque)
 
     @property
     def stated(self):
-        return StatedLoad(self.running, len(self.queue), SLOTS, self.slowness)
+        return StatedLoad(len(self.running), len(self.queue), SLOTS, self.slowness)
 
     def slowness_of(self, time):
         return next((value for at, value in reversed(self.history) if at <= time), 1.0)
@@ -65,11 +80,26 @@
 
     ``lag_s`` is how late all entries know the slowness of all upstreams. With
     ``is_stated`` they know what upstreams state with responses; with neither, nothing.
+    With a ``hedge_share`` they send hedged requests. What takes long is an attempt, or
+    with ``is_tail_of_request`` the request wherever it runs.
     """
 
     def __init__(
-        self, *, entries, upstreams, arrivals, lag_s=None, is_stated=False, seed=0
+        self,
+        *,
+        entries,
+        upstreams,
+        arrivals,
+        lag_s=None,
+        is_stated=False,
+        hedge_share=0.0,
+        is_tail_of_request=True,
+        seed=0,
     ):
+        self.hedging = [ServiceHedging(hedge_share) for _ in range(entries)]
+        self.hedge_share = hedge_share
+        self.is_tail_of_request = is_tail_of_request
+        self.hedges = self.won = 0
         self.random = random.Random(seed)
         self.arrivals = arrivals
         self.lag_s = lag_s
@@ -115,9 +145,11 @@
             action(now, *arguments)
         return self
 
-    def find_percentile_s(self, percent):
+    def find_percentile_s(self, percent, *, is_idempotent=None):
         served = sorted(
-            each.total_s for each in self.arrivals if each.total_s is not None
+            each.total_s
+            for each in self.arrivals
+            if each.total_s is not None and is_idempotent in (None, each.is_idempotent)
         )
         return served[int(percent / 100 * (len(served) - 1))]
 
@@ -132,27 +164,59 @@
 
     # Entries.
 
-    def _arrive(self, now, request):
-        pending = make_pending(
-            request.call_id, arrived_at=now, target_at=now + 0.335, timeout_at=now + 3
-        )
-        pending.model = None
-        self._apply(
-            now, request.entry, self.dispatchers[request.entry].submit(pending, now)
+    def _make_pending(self, now, request):
+        return make_pending(
+            request.call_id,
+            arrived_at=now,
+            target_at=now + 0.335,
+            timeout_at=now + 3,
+            model=None,
+            tried={f"up-{each.number}" for each in request.attempts},
         )
 
+    def _arrive(self, now, request):
+        pending = self._make_pending(now, request)
+        decisions = self.dispatchers[request.entry].submit(pending, now)
+        self._apply(now, request.entry, decisions)
+
     def _apply(self, now, entry, decisions):
         for decision in decisions:
             request = self.requests[decision.call.call_id]
             if not isinstance(decision, Assignment):
                 request.is_rejected = True
                 continue
-            number = self.views[entry].index(decision.placement.upstream)
-            self.at(now + HOP_S, self._reach, number, request)
+            self._send(now, request, decision.placement)
+            hedging = self.hedging[entry]
+            hedging.on_first_attempt()
+            delay_s = hedging.find_delay_s(now) if self.hedge_share else None
+            if request.is_idempotent and delay_s is not None:
+                self.at(now + delay_s, self._find_slow, request)
         expiry_at = self.dispatchers[entry].next_expiry_at()
         if expiry_at is not None:
             self.at(max(now, expiry_at) + 1e-4, self._place, entry)
 
+    def _send(self, now, request, placement):
+        number = self.views[request.entry].index(placement.upstream)
+        is_tail = request.is_tail
+        if not self.is_tail_of_request:
+            is_tail = self.random.random() < TAIL_SHARE
+        attempt = ReplayedAttempt(request, number, now, is_tail)
+        request.attempts.append(attempt)
+        self.at(now + HOP_S, self._reach, attempt)
+
+    def _find_slow(self, now, request):
+        hedging = self.hedging[request.entry]
+        if request.total_s is not None or not hedging.has_token:
+            return
+        dispatcher = self.dispatchers[request.entry]
+        pending = self._make_pending(now, request)
+        placement = dispatcher.choose_hedge(pending, now)
+        if isinstance(placement, Placement):
+            hedging.take_token()
+            dispatcher.assign_hedge(pending, placement, now)
+            self.hedges += 1
+            self._send(now, request, placement)
+
     def _place(self, now, entry):
         self._apply(now, entry, self.dispatchers[entry].place_waiting(now))
 
@@ -193,34 +257,54 @@
         upstream.history.append((now, upstream.slowness))
         self.at(now + REDRAW_S, self._redraw, number)
 
-    def _reach(self, now, number, request):
-        self.upstreams[number].queue.append(request)
-        self._begin(now, number)
+    def _reach(self, now, attempt):
+        if not attempt.is_cancelled:
+            self.upstreams[attempt.number].queue.append(attempt)
+            self._begin(now, attempt.number)
 
     def _begin(self, now, number):
         upstream = self.upstreams[number]
-        while upstream.queue and upstream.running < SLOTS:
-            request = upstream.queue.popleft()
-            upstream.running += 1
-            done_at = now + request.work_s * upstream.slowness
-            self.at(done_at, self._end, number, request)
-
-    def _end(self, now, number, request):
-        upstream = self.upstreams[number]
-        upstream.running -= 1
-        self.at(now + HOP_S, self._respond, number, request, upstream.stated)
-        self._begin(now, number)
-
-    def _respond(self, now, number, request, stated):
-        view = self.views[request.entry][number]
-        view.remove_call(request.call_id)
-        if self.is_stated:
-            view.on_stated_load(stated, now)
+        while upstream.queue and len(upstream.running) < SLOTS:
+            attempt = upstream.queue.popleft()
+            upstream.running.add(attempt)
+            work_s = attempt.request.work_s * (TAIL_FACTOR if attempt.is_tail else 1.0)
+            self.at(now + work_s * upstream.slowness, self._end, attempt)
+
+    def _end(self, now, attempt):
+        upstream = self.upstreams[attempt.number]
+        if attempt not in upstream.running:
+            return
+        upstream.running.remove(attempt)
+        self.at(now + HOP_S, self._respond, attempt, upstream.stated)
+        self._begin(now, attempt.number)
+
+    def _drop(self, now, attempt):
+        upstream = self.upstreams[attempt.number]
+        upstream.running.discard(attempt)
+        if attempt in upstream.queue:
+            upstream.queue.remove(attempt)
+        self._begin(now, attempt.number)
+
+    def _respond(self, now, attempt, stated):
+        request = attempt.request
+        if attempt.is_cancelled:
+            return
         request.total_s = now - request.arrived_at
+        views = self.views[request.entry]
+        if self.is_stated:
+            views[attempt.number].on_stated_load(stated, now)
+        for each in request.attempts:
+            views[each.number].remove_call(request.call_id)
+            if each is not attempt:
+                each.is_cancelled = True
+                self.at(now + HOP_S, self._drop, each)
+        self.won += attempt is not request.attempts[0]
+        elapsed_s = now - request.attempts[0].sent_at
+        self.hedging[request.entry].on_response(elapsed_s, now)
         self._place(now, request.entry)
 
 
-def make_requests(*, per_s, duration_s, entries, work_s, seed=0):
+def make_requests(*, per_s, duration_s, entries, work_s, idempotent_share=0.0, seed=0):
     """Return requests at random times; some take `TAIL_FACTOR` times as long."""
     source = random.Random(seed)
     requests, now = [], 0.0
@@ -229,6 +313,8 @@
         if now >= duration_s:
             return requests
         is_tail = source.random() < TAIL_SHARE
-        work = work_s * (TAIL_FACTOR if is_tail else 1.0)
+        is_idempotent = idempotent_share > 0 and source.random() < idempotent_share
         entry = source.randrange(entries)
-        requests.append(ReplayedRequest(call_id, entry, now, work))
+        requests.append(
+            ReplayedRequest(call_id, entry, now, work_s, is_tail, is_idempotent)
+        )
