--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -36,6 +36,7 @@
 from bamboolever.daemons.calllog import CallLog
 from bamboolever.daemons.entryexchange import EntryExchange
 from bamboolever.daemons.entryfleet import EntryFleet
+from bamboolever.daemons.hedges import Hedges
 from bamboolever.daemons.relay import CallRelay
 from bamboolever.daemons.relaycontext import RelayContext
 from bamboolever.daemons.settings import InstanceSettings
@@ -87,6 +88,7 @@
         self._relays: dict[ServerConnection, CallRelay] = {}
         self._awaiting_placement: dict[int, CallRelay] = {}
         self._retry_budgets: dict[str, RetryBudget] = {}
+        self.hedges = Hedges(settings.hedge_share, task, telemetry, fleet, self)
         self._expiry_timer: Timer | None = None
         self._next_expiry_at: float | None = None
         self._is_dispatch_scheduled = False
@@ -116,14 +118,15 @@
     def enqueue(self, relay: CallRelay, pending: PendingCall) -> None:
         """Submit a call to its dispatcher, which places, queues or rejects it."""
         self._awaiting_placement[relay.call_id] = relay
-        pending.allowed_regions = self._find_regions(relay)
+        pending.allowed_regions = self.find_regions(relay)
         dispatcher = self._fleet.dispatcher(relay.service)
         now = self.task.now()
         self._fleet.note_awake(now)
         self._apply_decisions(dispatcher.submit(pending, now))
         self._exchange.limits.ask(dispatcher.take_lacking_permits())
 
-    def _find_regions(self, relay: CallRelay) -> frozenset[str] | None:
+    def find_regions(self, relay: CallRelay) -> frozenset[str] | None:
+        """Return the regions that the configuration in force allows a call, or None."""
         metadata = relay.metadata
         inquiry = RegionInquiry(
             metadata.host,
@@ -146,7 +149,7 @@
             for pending in self._fleet.dispatcher(service).queued_calls:
                 relay = self._awaiting_placement.get(pending.call_id)
                 if relay is not None:
-                    pending.allowed_regions = self._find_regions(relay)
+                    pending.allowed_regions = self.find_regions(relay)
         if self._fleet.has_waiting_calls:
             self.on_fleet_changed()
 
@@ -312,15 +315,16 @@
         self._exchange.crashes.on_response(upstream.key, sent_at)
         self.on_broken_response(relay, upstream, sent_at)
 
-    def acquire_retry(self, relay: CallRelay) -> str | None:
+    def acquire_retry(self, relay: CallRelay, *, is_hedge: bool = False) -> str | None:
         """Take one retry of a call from its service's budget.
 
-        Returns None if the call may be sent again, else the reason why not.
+        Returns None if the call may be sent again, else the reason why not. With
+        ``is_hedge``, the attempt under way counts as one that may have run.
         """
         crashes = self._exchange.crashes
         now = self.task.now()
         is_blocked = crashes.tracker.is_blocked(relay.digest, now)
-        if relay.may_have_run:
+        if relay.may_have_run or is_hedge:
             is_blocked = not crashes.tracker.may_retry(relay.digest, now)
         if is_blocked:
             return "crashes-upstreams"
