Try an unreachable upstream with one request, after longer pauses

Cause: an upstream that hung was ejected for half a second each time, and then got several requests of every entry at once.

Change: the pause doubles up to 2 s until something succeeds, and an upstream that was unreachable counts as ejected while one request tries it. Failures during an ejection belong to the same outage.

--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -33,6 +33,9 @@
 MIN_EJECTION_S = 1.0
 MAX_EJECTION_S = 8.0
 UNREACHABLE_EJECTION_S = 0.5
+# It doubles while nothing succeeds in between. An upstream that restarts is a new one
+# in the list, so that this delays only one that comes back without a restart.
+MAX_UNREACHABLE_EJECTION_S = 2.0
 # A longer Retry-After of an upstream is not followed.
 MAX_RETRY_AFTER_S = 30.0
 # Added to an upstream's Retry-After, for the delay of the response that stated it.
@@ -134,6 +137,7 @@
     _failure_count: int = 0
     _next_ejection_s: float = MIN_EJECTION_S
     _next_misdirected_s: float = MIN_MISDIRECTED_S
+    _next_unreachable_s: float = UNREACHABLE_EJECTION_S
     _unstarted_calls: int = 0
     _unstarted_tokens: int = 0
     _freed_slots: int = 0
@@ -281,8 +285,15 @@
         self._next_misdirected_s = min(MAX_MISDIRECTED_S, 2 * self._next_misdirected_s)
 
     def is_ejected(self, now: float) -> bool:
-        """Return whether the upstream is ejected at ``now``."""
-        return now < self.ejected_until
+        """Return whether the upstream is ejected at ``now``.
+
+        After it was unreachable, it counts as ejected while one request tries it: the
+        others would be lost with that one.
+        """
+        if now < self.ejected_until:
+            return True
+        was_unreachable = self._next_unreachable_s > UNREACHABLE_EJECTION_S
+        return was_unreachable and self._unstarted_calls > 0
 
     def on_served_version(self, model: str, version: int, now: float) -> None:
         """Record the version that the agent reports; call for each agent state.
@@ -336,6 +347,7 @@
         """
         call = self.calls.get(call_id)
         if call is not None and not call.has_first_event:
+            self._next_unreachable_s = UNREACHABLE_EJECTION_S
             call.has_first_event = True
             self._on_started(call)
 
@@ -386,6 +398,7 @@
         self._failure_count = 0
         self._next_ejection_s = MIN_EJECTION_S
         self._next_misdirected_s = MIN_MISDIRECTED_S
+        self._next_unreachable_s = UNREACHABLE_EJECTION_S
 
     def on_failure(self, now: float) -> bool:
         """Count a failure; call when an attempt fails because of the upstream.
@@ -403,8 +416,17 @@
         return True
 
     def on_unreachable(self, now: float) -> None:
-        """Eject the upstream briefly.
+        """Eject the upstream briefly, and for longer each time until one succeeds.
 
-        Call when a connection to it fails or one of its streams stalls.
+        Call when a connection to it fails or one of its streams stalls. Failures while
+        it is ejected belong to the same outage.
+
+        Load pattern: upstreams that hang for seconds. Every entry tries them again
+        after each ejection, and would lose all requests that it sends meanwhile.
         """
-        self.ejected_until = max(self.ejected_until, now + UNREACHABLE_EJECTION_S)
+        if now < self.ejected_until:
+            return
+        self.ejected_until = now + self._next_unreachable_s
+        self._next_unreachable_s = min(
+            MAX_UNREACHABLE_EJECTION_S, 2 * self._next_unreachable_s
+        )
--- a/testing/calls/test_upstream.py
+++ b/testing/calls/test_upstream.py
@@ -66,6 +66,38 @@
     assert view.served_version("model-1", 10.1 + AGENT_STATE_MAX_AGE_S) == 1
 
 
+def test_upstream_that_hangs_is_tried_by_one_request_after_longer_pauses():
+    """Guards against entries that lose several requests at it every half second."""
+    view = make_view()
+    view.on_unreachable(0.0)
+    view.on_unreachable(0.1)
+    assert view.is_ejected(0.4)
+    assert not view.is_ejected(0.5)
+    view.add_call(1, 100)
+    assert view.is_ejected(0.6)
+    view.remove_call(1)
+    view.on_unreachable(2.0)
+    assert view.is_ejected(2.9)
+    assert not view.is_ejected(3.0)
+    for _ in range(3):
+        view.on_unreachable(view.ejected_until)
+    assert view.ejected_until == 9.0
+
+
+def test_first_event_ends_the_trial_of_an_upstream_that_was_unreachable():
+    view = make_view()
+    view.on_unreachable(0.0)
+    view.add_call(1, 100)
+    view.add_call(2, 100)
+    assert view.is_ejected(0.6)
+    view.on_first_event(1)
+    assert not view.is_ejected(0.6)
+    view.on_unreachable(1.0)
+    assert view.is_ejected(1.5)
+    view.remove_call(2)
+    assert not view.is_ejected(1.5)
+
+
 def test_upstream_that_is_leaving_takes_no_requests():
     view = make_view()
     assert view.can_accept_requests(1.0)
