Bound the bytes held for callers that read slowly

Cause: an entry held up to 4 MiB of a stream for each connection that does not read, up to 16 MiB of any other response, and further responses to pipelined requests, without a bound for the process. The close of a stream over its bound looked like its end to HTTP/1.0 callers. Each stream could hold an incomplete event of 1 MiB. Change: HeldBytes bounds what all connections hold; the largest holder is cut, logged and counted as caller.cut. A pipelined request waits until the response before is read. Incomplete events take their memory from the budget of buffered responses. A cut before HTTP/1.1 resets the connection.

--- a/src/bamboolever/calls/events.py
+++ b/src/bamboolever/calls/events.py
@@ -58,6 +58,11 @@
         """Bytes received after the end of the last complete event."""
         return bytes(self._buffer)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """How many bytes are buffered."""
+        return len(self._buffer)
+
     @property
     def partial_event_bytes(self) -> int:
         """Size of the event that has begun and is not complete yet; 0 if none has."""
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -31,6 +31,7 @@
     admit,
     can_admit_while_stopping,
 )
+from bamboolever.calls.buffers import HeldBytes
 from bamboolever.calls.dispatcher import RejectReason
 from bamboolever.calls.parts import PromptParts
 from bamboolever.calls.poison import request_digest
@@ -105,6 +106,9 @@
         self._configuration: Configuration | None = None
         self._route_table = RouteTable(Configuration(0))
         self._limits = HttpLimits()
+        self._held_bytes: HeldBytes[ServerConnection] = HeldBytes.from_memory(
+            settings.memory_bytes
+        )
         self._is_stopping = False
         self._stopped_at = 0.0
         self._known_rollouts = 0
@@ -428,6 +432,22 @@
         """Cancel the call of a caller that closed before its response was complete."""
         self.calls.on_caller_gone(connection)
 
+    def on_queued_bytes(self, connection: ServerConnection, size_bytes: int) -> None:
+        """Cut the responses of the slowest callers if all together hold too much."""
+        for slowest in self._held_bytes.resize(connection, size_bytes):
+            slowest.cut_later()
+
+    def on_cut(self, connection: ServerConnection, size_bytes: int) -> None:
+        """Count and log a response that is cut as its caller does not read it."""
+        self.telemetry.count("caller.cut")
+        logger.warning(
+            "slow caller cut",
+            extra={
+                "unread_bytes": size_bytes,
+                "held_bytes": self._held_bytes.used_bytes,
+            },
+        )
+
     def on_rejected(self, status: int, reason: str) -> None:
         """Count and log a request that was rejected before it was complete."""
         self.telemetry.count("request.malformed", 1, status=str(status))
--- a/src/bamboolever/daemons/eventstream.py
+++ b/src/bamboolever/daemons/eventstream.py
@@ -2,6 +2,7 @@
 
 from typing import final
 
+from bamboolever.calls.buffers import BufferBudget
 from bamboolever.calls.events import EventBatch, EventSplitter
 from bamboolever.net.messages import BodyFraming, ResponseHead
 from bamboolever.net.server import ServerConnection
@@ -17,11 +18,19 @@
     ``last_event_id`` is the id after which the caller wants the stream, then that of
     the last forwarded event; None if there is none. ``is_position_known`` is False
     once the last forwarded event had no id. ``event_count`` counts the forwarded
-    events.
+    events. The memory of an incomplete event is taken from a shared budget.
     """
 
-    def __init__(self, caller: ServerConnection, last_event_id: bytes | None):
+    def __init__(
+        self,
+        caller: ServerConnection,
+        last_event_id: bytes | None,
+        budget: BufferBudget,
+    ):
         self._caller = caller
+        self._budget = budget
+        self._budgeted_bytes = 0
+        self._is_over_budget = False
         self._splitter = EventSplitter()
         self.last_event_id = last_event_id
         self.is_position_known = True
@@ -47,8 +56,8 @@
 
     @property
     def is_over_limit(self) -> bool:
-        """Whether the next event is larger than `MAX_EVENT_BYTES`."""
-        return self.partial_event_bytes > MAX_EVENT_BYTES
+        """Whether the next event is larger than `MAX_EVENT_BYTES` or the budget."""
+        return self._is_over_budget or self.partial_event_bytes > MAX_EVENT_BYTES
 
     @property
     def is_malformed(self) -> bool:
@@ -57,10 +66,24 @@
 
     def begin_attempt(self) -> None:
         """Drop what an earlier attempt left of an event."""
+        self.release()
         self._splitter = EventSplitter()
         self._is_continuation = self.is_begun
         self._is_out_of_order = False
 
+    def release(self) -> None:
+        """Return the memory of the incomplete event to the budget."""
+        self._budget.resize(self._budgeted_bytes, 0)
+        self._budgeted_bytes = 0
+        self._is_over_budget = False
+
+    def _take_budget(self) -> None:
+        size_bytes = self._splitter.buffered_bytes
+        if self._budget.resize(self._budgeted_bytes, size_bytes):
+            self._budgeted_bytes = size_bytes
+        else:
+            self._is_over_budget = True
+
     def begin(self, head: ResponseHead) -> None:
         """Send the head of the first response, unless that was done."""
         if self.is_begun:
@@ -71,6 +94,7 @@
     def forward(self, data: bytes, head: ResponseHead) -> bool:
         """Send the events that ``data`` completes; return whether there are any."""
         batch = self._splitter.feed(data)
+        self._take_budget()
         if batch is None:
             return False
         is_first = self.attempt_events == batch.count
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -103,7 +103,7 @@
         self._first_response_head: ResponseHead | None = None
         self._attempt_outcome: AttemptOutcome | None = None
         self._response_body = ResponseBuffer(context.buffers)
-        self._stream = EventStream(connection, metadata.last_event_id)
+        self._stream = EventStream(connection, metadata.last_event_id, context.buffers)
         self._may_have_run = False
         self._timeout_timer = self._task.call_later(
             self._timeout_at - self.arrived_at, self._on_timeout
@@ -528,6 +528,7 @@
         self._timeout_timer.cancel()
         self._timers.end_attempt()
         self._response_body.take()
+        self._stream.release()
         if self._upstream is not None:
             self._upstream.remove_call(self.call_id)
         self._context.cancel_placement(self)
--- a/src/bamboolever/net/handlers.py
+++ b/src/bamboolever/net/handlers.py
@@ -48,6 +48,19 @@
         ``status`` is the HTTP status and ``reason`` a short description.
         """
 
+    def on_queued_bytes(  # noqa: B027 (not all handlers bound what is queued)
+        self, connection: "ServerConnection", size_bytes: int
+    ) -> None:
+        """Called when the bytes changed that a caller has not read; 0 when it closes.
+
+        The handler may call `ServerConnection.cut_later` for any connection.
+        """
+
+    def on_cut(  # noqa: B027 (not all handlers bound what is queued)
+        self, connection: "ServerConnection", size_bytes: int
+    ) -> None:
+        """Called when a response is cut as its caller does not read ``size_bytes``."""
+
 
 # Takes the status and the reason of a rejection by the server itself and returns
 # the headers and the body of its response.
--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -47,9 +47,11 @@
         self._request: h11.Request | None = None
         self._request_body = bytearray()
         self._send_buffer = bytearray()
+        self._reported_bytes = 0
         self._events = READ
         self._is_closed = False
         self._is_closing = False
+        self._is_cut = False
         self._is_response_due = False
         self._is_head_sent = False
         self._timer = RearmableTimer(self._task)
@@ -95,15 +97,15 @@
     def send(self, data: bytes) -> None:
         """Send a part of the body of a streamed response.
 
-        The connection is closed when more than `MAX_STREAM_BUFFER_BYTES` wait for a
-        caller that does not read them.
+        The response is cut when more than `MAX_STREAM_BUFFER_BYTES` wait for a caller
+        that does not read them.
         """
         if self._is_closed or not data:
             return
         self._send_event(h11.Data(data=data))
         self._flush()
         if len(self._send_buffer) > MAX_STREAM_BUFFER_BYTES:
-            self._task.send(self.close)
+            self.cut_later()
 
     def finish(self) -> None:
         """Mark a streamed response as complete."""
@@ -116,12 +118,33 @@
             return
         self._is_response_due = False
         self._flush()
+        self._mark_incomplete()
+        self.close()
+
+    def cut_later(self) -> None:
+        """Drop the bytes that the caller has not read, and close the connection soon.
+
+        The caller sees an incomplete response. Closing calls the handler, which may be
+        on the call stack now.
+        """
+        if self._is_closed or self._is_cut:
+            return
+        self._is_cut = True
+        self._server.handler.on_cut(self, len(self._send_buffer))
+        self._task.send(self._cut)
+
+    def _cut(self) -> None:
+        if self._is_closed:
+            return
+        self._mark_incomplete()
+        self.close()
+
+    def _mark_incomplete(self) -> None:
         if self._http.their_http_version != b"1.1" and not self._is_closed:
             # Before HTTP/1.1 there is no chunked coding, and the end of the stream
             # completes a response. A reset (linger of zero) marks it as incomplete.
             linger_option = b"\x01\x00\x00\x00\x00\x00\x00\x00"
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_option)
-        self.close()
 
     def close(self) -> None:
         """Close the socket.
@@ -134,6 +157,8 @@
         self._timer.disarm()
         self._task.unregister(self._sock)
         self._sock.close()
+        self._send_buffer = bytearray()
+        self._report_queued_bytes()
         self._server.remove_connection(self)
         if self._is_response_due:
             self._is_response_due = False
@@ -162,7 +187,7 @@
         else:
             self._is_closing = True
         self._flush()
-        if not self._is_closed and not self._is_closing:
+        if not self._is_closed and not self._is_closing and not self._send_buffer:
             # A pipelined request may be buffered. It is processed in a later step,
             # because the handler that responds is still on the call stack.
             self._task.send(self._process_events)
@@ -170,9 +195,20 @@
     def _on_ready(self, events: int) -> None:
         if events & WRITE:
             self._flush()
+            if self._can_process:
+                self._resume()
         if events & READ and not self._is_closed:
             self._receive()
 
+    def _resume(self) -> None:
+        """Process the requests that arrived while an earlier response was not read."""
+        if self._request is None:
+            delay_s = self._server.limits.idle_timeout_s
+            if self._http.trailing_data[0]:
+                delay_s = self._server.limits.header_timeout_s
+            self._arm_timer(delay_s)
+        self._process_events()
+
     def _receive(self) -> None:
         try:
             data = self._sock.recv(RECEIVE_BYTES)
@@ -187,18 +223,29 @@
             return
         if self._is_closing:
             return
-        if not self._is_response_due and self._request is None:
+        if self._can_process and self._request is None:
             self._arm_header_timer()
         self._http.receive_data(data)
-        if not self._is_response_due:
+        if self._can_process:
             self._process_events()
             return
         if len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES:
             self.close()
 
+    @property
+    def _can_process(self) -> bool:
+        # The next request waits until the caller has read the response before, or it
+        # could have one response after the other buffered.
+        return not (
+            self._is_response_due
+            or self._is_closed
+            or self._is_closing
+            or self._send_buffer
+        )
+
     def _process_events(self) -> None:
         try:
-            while not (self._is_response_due or self._is_closed or self._is_closing):
+            while self._can_process:
                 event = self._http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
@@ -266,6 +313,8 @@
         self._flush()
 
     def _flush(self) -> None:
+        if self._is_cut:
+            return
         try:
             while self._send_buffer:
                 with memoryview(self._send_buffer) as view:
@@ -279,9 +328,17 @@
             self._task.send(self.close)
             return
         if self._is_closing and not self._send_buffer:
+            self._report_queued_bytes()
             self._half_close()
             return
         self._set_events(READ | (WRITE if self._send_buffer else 0))
+        self._report_queued_bytes()
+
+    def _report_queued_bytes(self) -> None:
+        size_bytes = len(self._send_buffer)
+        if size_bytes != self._reported_bytes:
+            self._reported_bytes = size_bytes
+            self._server.handler.on_queued_bytes(self, size_bytes)
 
     def _half_close(self) -> None:
         # Closing a socket with unread input sends a reset, and the caller can lose
@@ -309,7 +366,8 @@
     def _on_timeout(self) -> None:
         if self._is_response_due or self._is_closed:
             return
-        if self._request is not None or self._http.trailing_data[0]:
+        is_unread = bool(self._send_buffer)
+        if not is_unread and (self._request or self._http.trailing_data[0]):
             self._reject(408, "the request was not finished in time")
             return
         self.close()
--- /dev/null
+++ b/testing/daemons/test_slowcallers.py
@@ -0,0 +1,222 @@
+"""Callers that do not read their responses hold a bounded number of bytes."""
+
+import itertools
+import socket
+import threading
+
+import pytest
+from rawserver import Endless
+from rawupstream import RawUpstream, signed
+from sitebuilders import (
+    WAIT_S,
+    make_headers,
+    make_stream_headers,
+    wait_for,
+)
+
+from bamboolever.calls import stall
+from bamboolever.calls.buffers import BufferBudget
+
+MIB = 2**20
+# A quarter of this is the bound for an entry.
+MEMORY_MB = 32
+HELD_BOUND_BYTES = 8 * MIB
+EVENT = b"data: " + b"x" * 1000 + b"\n\n"
+NEVER_S = 600.0
+# The kernel takes some MB of each response, which the entry does not hold.
+BODY_BYTES = 6000 * len(EVENT)
+# Below the bound for one connection.
+STREAM_BYTES = 3600 * len(EVENT)
+CALLER_COUNT = 8
+RECEIVE_BUFFER_BYTES = 4096
+
+_numbers = itertools.count(1)
+
+
+class SlowCaller:
+    """Sends requests on one connection, and reads only when told to."""
+
+    def __init__(self, entry):
+        self._sock = socket.socket()
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._sock.settimeout(WAIT_S)
+        self._sock.connect(entry.settings.caller_address)
+
+    def send(self, path, *, version="1.1", **headers):
+        lines = [f"POST {path} HTTP/{version}", "Content-Length: 4"]
+        lines += [f"{k}: {v}" for k, v in make_headers(**headers).items()]
+        self._sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\nbody")
+
+    def read_all(self):
+        """Return the bytes until the connection ends, and whether it was reset."""
+        received = bytearray()
+        try:
+            while data := self._sock.recv(65536):
+                received += data
+        except ConnectionResetError:
+            return bytes(received), True
+        return bytes(received), False
+
+    def read_body(self, size_bytes):
+        received_bytes = 0
+        while received_bytes < size_bytes:
+            data = self._sock.recv(2**18)
+            assert data, "the connection ended early"
+            received_bytes += len(data)
+
+    def close(self):
+        self._sock.close()
+
+
+@pytest.fixture
+def make_caller():
+    callers = []
+
+    def make(entry):
+        callers.append(SlowCaller(entry))
+        return callers[-1]
+
+    yield make
+    for caller in callers:
+        caller.close()
+
+
+@pytest.fixture
+def small_site(site, monkeypatch):
+    """A site whose entries have little memory."""
+    make_settings = site.make_settings
+
+    def make_small_settings(**options):
+        document = make_settings(**options)
+        document["limits"]["memoryMb"] = MEMORY_MB
+        return document
+
+    monkeypatch.setattr(site, "make_settings", make_small_settings)
+    return site
+
+
+def _connections(entry):
+    return list(entry.entry._caller_server._connections)
+
+
+def _held_bytes(entry):
+    return [connection.queued_bytes for connection in _connections(entry)]
+
+
+def _record_ended(entry):
+    """Return a list that gets the outcome of each call that ends from now on."""
+    outcomes = []
+    entry.entry.calls.log.ended = lambda relay, now: outcomes.append(
+        relay.record.outcome
+    )
+    return outcomes
+
+
+def _response_of(size_bytes):
+    body = EVENT * (size_bytes // len(EVENT))
+    return signed(body, b"Content-Length: %d" % len(body))
+
+
+def test_http_1_0_caller_over_its_bound_sees_a_reset(site, start_entry, make_caller):
+    """Guards against a cut response that looks complete, as it has no framing."""
+    RawUpstream(site, "endless", [signed(b""), Endless(EVENT * 64)])
+    entry = start_entry().wait_ready(1)
+    caller = make_caller(entry)
+    caller.send("/stream/1", version="1.0", **make_stream_headers())
+    wait_for(lambda: _connections(entry))
+    wait_for(lambda: not _connections(entry))
+    _received, is_reset = caller.read_all()
+    assert is_reset
+
+
+def test_bytes_held_for_all_slow_callers_are_bounded(
+    small_site, start_entry, make_caller
+):
+    """Guards against an entry whose memory is used up by callers that do not read."""
+    script = [_response_of(BODY_BYTES)] * CALLER_COUNT
+    RawUpstream(small_site, "large", script, is_engine=False)
+    entry = start_entry().wait_ready(1)
+    ended = _record_ended(entry)
+    slow = []
+    for count in range(1, CALLER_COUNT + 1):
+        slow.append(make_caller(entry))
+        slow[-1].send("/orders/1")
+        wait_for(lambda count=count: len(ended) >= count)
+    wait_for(lambda: sum(_held_bytes(entry)) <= HELD_BOUND_BYTES)
+    assert ended == ["served"] * CALLER_COUNT
+    complete = 0
+    for caller, is_cut in _with_cuts(entry, slow):
+        if is_cut:
+            received, _is_reset = caller.read_all()
+            assert b"Content-Length: %d" % BODY_BYTES in received
+            assert received.count(EVENT) < BODY_BYTES // len(EVENT)
+        else:
+            caller.read_body(BODY_BYTES)
+            complete += 1
+    assert 0 < complete < CALLER_COUNT
+
+
+def _with_cuts(entry, callers):
+    """Return each caller, and whether the entry has closed its connection."""
+    open_ports = {
+        connection._sock.getpeername()[1] for connection in _connections(entry)
+    }
+    return [
+        (caller, caller._sock.getsockname()[1] not in open_ports) for caller in callers
+    ]
+
+
+def test_small_holders_are_not_cut_for_the_largest(
+    small_site, start_entry, make_caller
+):
+    RawUpstream(small_site, "large", [_response_of(STREAM_BYTES)] * CALLER_COUNT)
+    small_site.add_plain_upstream("plain-1")
+    entry = start_entry().wait_ready(2)
+    for _ in range(6):
+        make_caller(entry).send("/stream/1", **make_stream_headers())
+    connection = entry.connect()
+    for _ in range(20):
+        response = entry.call("/orders/1", connection=connection)
+        assert (response.status, response.is_complete) == (200, True)
+
+
+def test_pipelined_requests_wait_for_the_response_before(
+    site, start_entry, make_caller
+):
+    """Guards against one connection that makes an entry buffer many responses."""
+    RawUpstream(
+        site, "plain", [_response_of(BODY_BYTES)] * CALLER_COUNT, is_engine=False
+    )
+    entry = start_entry().wait_ready(1)
+    ended = _record_ended(entry)
+    caller = make_caller(entry)
+    for _ in range(4):
+        caller.send("/orders/1")
+    wait_for(lambda: sum(_held_bytes(entry)) > MIB)
+    peak = 0
+    never_set = threading.Event()
+    for _ in range(50):
+        peak = max(peak, sum(_held_bytes(entry)))
+        never_set.wait(0.02)
+    assert peak <= BODY_BYTES + MIB
+    caller.read_body(4 * BODY_BYTES)
+    assert ended == ["served"] * 4
+
+
+def test_events_without_end_share_a_budget(site, start_entry, monkeypatch):
+    """Guards against many streams that each hold an event just below its limit."""
+    monkeypatch.setattr(stall, "STALL_TIMEOUT_S", NEVER_S)
+    partial = b"data: " + b"x" * 900_000
+    RawUpstream(site, "endless", [signed(EVENT + partial), "hold"])
+    entry = start_entry().wait_ready(1)
+    budget = entry.entry.calls.buffers = BufferBudget(MIB)
+    first, second = entry.connect(), entry.connect()
+    headers = make_headers(**make_stream_headers())
+    first.request("POST", "/stream/1", b"body", headers)
+    wait_for(lambda: budget.used_bytes > MIB // 2)
+    response = entry.call("/stream/2", connection=second, **make_stream_headers())
+    assert not response.is_complete
+    assert response.body == EVENT
+    assert 0 < budget.used_bytes <= MIB
+    first.close()
+    wait_for(lambda: budget.used_bytes == 0)
