Count the memory of unread bytes, not their number

Cause: a buffer keeps the memory of bytes that were sent until half of it is free, so what was held exceeded its bound. Change: the bound counts the memory of each buffer.

--- a/src/bamboolever/net/handlers.py
+++ b/src/bamboolever/net/handlers.py
@@ -51,7 +51,9 @@
     def on_queued_bytes(  # noqa: B027 (not all handlers bound what is queued)
         self, connection: "ServerConnection", size_bytes: int
     ) -> None:
-        """Called when the bytes changed that a caller has not read; 0 when it closes.
+        """Called when the memory of bytes changed that a caller has not read.
+
+        It is 0 when the caller has read all, or when the connection closes.
 
         The handler may call `ServerConnection.cut_later` for any connection.
         """
--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -335,7 +335,8 @@
         self._report_queued_bytes()
 
     def _report_queued_bytes(self) -> None:
-        size_bytes = len(self._send_buffer)
+        # Up to half of the memory of a buffer may belong to bytes that were sent.
+        size_bytes = self._send_buffer.__alloc__() if self._send_buffer else 0
         if size_bytes != self._reported_bytes:
             self._reported_bytes = size_bytes
             self._server.handler.on_queued_bytes(self, size_bytes)
