--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -111,7 +111,7 @@
         self._first_response_head: ResponseHead | None = None
         self._attempt_outcome: AttemptOutcome | None = None
         self._response_body = ResponseBuffer(context.buffers)
-        self._stream = EventStream(connection, metadata.last_event_id)
+        self._stream = EventStream(connection, metadata.last_event_id, context.buffers)
         self._may_have_run = False
         self._hedge: HedgedAttempt | None = None
         self._hedge_timer = RearmableTimer(self._task)
@@ -592,6 +592,7 @@
         self._hedge_timer.disarm()
         self._end_hedge("lost" if outcome == "served" else "cancelled")
         self._response_body.take()
+        self._stream.release()
         if self._upstream is not None:
             self._upstream.remove_call(self.call_id)
         self._context.cancel_placement(self)
