Regions: flexible requests leave the last slots of a region to bound ones

Requests that may go anywhere took the slots of a region that filled up, and those bound to it were rejected while other regions had room. Requests now leave some free slots to requests that reach only a part of their regions and are no less urgent: always to more urgent ones, to equal ones while there is room elsewhere, and a little where there is none. How many follows from the load of the region and the bound demand that the entry sees. Without bound requests nothing is computed.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -15,12 +15,20 @@
 """
 
 import random
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 from enum import Enum
 
 from bamboolever.calls.eligibility import EligibilityRules
 from bamboolever.calls.placement import PendingCall, Placement, PlacementPolicy
+from bamboolever.calls.regionreserve import (
+    NOTHING_RESERVED,
+    RegionLoad,
+    RegionReserve,
+    ReservedRegions,
+    measure_regions,
+)
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.fleet.versions import VersionRollouts
 
@@ -72,13 +80,15 @@
     """The decision to send a request to an upstream.
 
     ``has_used_permit`` is set if the upstream has named a limit. ``held_back`` are
-    those that could not take the request because of theirs.
+    those that could not take the request because of theirs. ``left_regions`` are the
+    regions in which it left the last room to requests that are bound to them.
     """
 
     call: PendingCall
     placement: Placement
     has_used_permit: bool = False
     held_back: tuple[str, ...] = ()
+    left_regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -88,7 +98,9 @@
     ``retry_after_s`` is how long the caller should wait before it retries.
     ``usable_upstreams`` and ``waiting_calls`` are counts at the time of the decision,
     for the log. ``held_back`` are the upstreams that could not take the request because
-    of their limits.
+    of their limits. ``left_regions`` are the regions in which it left the last room to
+    requests that are bound to them. ``excluded`` counts, for a bound request, the
+    upstreams that each rule excluded, by the rule's reason.
     """
 
     call: PendingCall
@@ -97,6 +109,8 @@
     usable_upstreams: int = 0
     waiting_calls: int = 0
     held_back: tuple[str, ...] = ()
+    left_regions: tuple[str, ...] = ()
+    excluded: Mapping[str, int] = field(default_factory=dict)
 
 
 Decision = Assignment | Rejection
@@ -117,6 +131,7 @@
         self, policy: PlacementPolicy, versions: VersionRollouts, *, seed: int = 0
     ):
         self.policy = policy
+        self.region_reserve = RegionReserve()
         self._rules = EligibilityRules.from_versions(versions)
         self._upstreams: list[UpstreamView] = []
         self._home: list[UpstreamView] = []
@@ -168,6 +183,7 @@
         can serve is rejected at once, unless it is a resumed stream or a caller's
         retry.
         """
+        self.region_reserve.on_arrival(call, now)
         if call.allowed_regions == frozenset():
             return [self._reject(call, [], now)]
         if not self._can_wait(call) and not self._has_eligible(call, now):
@@ -192,13 +208,18 @@
         decisions: list[Decision] = []
         still_queued: list[PendingCall] = []
         home: dict[_CallKind, Sequence[UpstreamView]] = {}
+        loads: dict[_CallKind, dict[str | None, RegionLoad]] = {}
         has_limits = self._has_limits(now)
         for call in self._queue:
-            placement = self._choose(call, self._home_for(call, home, now), now)
+            candidates = self._home_for(call, home, now)
+            reserved = self._find_reserved(call, candidates, loads, now)
+            placement, left = self._choose(call, candidates, reserved, now)
             held_back = self._find_held_back(call, now) if has_limits else []
             if placement is not None:
-                decision = self._assign(call, placement, held_back, now)
+                decision = self._assign(call, placement, held_back, left, now)
                 decisions.append(decision)
+                for known in loads.values():
+                    _take_slot(known, placement.upstream)
                 if decision.has_used_permit:
                     # It may have been the last one.
                     home.clear()
@@ -207,7 +228,7 @@
                 or call.allowed_regions == frozenset()
                 or self._is_hopeless(call, held_back, now)
             ):
-                decisions.append(self._reject(call, held_back, now))
+                decisions.append(self._reject(call, held_back, now, left))
             else:
                 still_queued.append(call)
             self._want_permits(held_back, is_waiting=still_queued[-1:] == [call])
@@ -223,12 +244,19 @@
         call: PendingCall,
         placement: Placement,
         held_back: list[UpstreamView],
+        left_regions: frozenset[str],
         now: float,
     ) -> Assignment:
         upstream = placement.upstream
         has_used_permit = upstream.limit.take_permit(now)
         upstream.add_call(call.call_id, call.prompt_tokens)
-        return Assignment(call, placement, has_used_permit, _ids_of(held_back))
+        return Assignment(
+            call,
+            placement,
+            has_used_permit,
+            _ids_of(held_back),
+            tuple(sorted(left_regions)),
+        )
 
     def _can_wait(self, call: PendingCall) -> bool:
         # A caller retries only once, and an engine may load the model meanwhile.
@@ -249,14 +277,54 @@
             known[kind] = self._eligible(call, self._home, now)
         return known[kind]
 
+    def _find_reserved(
+        self,
+        call: PendingCall,
+        home: Sequence[UpstreamView],
+        known: dict[_CallKind, dict[str | None, RegionLoad]],
+        now: float,
+    ) -> ReservedRegions:
+        """Return the regions in which the request leaves room to bound ones."""
+        slot_time_s = self.policy.slot_time_s()
+        if slot_time_s is None or not self.region_reserve.concerns(call, now):
+            return NOTHING_RESERVED
+        kind = (call.model, call.allowed_regions)
+        if kind not in known:
+            neighbors = self._eligible(call, self._neighbors_for(call), now)
+            known[kind] = measure_regions((*home, *neighbors))
+        return self.region_reserve.find_reserved(call, known[kind], slot_time_s, now)
+
     def _choose(
-        self, call: PendingCall, home: Sequence[UpstreamView], now: float
+        self,
+        call: PendingCall,
+        home: Sequence[UpstreamView],
+        reserved: ReservedRegions,
+        now: float,
+    ) -> tuple[Placement | None, frozenset[str]]:
+        """Return the placement, and the regions in which it leaves room to others."""
+        placement = self._choose_outside(call, home, reserved.preferred, now)
+        if placement is not None or reserved.required == reserved.preferred:
+            return placement, reserved.preferred
+        # It finds no room elsewhere.
+        placement = self._choose_outside(call, home, reserved.required, now)
+        return placement, reserved.required
+
+    def _choose_outside(
+        self,
+        call: PendingCall,
+        home: Sequence[UpstreamView],
+        left_regions: frozenset[str],
+        now: float,
     ) -> Placement | None:
+        if left_regions:
+            home = [view for view in home if view.region not in left_regions]
         placement = self.policy.choose(call, home, now)
         if placement is not None or not self._neighbors:
             return placement
         self._neighbors_needed_until = now + NEIGHBOR_NEED_S
         sample = self._neighbors_for(call)
+        if left_regions:
+            sample = [view for view in sample if view.region not in left_regions]
         if len(sample) > NEIGHBOR_SAMPLE:
             sample = self._random.sample(sample, NEIGHBOR_SAMPLE)
         free = [
@@ -342,7 +410,11 @@
         return self._rules.find_eligible(call, upstreams, now)
 
     def _reject(
-        self, call: PendingCall, held_back: list[UpstreamView], now: float
+        self,
+        call: PendingCall,
+        held_back: list[UpstreamView],
+        now: float,
+        left_regions: frozenset[str] = frozenset(),
     ) -> Rejection:
         reason = self._reject_reason(call, held_back, now)
         delay_s = MIN_RETRY_AFTER_S + RETRY_AFTER_JITTER_S * self._random.random()
@@ -357,8 +429,17 @@
             usable_upstreams=len(self._eligible(call, self._upstreams, now)),
             waiting_calls=len(self._queue),
             held_back=_ids_of(held_back),
+            left_regions=tuple(sorted(left_regions)),
+            excluded=self._count_excluded(call, now),
         )
 
+    def _count_excluded(self, call: PendingCall, now: float) -> Mapping[str, int]:
+        # Counted for bound requests only, as it looks at all upstreams once more.
+        if call.allowed_regions is None:
+            return {}
+        reasons = self._rules.explain(call, self._upstreams, now)
+        return Counter(reason.value for reason in reasons.values())
+
 
 def _promise_permit(held_back: list[UpstreamView], now: float) -> float:
     """Return the seconds until a permit is due that no other caller was promised."""
@@ -368,6 +449,12 @@
     return min(MAX_PROMISE_S, limit.promised_at - now)
 
 
+def _take_slot(loads: dict[str | None, RegionLoad], view: UpstreamView) -> None:
+    load = loads.get(view.region)
+    if load is not None:
+        load.free = max(0, load.free - 1)
+
+
 def _ids_of(views: list[UpstreamView]) -> tuple[str, ...]:
     return tuple(view.instance_id for view in views)
 
--- a/src/bamboolever/calls/engine.py
+++ b/src/bamboolever/calls/engine.py
@@ -74,6 +74,18 @@
     )
 
 
+def slot_time_s(profile: EngineProfile) -> float:
+    """Return the seconds for which a typical request holds a slot of a full engine.
+
+    Meanwhile the prompt of one request is prefilled for each slot.
+    """
+    passes = ceil(profile.typical_response_tokens / max(1, profile.steps_per_pass))
+    prefills_s = profile.slots * prefill_s(
+        profile, round(profile.typical_prompt_tokens)
+    )
+    return passes * pass_duration_s(profile, profile.slots) + prefills_s
+
+
 def prefill_s(profile: EngineProfile, tokens: int) -> float:
     """Return the seconds to prefill ``tokens`` prompt tokens.
 
--- a/src/bamboolever/calls/placement.py
+++ b/src/bamboolever/calls/placement.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from typing import final
 
-from bamboolever.calls.engine import EngineLoad, predict_first_event_s
+from bamboolever.calls.engine import EngineLoad, predict_first_event_s, slot_time_s
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.config.model import EngineProfile
 
@@ -100,6 +100,13 @@
     def min_first_byte_s(self, call: PendingCall) -> float:
         """Return the predicted seconds to the first byte on an idle upstream."""
 
+    def slot_time_s(self) -> float | None:
+        """Return the seconds for which a typical request holds a slot.
+
+        None if that is unknown.
+        """
+        return None
+
 
 @final
 class LeastOutstandingPolicy(PlacementPolicy):
@@ -210,6 +217,10 @@
         """Return the predicted seconds to the first event on an idle engine."""
         return predict_first_event_s(self._profile, _IDLE, call.prompt_tokens)
 
+    def slot_time_s(self) -> float | None:
+        """Return the seconds for which a typical request holds a slot when all do."""
+        return slot_time_s(self._profile)
+
 
 PlacementFactory = Callable[[EngineProfile, DistancePenalty], PlacementPolicy]
 
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -353,6 +353,10 @@
         """Take silent entries out of the upstreams' loads; call periodically."""
         for key in self.peers.expire(now) | self.guests.expire(now):
             self._update_peer_load(key, now)
+        # Entries of this cell and its neighbors, as if each had as many as this one.
+        entries = (1 + len(self.neighbors)) * (1 + len(self.peers.recipients()))
+        for dispatcher in self._dispatchers.values():
+            dispatcher.region_reserve.entry_count = entries
 
     def build_summary(self, recipient: Address, now: float) -> CellSummary:
         """Return the summary of this entry's cell for one guest."""
--- a/testing/loadreplay.py
+++ b/testing/loadreplay.py
@@ -20,7 +20,10 @@
     full_pass_s,
     pass_duration_s,
 )
-from bamboolever.calls.placement import PredictedLatencyPolicy
+from bamboolever.calls.placement import (
+    OTHER_REGION_PENALTY_S,
+    PredictedLatencyPolicy,
+)
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.fleet.versions import VersionRollouts
 from bamboolever.platform.standins.upstream import MODEL
@@ -46,6 +49,8 @@
     left_tokens: int = 0
     unread_tokens: int = 0
     is_rejected: bool = False
+    priority: int = 0
+    allowed_regions: frozenset | None = None
 
     @property
     def is_on_time(self):
@@ -88,13 +93,29 @@
 class LoadReplay:
     """Entries that share engines; ``arrivals`` are calls in the order of their time.
 
-    The version of all engines expires at ``expires_at``, if that is given.
+    The version of all engines expires at ``expires_at``, if that is given. ``regions``
+    are those of the engines, and ``entry_regions`` those of the entries. Engines in
+    ``dead_regions`` take no requests.
     """
 
     def __init__(
-        self, *, entries, engines, arrivals, seed=0, expires_at=None, **profile
+        self,
+        *,
+        entries,
+        engines,
+        arrivals,
+        seed=0,
+        expires_at=None,
+        regions=None,
+        entry_regions=None,
+        dead_regions=(),
+        **profile,
     ):
         self.expires_at = expires_at
+        self.regions = regions or [None] * engines
+        self.entry_regions = entry_regions or [None] * entries
+        self.dead_regions = dead_regions
+        self.placed = []
         self.withdrawn = 0
         self.profile = make_profile(**profile)
         self.engines = [ReplayedEngine(self.profile) for _ in range(engines)]
@@ -118,18 +139,26 @@
             UpstreamView(make_record(f"engine-{number}", slots=self.profile.slots))
             for number in range(len(self.engines))
         ]
-        for view in views:
+        for view, region in zip(views, self.regions, strict=True):
             view.round_trip_s = 2 * HOP_S
             view.full_pass_s = full_pass_s(self.profile)
+            view.region = region
+            view.is_leaving = region in self.dead_regions
         return views
 
     def _make_dispatcher(self, number, views):
-        policy = PredictedLatencyPolicy(self.profile, lambda _view: 0.0)
+        own_region = self.entry_regions[number]
+
+        def penalty_s(view):
+            return 0.0 if view.region == own_region else OTHER_REGION_PENALTY_S
+
+        policy = PredictedLatencyPolicy(self.profile, penalty_s)
         versions = VersionRollouts(8.0)
         if self.expires_at is not None:
             versions.add(MODEL, 2, self.expires_at - 8.0)
         dispatcher = ServiceDispatcher(policy, versions, seed=number)
         dispatcher.set_upstreams(views)
+        dispatcher.region_reserve.entry_count = len(self.views)
         return dispatcher
 
     def at(self, time, action, *arguments):
@@ -165,6 +194,8 @@
             target_at=now + TARGET_S,
             timeout_at=now + TIMEOUT_S,
             prompt_tokens=call.prompt_tokens,
+            priority=call.priority,
+            allowed_regions=call.allowed_regions,
         )
         self._apply(now, call.entry, self.dispatchers[call.entry].submit(pending, now))
 
@@ -178,6 +209,7 @@
                 call.is_rejected = True
                 continue
             number = self.views[entry].index(decision.placement.upstream)
+            self.placed.append((now, call.call_id, number))
             self.at(now + HOP_S, self._reach, number, call)
             begin_by = decision.placement.upstream.begin_by
             if begin_by < math.inf:
