--- a/src/bamboolever/daemons/calllog.py
+++ b/src/bamboolever/daemons/calllog.py
@@ -59,6 +59,8 @@
                 "waiting_tokens": load.waiting_tokens,
                 "peers_age_s": round(view.peer_load_age_s(now), 3),
                 "held_back": relay.record.held_back,
+                "regions": relay.record.regions,
+                "left_regions": relay.record.left_regions,
             },
         )
 
@@ -136,6 +138,9 @@
                 "partial_event_bytes": record.partial_event_bytes,
                 "tried_parts": len(relay.prompt.tried),
                 "held_back": record.held_back,
+                "regions": record.regions,
+                "left_regions": record.left_regions,
+                "excluded": dict(record.excluded),
             },
         )
 
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -27,6 +27,7 @@
     Rejection,
     RejectReason,
 )
+from bamboolever.calls.eligibility import IneligibleReason
 from bamboolever.calls.parts import FREE, SUSPECTED_PART_RETRY_S
 from bamboolever.calls.placement import PendingCall
 from bamboolever.calls.regions import RegionInquiry, RegionLookup
@@ -344,6 +345,7 @@
             if relay is None:
                 continue
             self._note_limits(relay, decision)
+            self._note_regions(relay, decision)
             if isinstance(decision, Assignment):
                 reason = self._find_part_rejection(relay)
                 if reason is not None:
@@ -363,6 +365,17 @@
         if isinstance(decision, Assignment) and decision.has_used_permit:
             self._telemetry.count("permit.used", service=relay.service)
 
+    def _note_regions(self, relay: CallRelay, decision: Decision) -> None:
+        record, service = relay.record, relay.service
+        record.regions = tuple(sorted(decision.call.allowed_regions or ()))
+        record.left_regions = decision.left_regions
+        if decision.left_regions:
+            self._telemetry.count("region.left_room", service=service)
+        if isinstance(decision, Rejection):
+            record.excluded = decision.excluded
+            if IneligibleReason.REGION.value in decision.excluded:
+                self._telemetry.count("region.rejected", service=service)
+
     def _find_part_rejection(self, relay: CallRelay) -> RejectReason | None:
         """Return why a call must not be sent now, else make it a trial if it is one."""
         crashes = self._exchange.crashes
--- a/src/bamboolever/daemons/relaycontext.py
+++ b/src/bamboolever/daemons/relaycontext.py
@@ -1,6 +1,7 @@
 """The interface between a relay and its entry, and the record of one call."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -147,7 +148,10 @@
     response. ``events`` counts the events of a stream that were forwarded, and
     ``partial_event_bytes`` is how many bytes of the next one had arrived when the last
     attempt ended. ``held_back`` are the upstreams that could not take the call at its
-    last placement or rejection because of their limits.
+    last placement or rejection because of their limits. ``regions`` are those that a
+    bound call may use, and ``left_regions`` those in which a call left the last room to
+    bound ones, both at that time. ``excluded`` counts the upstreams that each rule
+    excluded when a bound call was rejected, by the rule's reason.
     """
 
     upstreams: list[str] = field(default_factory=list)
@@ -165,6 +169,9 @@
     events: int = 0
     partial_event_bytes: int = 0
     held_back: tuple[str, ...] = ()
+    regions: tuple[str, ...] = ()
+    left_regions: tuple[str, ...] = ()
+    excluded: Mapping[str, int] = field(default_factory=dict)
 
     @property
     def is_routine(self) -> bool:
--- a/src/bamboolever/reports/explain.py
+++ b/src/bamboolever/reports/explain.py
@@ -105,7 +105,7 @@
         shown = {
             key: value
             for key, value in line.fields.items()
-            if key not in _HIDDEN_FIELDS and value not in (None, "", [])
+            if key not in _HIDDEN_FIELDS and value not in (None, "", [], {})
         }
         details = ", ".join(f"{key}={value}" for key, value in shown.items())
         rows.append(f"{line.time}  {line.source}  {line.message}: {details}")
--- a/testing/daemons/test_regions.py
+++ b/testing/daemons/test_regions.py
@@ -231,6 +231,20 @@
     assert not _received(others)
 
 
+def test_log_names_the_region_rule_where_it_decided(site, others, start_entry, caplog):
+    """Guards against rejections whose reason only the configuration shows."""
+    caplog.set_level("INFO")
+    _bind_routes(site, "region-2")
+    entry = start_entry().wait_ready(3)
+    assert _stream(entry).body == b"no-upstream"
+    wait_for(lambda: any(each.message == "call ended" for each in caplog.records))
+    (line,) = [each for each in caplog.records if each.message == "call ended"]
+    assert line.regions == ("region-2",)
+    assert line.excluded == {"region": 3}
+    counts = entry.entry.telemetry.sum_by_attribute("region.rejected", "service")
+    assert sum(counts.values()) == 1
+
+
 def test_upstream_of_an_unknown_region_takes_no_bound_request(site, start_entry):
     """Guards against a zone without a region that counts as a region of its name."""
     engine = site.add_engine("engine-1", "127.0.0.2", zone="zone-c")
