--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -16,13 +16,21 @@
 
 import math
 import random
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 from enum import Enum
 
 from bamboolever.calls.eligibility import EligibilityRules
 from bamboolever.calls.hedging import MAX_HEDGE_LOAD, HedgeRefusal
 from bamboolever.calls.placement import PendingCall, Placement, PlacementPolicy
+from bamboolever.calls.regionreserve import (
+    NOTHING_RESERVED,
+    RegionLoad,
+    RegionReserve,
+    ReservedRegions,
+    measure_regions,
+)
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.fleet.versions import VersionRollouts
 
@@ -76,7 +84,8 @@
 
     ``has_used_permit`` is set if the upstream has named a limit, ``has_used_token`` if
     it is cold. ``held_back`` are those that could not take the request because they are
-    limited or cold.
+    limited or cold. ``left_regions`` are the regions in which it left the last room to
+    requests that are bound to them.
     """
 
     call: PendingCall
@@ -84,6 +93,7 @@
     has_used_permit: bool = False
     has_used_token: bool = False
     held_back: tuple[str, ...] = ()
+    left_regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -93,7 +103,9 @@
     ``retry_after_s`` is how long the caller should wait before it retries.
     ``usable_upstreams`` and ``waiting_calls`` are counts at the time of the decision,
     for the log. ``held_back`` are the upstreams that could not take the request because
-    they are limited or cold.
+    they are limited or cold. ``left_regions`` are the regions in which it left the last
+    room to requests that are bound to them. ``excluded`` counts, for a bound request,
+    the upstreams that each rule excluded, by the rule's reason.
     """
 
     call: PendingCall
@@ -102,6 +114,8 @@
     usable_upstreams: int = 0
     waiting_calls: int = 0
     held_back: tuple[str, ...] = ()
+    left_regions: tuple[str, ...] = ()
+    excluded: Mapping[str, int] = field(default_factory=dict)
 
 
 Decision = Assignment | Rejection
@@ -122,6 +136,7 @@
         self, policy: PlacementPolicy, versions: VersionRollouts, *, seed: int = 0
     ):
         self.policy = policy
+        self.region_reserve = RegionReserve()
         self._rules = EligibilityRules.from_versions(versions)
         self._upstreams: list[UpstreamView] = []
         self._home: list[UpstreamView] = []
@@ -175,6 +190,7 @@
         can serve is rejected at once, unless it is a resumed stream or a caller's
         retry.
         """
+        self.region_reserve.on_arrival(call, now)
         if call.allowed_regions == frozenset():
             return [self._reject(call, [], now)]
         if not self._can_wait(call) and not self._has_eligible(call, now):
@@ -225,7 +241,7 @@
         self, call: PendingCall, placement: Placement, now: float
     ) -> Assignment:
         """Count a hedged request at the upstream that `choose_hedge` returned."""
-        return self._assign(call, placement, [], now)
+        return self._assign(call, placement, [], frozenset(), now)
 
     def cancel(self, call_id: int) -> None:
         """Remove a request from the queue after its caller disconnected."""
@@ -240,14 +256,19 @@
         decisions: list[Decision] = []
         still_queued: list[PendingCall] = []
         home: dict[_CallKind, Sequence[UpstreamView]] = {}
+        loads: dict[_CallKind, dict[str | None, RegionLoad]] = {}
         has_limits = self._has_limits(now)
         self._next_token_at = math.inf
         for call in self._queue:
-            placement = self._choose(call, self._home_for(call, home, now), now)
+            candidates = self._home_for(call, home, now)
+            reserved = self._find_reserved(call, candidates, loads, now)
+            placement, left = self._choose(call, candidates, reserved, now)
             held_back = self._find_held_back(call, now) if has_limits else []
             if placement is not None:
-                decision = self._assign(call, placement, held_back, now)
+                decision = self._assign(call, placement, held_back, left, now)
                 decisions.append(decision)
+                for known in loads.values():
+                    _take_slot(known, placement.upstream)
                 if decision.has_used_permit or decision.has_used_token:
                     # It may have been the last one.
                     home.clear()
@@ -256,7 +277,7 @@
                 or call.allowed_regions == frozenset()
                 or self._is_hopeless(call, held_back, now)
             ):
-                decisions.append(self._reject(call, held_back, now))
+                decisions.append(self._reject(call, held_back, now, left))
             else:
                 still_queued.append(call)
             is_waiting = still_queued[-1:] == [call]
@@ -281,6 +302,7 @@
         call: PendingCall,
         placement: Placement,
         held_back: list[UpstreamView],
+        left_regions: frozenset[str],
         now: float,
     ) -> Assignment:
         upstream = placement.upstream
@@ -289,7 +311,12 @@
         has_used_token = upstream.cold.take_token(now)
         upstream.add_call(call.call_id, call.prompt_tokens)
         return Assignment(
-            call, placement, has_used_permit, has_used_token, _ids_of(held_back)
+            call,
+            placement,
+            has_used_permit,
+            has_used_token,
+            _ids_of(held_back),
+            tuple(sorted(left_regions)),
         )
 
     def _can_wait(self, call: PendingCall) -> bool:
@@ -311,14 +338,54 @@
             known[kind] = self._eligible(call, self._home, now)
         return known[kind]
 
+    def _find_reserved(
+        self,
+        call: PendingCall,
+        home: Sequence[UpstreamView],
+        known: dict[_CallKind, dict[str | None, RegionLoad]],
+        now: float,
+    ) -> ReservedRegions:
+        """Return the regions in which the request leaves room to bound ones."""
+        slot_time_s = self.policy.slot_time_s()
+        if slot_time_s is None or not self.region_reserve.concerns(call, now):
+            return NOTHING_RESERVED
+        kind = (call.model, call.allowed_regions)
+        if kind not in known:
+            neighbors = self._eligible(call, self._neighbors_for(call), now)
+            known[kind] = measure_regions((*home, *neighbors))
+        return self.region_reserve.find_reserved(call, known[kind], slot_time_s, now)
+
     def _choose(
-        self, call: PendingCall, home: Sequence[UpstreamView], now: float
+        self,
+        call: PendingCall,
+        home: Sequence[UpstreamView],
+        reserved: ReservedRegions,
+        now: float,
+    ) -> tuple[Placement | None, frozenset[str]]:
+        """Return the placement, and the regions in which it leaves room to others."""
+        placement = self._choose_outside(call, home, reserved.preferred, now)
+        if placement is not None or reserved.required == reserved.preferred:
+            return placement, reserved.preferred
+        # It finds no room elsewhere.
+        placement = self._choose_outside(call, home, reserved.required, now)
+        return placement, reserved.required
+
+    def _choose_outside(
+        self,
+        call: PendingCall,
+        home: Sequence[UpstreamView],
+        left_regions: frozenset[str],
+        now: float,
     ) -> Placement | None:
+        if left_regions:
+            home = [view for view in home if view.region not in left_regions]
         placement = self.policy.choose(call, home, now)
         if placement is not None or not self._neighbors:
             return placement
         self._neighbors_needed_until = now + NEIGHBOR_NEED_S
         sample = self._neighbors_for(call)
+        if left_regions:
+            sample = [view for view in sample if view.region not in left_regions]
         if len(sample) > NEIGHBOR_SAMPLE:
             sample = self._random.sample(sample, NEIGHBOR_SAMPLE)
         free = [
@@ -421,7 +488,11 @@
         return self._rules.find_eligible(call, upstreams, now)
 
     def _reject(
-        self, call: PendingCall, held_back: list[UpstreamView], now: float
+        self,
+        call: PendingCall,
+        held_back: list[UpstreamView],
+        now: float,
+        left_regions: frozenset[str] = frozenset(),
     ) -> Rejection:
         reason = self._reject_reason(call, held_back, now)
         delay_s = MIN_RETRY_AFTER_S + RETRY_AFTER_JITTER_S * self._random.random()
@@ -436,8 +507,17 @@
             usable_upstreams=len(self._eligible(call, self._upstreams, now)),
             waiting_calls=len(self._queue),
             held_back=_ids_of(held_back),
+            left_regions=tuple(sorted(left_regions)),
+            excluded=self._count_excluded(call, now),
         )
 
+    def _count_excluded(self, call: PendingCall, now: float) -> Mapping[str, int]:
+        # Counted for bound requests only, as it looks at all upstreams once more.
+        if call.allowed_regions is None:
+            return {}
+        reasons = self._rules.explain(call, self._upstreams, now)
+        return Counter(reason.value for reason in reasons.values())
+
 
 def _may_take_by(view: UpstreamView, time: float, now: float) -> bool:
     """Return whether a held-back upstream may take a request until ``time``."""
@@ -470,6 +550,12 @@
     return turn_at
 
 
+def _take_slot(loads: dict[str | None, RegionLoad], view: UpstreamView) -> None:
+    load = loads.get(view.region)
+    if load is not None:
+        load.free = max(0, load.free - 1)
+
+
 def _ids_of(views: list[UpstreamView]) -> tuple[str, ...]:
     return tuple(view.instance_id for view in views)
 
--- a/src/bamboolever/calls/slotclaims.py
+++ b/src/bamboolever/calls/slotclaims.py
@@ -10,6 +10,7 @@
 interval. If the entries outnumber the slots, some of them begin one interval later.
 """
 
+import math
 from collections import deque
 from typing import final
 
@@ -18,8 +19,9 @@
 CLAIM_WINDOW_S = 0.1
 # The load of other cells is known from summaries, which arrive less often.
 NEIGHBOR_CLAIM_WINDOW_S = 0.3
-# An engine that was not considered for longer may have opened just now.
-REOPENED_AFTER_S = 0.3
+# Entries share the slots of an engine that opens for this long. Later their requests
+# come one by one, and the loads that they report are enough.
+OPENING_S = 0.5
 
 
 @final
@@ -36,8 +38,11 @@
         self.sharing = 1
         self.window_s = CLAIM_WINDOW_S
         self._placed_at: deque[float] = deque()
-        self._considered_at = 0.0
-        self._opened_at = 0.0
+        self._opened_at = -math.inf
+
+    def on_opened(self, now: float) -> None:
+        """Note that the engine began to serve, so that all of its slots may be free."""
+        self._opened_at = now
 
     def on_placed(self, now: float) -> None:
         """Count a placement."""
@@ -47,9 +52,8 @@
         """Return whether this entry may claim one more of ``free_slots`` now."""
         if self.sharing <= 1:
             return free_slots > 0
-        if now - self._considered_at > REOPENED_AFTER_S:
-            self._opened_at = now
-        self._considered_at = now
+        if now - self._opened_at >= OPENING_S:
+            return free_slots > 0
         recent = self._count_recent(now)
         if recent:
             return (recent + 1) * self.sharing <= free_slots
--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -300,6 +300,9 @@
 
         The engine has all layers of this version. Version 0 means that it serves none.
         """
+        known = self._reported_version
+        if known is None or (known.model, known.version) != (model, version):
+            self.claims.on_opened(now)
         self._reported_version = _ReportedVersion(model, version, now)
 
     def served_version(self, model: str, now: float) -> int | None:
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -257,6 +257,7 @@
                 cold = view.cold
             view = UpstreamView(record, cold=cold)
             view.claims.stagger = self._stagger_of(view)
+            view.claims.on_opened(now)
             view.limit = self._unlisted_limits.pop(view.key, view.limit)
         view.record = record
         zones = self._settings.regions_by_zone
@@ -443,6 +444,10 @@
         for key in self.peers.expire(now) | self.guests.expire(now):
             self._update_peer_load(key, now)
         self._refresh_sharing()
+        # Entries of this cell and its neighbors, as if each had as many as this one.
+        entries = (1 + len(self.neighbors)) * (1 + len(self.peers.recipients()))
+        for dispatcher in self._dispatchers.values():
+            dispatcher.region_reserve.entry_count = entries
 
     def build_summary(self, recipient: Address, now: float) -> CellSummary:
         """Return the summary of this entry's cell for one guest."""
--- a/testing/loadreplay.py
+++ b/testing/loadreplay.py
@@ -22,7 +22,10 @@
     full_pass_s,
     pass_duration_s,
 )
-from bamboolever.calls.placement import PredictedLatencyPolicy
+from bamboolever.calls.placement import (
+    OTHER_REGION_PENALTY_S,
+    PredictedLatencyPolicy,
+)
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.fleet.versions import VersionRollouts
 from bamboolever.platform.standins.upstream import MODEL
@@ -48,6 +51,8 @@
     left_tokens: int = 0
     unread_tokens: int = 0
     is_rejected: bool = False
+    priority: int = 0
+    allowed_regions: frozenset | None = None
 
     @property
     def is_on_time(self):
@@ -93,7 +98,8 @@
 
     The version of all engines expires at ``expires_at``, if that is given. The last
     engine begins to serve at ``last_opens_at``. The first ``cold_engines`` engines have
-    just started; ``cold`` is the bound of all.
+    just started; ``cold`` is the bound of all. ``regions`` are those of the engines,
+    ``entry_regions`` those of the entries. Engines in ``dead_regions`` take no calls.
     """
 
     def __init__(
@@ -107,6 +113,9 @@
         last_opens_at=0.0,
         cold=None,
         cold_engines=0,
+        regions=None,
+        entry_regions=None,
+        dead_regions=(),
         **profile,
     ):
         self.cold = cold
@@ -114,10 +123,15 @@
         self.entry_count = entries
         self.expires_at = expires_at
         self.last_opens_at = last_opens_at
+        self.regions = regions or [None] * engines
+        self.entry_regions = entry_regions or [None] * entries
+        self.dead_regions = dead_regions
+        self.placed = []
         self.withdrawn = 0
         self.profile = make_profile(**profile)
         self.engines = [ReplayedEngine(self.profile) for _ in range(engines)]
         self.random = random.Random(seed)
+        self.staggers = random.Random(seed)
         self.arrivals = arrivals
         self.calls = {call.call_id: call for call in arrivals}
         self.views = [self._make_views(number) for number in range(entries)]
@@ -152,21 +166,29 @@
                 is_in_cell=True,
             )
             views[-1].cold.on_record(record, 0.0)
-        for view in views:
+        for view, region in zip(views, self.regions, strict=True):
             view.round_trip_s = 2 * HOP_S
             view.full_pass_s = full_pass_s(self.profile)
-            view.claims.stagger = self.random.random()
+            view.region = region
+            view.is_leaving = region in self.dead_regions
+            view.claims.stagger = self.staggers.random()
             view.claims.sharing = self.entry_count
         views[-1].switching_until = self.last_opens_at
         return views
 
     def _make_dispatcher(self, number, views):
-        policy = PredictedLatencyPolicy(self.profile, lambda _view: 0.0)
+        own_region = self.entry_regions[number]
+
+        def penalty_s(view):
+            return 0.0 if view.region == own_region else OTHER_REGION_PENALTY_S
+
+        policy = PredictedLatencyPolicy(self.profile, penalty_s)
         versions = VersionRollouts(8.0)
         if self.expires_at is not None:
             versions.add(MODEL, 2, self.expires_at - 8.0)
         dispatcher = ServiceDispatcher(policy, versions, seed=number)
         dispatcher.set_upstreams(views)
+        dispatcher.region_reserve.entry_count = len(self.views)
         return dispatcher
 
     def at(self, time, action, *arguments):
@@ -177,7 +199,7 @@
             self.at(call.arrived_at, self._arrive, call)
         if self.last_opens_at:
             for entry in range(self.entry_count):
-                self.at(self.last_opens_at + HOP_S, self._place, entry)
+                self.at(self.last_opens_at + HOP_S, self._open_last, entry)
         while self.events:
             now, _, action, arguments = heapq.heappop(self.events)
             action(now, *arguments)
@@ -205,9 +227,15 @@
             target_at=now + TARGET_S,
             timeout_at=now + TIMEOUT_S,
             prompt_tokens=call.prompt_tokens,
+            priority=call.priority,
+            allowed_regions=call.allowed_regions,
         )
         self._apply(now, call.entry, self.dispatchers[call.entry].submit(pending, now))
 
+    def _open_last(self, now, entry):
+        self.views[entry][-1].claims.on_opened(now)
+        self._place(now, entry)
+
     def _place(self, now, entry):
         self._apply(now, entry, self.dispatchers[entry].place_waiting(now))
 
@@ -218,6 +246,7 @@
                 call.is_rejected = True
                 continue
             number = self.views[entry].index(decision.placement.upstream)
+            self.placed.append((now, call.call_id, number))
             self.at(now + HOP_S, self._reach, number, call)
             begin_by = decision.placement.upstream.begin_by
             if begin_by < math.inf:
