--- a/testing/loadreplay.py
+++ b/testing/loadreplay.py
@@ -174,6 +174,7 @@
             view.claims.stagger = self.staggers.random()
             view.claims.sharing = self.entry_count
         views[-1].switching_until = self.last_opens_at
+        views[-1].claims.on_opened(self.last_opens_at)
         return views
 
     def _make_dispatcher(self, number, views):
@@ -199,7 +200,7 @@
             self.at(call.arrived_at, self._arrive, call)
         if self.last_opens_at:
             for entry in range(self.entry_count):
-                self.at(self.last_opens_at + HOP_S, self._open_last, entry)
+                self.at(self.last_opens_at + HOP_S, self._place, entry)
         while self.events:
             now, _, action, arguments = heapq.heappop(self.events)
             action(now, *arguments)
@@ -232,10 +233,6 @@
         )
         self._apply(now, call.entry, self.dispatchers[call.entry].submit(pending, now))
 
-    def _open_last(self, now, entry):
-        self.views[entry][-1].claims.on_opened(now)
-        self._place(now, entry)
-
     def _place(self, now, entry):
         self._apply(now, entry, self.dispatchers[entry].place_waiting(now))
 
