--- a/src/bamboolever/daemons/loader.py
+++ b/src/bamboolever/daemons/loader.py
@@ -265,8 +265,10 @@
     def _start_transfer(self) -> None:
         target, profile = self._target, self._context.profile()
         if target is not None:
+            self.transfer.named_at = self._target_started_at
             self.transfer.start(target.model, target.version, self._accept_manifest)
         elif profile is not None and profile.models:
+            self.transfer.named_at = None
             self.transfer.start(profile.models[0], None, self._accept_manifest)
 
     def _accept_manifest(self, model_version: ModelVersion) -> bool:
--- a/src/bamboolever/daemons/transfer.py
+++ b/src/bamboolever/daemons/transfer.py
@@ -25,7 +25,7 @@
 from bamboolever.platform.weights import PieceDigests
 from bamboolever.weights.pieces import PieceSet
 from bamboolever.weights.plan import PiecePolicy
-from bamboolever.weights.view import SwarmView
+from bamboolever.weights.view import SwarmView, starts_late
 
 logger = logging.getLogger(__name__)
 
@@ -40,6 +40,7 @@
     ``on_changed`` is called when all pieces are staged, when a verification ends, and
     when a manifest turned out to be of another version. ``staged_at`` is when all
     pieces were first staged, in seconds of the task's clock; None before that.
+    ``named_at`` is when the version to transfer was named, or None if it is looked up.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         self._held_requests = HeldRequests()
         self._is_verifying = False
         self.staged_at: float | None = None
+        self.named_at: float | None = None
 
     @property
     def is_started(self) -> bool:
@@ -321,6 +323,7 @@
             origin_region=self._context.region_of(zone),
             pieces=pieces,
             started_at=self._task.now(),
+            is_late=starts_late(self.named_at, self._task.now()),
         )
         self._swarm = SwarmMember(
             self._task,
--- a/testing/swarmreplay.py
+++ b/testing/swarmreplay.py
@@ -31,7 +31,7 @@
 )
 from bamboolever.weights.pieces import PieceSet, full_bitmap
 from bamboolever.weights.plan import make_piece_policy
-from bamboolever.weights.view import Peer, SwarmView
+from bamboolever.weights.view import Peer, SwarmView, starts_late
 
 PIECE_COUNT = 96
 PIECE_BYTES = 24576
@@ -197,7 +197,7 @@
         view = SwarmView(
             self.peer, peers, replay.origin_region, PieceSet(MANIFEST), now
         )
-        replay.prepare_view(view, named_at)
+        view.is_late = starts_late(named_at, now)
         self.member = SwarmMember(
             replay.task,
             replay.pool_of(self),
@@ -334,15 +334,12 @@
                 other.member.set_peers(other.peer, peers)
         return agent
 
-    def prepare_view(self, view, named_at):
-        """Set what the agent knows of the rollout; overridden by tests."""
-
     def start_all(self, *, within_s=0.25):
         """Let every agent that lacks the pieces see the version at a random time."""
         for agent in self.listed:
             if not agent.holds_all:
                 seen_at = self.random.uniform(0.02, within_s)
-                self.at(seen_at, lambda agent=agent: agent.start(named_at=0.0))
+                self.at(seen_at, lambda agent=agent: agent.start(named_at=self._zero))
 
     def run(self, limit_s=40.0):
         """Run until every agent that is alive has all pieces, or to the limit."""
@@ -464,6 +461,10 @@
             return None
         return tuple(round(times[i], 2) for i in (0, len(times) // 2, -1))
 
+    def link_floor_s(self):
+        """Return how long one copy takes over an agent's link, in seconds."""
+        return PIECE_COUNT * PIECE_BYTES / LINK_BYTES_PER_S
+
     def floor_s(self, start_s=0.02):
         """Return when the origin could have sent each piece once, in seconds."""
         now, left_s = start_s, PIECE_COUNT * PIECE_BYTES / ORIGIN_BYTES_PER_S
