Confirm the configuration five times within its bound, not twice

Cause: a rollout counts from the last response that was surely before it.

Change: a watch of the configuration waits a fifth of its bound at the store.

--- a/src/bamboolever/daemons/storerelay.py
+++ b/src/bamboolever/daemons/storerelay.py
@@ -33,8 +33,9 @@
 
 # Shares of the time in which a changed configuration must be in force: how long a watch
 # waits at the store, after which silence another entry takes over, and what each rank
-# adds to it, so that not all do at once.
-WATCH_WAIT_SHARE = 0.5
+# adds to it, so that not all do at once. A rollout counts from the last response before
+# it, so a longer wait ends the older version sooner than its time.
+WATCH_WAIT_SHARE = 0.2
 SILENCE_SHARE = 0.7
 TAKE_OVER_SHARE = 0.06
 MAX_TAKE_OVER_STEPS = 3
