Evacuations: no request reaches a zone from half of the bound after its begin

Cause: while an object of kind `evacuations` names a zone, nothing may be sent there from evacuationMs after the store acknowledged it. Entries did not read the kind.

Change: fleet/evacuations.py decides from revisions since when an evacuation was surely not in the store; its zone takes only requests without room elsewhere in the first half of the bound, and nothing after that, or at once where no such time is known. The watch is the last of an entry's kinds and exists only with the setting. EvacuationRule follows availability. Requests that only evacuated upstreams could serve are rejected at once with `evacuated`. After a restore of the store, evacuations that the copy lacks last until they would have been written again. An entry is not ready before it knows the evacuations, for the bound at most. Log line `evacuation`, metrics, and the lines that `explain` shows.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -12,17 +12,19 @@
 An upstream that has named a limit takes no request without a permit. Requests that such
 upstreams hold back go elsewhere, wait only if a permit may be due in time, and are
 otherwise told when one is. The same holds for cold upstreams and this entry's tokens.
+Zones whose evacuation has just begun take only requests that find no room elsewhere.
 """
 
 import math
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
-from bamboolever.calls.eligibility import EligibilityRules
+from bamboolever.calls.eligibility import EligibilityRules, IneligibleReason
 from bamboolever.calls.placement import PendingCall, Placement, PlacementPolicy
 from bamboolever.calls.upstream import UpstreamView
+from bamboolever.fleet.evacuations import Evacuations
 from bamboolever.fleet.versions import VersionRollouts
 
 # Longest time in the queue of a caller's first attempt, of a caller's retry, and of a
@@ -59,6 +61,7 @@
     NO_ROOM = "no-room"
     LIMITED = "limited-upstreams"
     COLD = "cold-upstreams"
+    EVACUATED = "evacuated"
     TIMED_OUT = "timed-out"
     STOPPING = "stopping"
     STALE_KEYS = "stale-keys"
@@ -74,7 +77,8 @@
 
     ``has_used_permit`` is set if the upstream has named a limit, ``has_used_token`` if
     it is cold. ``held_back`` are those that could not take the request because they are
-    limited or cold.
+    limited or cold. ``is_last_resort`` is set if there was no room outside of zones
+    that are being evacuated.
     """
 
     call: PendingCall
@@ -82,6 +86,7 @@
     has_used_permit: bool = False
     has_used_token: bool = False
     held_back: tuple[str, ...] = ()
+    is_last_resort: bool = False
 
 
 @dataclass(frozen=True)
@@ -114,10 +119,19 @@
     """
 
     def __init__(
-        self, policy: PlacementPolicy, versions: VersionRollouts, *, seed: int = 0
+        self,
+        policy: PlacementPolicy,
+        versions: VersionRollouts,
+        *,
+        evacuations: Evacuations | None = None,
+        seed: int = 0,
     ):
         self.policy = policy
-        self._rules = EligibilityRules.from_versions(versions)
+        self._evacuations = evacuations or Evacuations(None)
+        self._rules = EligibilityRules.from_versions(versions, self._evacuations)
+        self._last_resort_rules = EligibilityRules.from_versions(
+            versions, self._evacuations, takes_last_resort=True
+        )
         self._upstreams: list[UpstreamView] = []
         self._home: list[UpstreamView] = []
         self._neighbors: list[UpstreamView] = []
@@ -149,6 +163,7 @@
         self._home = [view for view in upstreams if view.is_home]
         self._neighbors = [view for view in upstreams if not view.is_home]
         self._rules.set_upstreams(upstreams)
+        self._last_resort_rules.set_upstreams(upstreams)
 
     def take_lacking_permits(self) -> list[UpstreamView]:
         """Return the upstreams whose permits were lacking since the last call."""
@@ -188,16 +203,26 @@
         has_limits = self._has_limits(now)
         self._next_token_at = math.inf
         for call in self._queue:
-            placement = self._choose(call, self._home_for(call, home, now), now)
+            placement = self._choose(
+                call, self._home_for(call, home, now), self._rules, now
+            )
+            is_last_resort = placement is None and self._evacuations.has_last_resort(
+                now
+            )
+            if is_last_resort:
+                placement = self._choose_last_resort(call, now)
             held_back = self._find_held_back(call, now) if has_limits else []
             if placement is not None:
                 decision = self._assign(call, placement, held_back, now)
+                decision = replace(decision, is_last_resort=is_last_resort)
                 decisions.append(decision)
                 if decision.has_used_permit or decision.has_used_token:
                     # It may have been the last one.
                     home.clear()
-            elif now >= self._expires_at(call) or self._is_hopeless(
-                call, held_back, now
+            elif (
+                now >= self._expires_at(call)
+                or self._is_hopeless(call, held_back, now)
+                or self._is_all_evacuated(call, now)
             ):
                 decisions.append(self._reject(call, held_back, now))
             else:
@@ -252,7 +277,11 @@
         return known[call.model]
 
     def _choose(
-        self, call: PendingCall, home: Sequence[UpstreamView], now: float
+        self,
+        call: PendingCall,
+        home: Sequence[UpstreamView],
+        rules: EligibilityRules,
+        now: float,
     ) -> Placement | None:
         placement = self.policy.choose(call, home, now)
         if placement is not None or not self._neighbors:
@@ -263,11 +292,28 @@
             sample = self._random.sample(sample, NEIGHBOR_SAMPLE)
         free = [
             view
-            for view in self._eligible(call, sample, now)
+            for view in rules.find_eligible(call, sample, now)
             if view.active < NEIGHBOR_SLOT_SHARE * view.record.slots
         ]
         return self.policy.choose(call, free[:NEIGHBOR_CHOICES], now)
 
+    def _choose_last_resort(self, call: PendingCall, now: float) -> Placement | None:
+        """Choose also among the zones whose evacuation has just begun."""
+        rules = self._last_resort_rules
+        home = rules.find_eligible(call, self._home, now)
+        return self._choose(call, home, rules, now)
+
+    def _is_all_evacuated(self, call: PendingCall, now: float) -> bool:
+        """Return whether all upstreams that the request was not sent to are evacuated.
+
+        Zones that may be used as a last resort do not count as evacuated.
+        """
+        if not self._evacuations.is_any(now) or self._has_eligible(call, now):
+            return False
+        reasons = self._last_resort_rules.explain(call, self._upstreams, now)
+        others = set(reasons.values()) - {IneligibleReason.TRIED}
+        return others == {IneligibleReason.EVACUATED}
+
     def _find_held_back(self, call: PendingCall, now: float) -> list[UpstreamView]:
         """Return the upstreams that could serve the request but for a limit or cold.
 
@@ -314,8 +360,12 @@
         return not self._may_get_permit(call, held_back, now)
 
     def _has_eligible(self, call: PendingCall, now: float) -> bool:
-        return bool(self._eligible(call, self._home, now)) or bool(
-            self._eligible(call, self._neighbors, now)
+        if self._eligible(call, self._home, now):
+            return True
+        if self._eligible(call, self._neighbors, now):
+            return True
+        return self._evacuations.has_last_resort(now) and bool(
+            self._last_resort_rules.find_eligible(call, self._upstreams, now)
         )
 
     def _reject_reason(
@@ -324,10 +374,17 @@
         if self._has_eligible(call, now):
             return RejectReason.NO_ROOM
         if not held_back:
-            return RejectReason.NO_UPSTREAM
+            return self._unusable_reason(call, now)
         is_limited = any(not view.limit.may_send(now) for view in held_back)
         return RejectReason.LIMITED if is_limited else RejectReason.COLD
 
+    def _unusable_reason(self, call: PendingCall, now: float) -> RejectReason:
+        if self._evacuations.is_any(now):
+            reasons = self._rules.explain(call, self._upstreams, now)
+            if IneligibleReason.EVACUATED in reasons.values():
+                return RejectReason.EVACUATED
+        return RejectReason.NO_UPSTREAM
+
     def _expires_at(self, call: PendingCall) -> float:
         latest_start = call.target_at - self.policy.min_first_byte_s(call)
         if call.is_resumed:
--- a/src/bamboolever/calls/eligibility.py
+++ b/src/bamboolever/calls/eligibility.py
@@ -14,6 +14,7 @@
 
 from bamboolever.calls.placement import PendingCall
 from bamboolever.calls.upstream import UpstreamView
+from bamboolever.fleet.evacuations import Evacuations, ZoneUse
 from bamboolever.fleet.versions import VersionRollouts
 
 # A rule that may be waived is ignored if it leaves a smaller share of the upstreams.
@@ -25,6 +26,7 @@
 
     TRIED = "tried"
     UNAVAILABLE = "unavailable"
+    EVACUATED = "evacuated"
     VERSION = "version"
     EJECTED = "ejected"
     LIMITED = "limited"
@@ -78,6 +80,31 @@
         return view.can_accept_requests(now)
 
 
+@final
+class EvacuationRule(EligibilityRule):
+    """Excludes upstreams in evacuated zones.
+
+    With ``takes_last_resort`` those are left that requests without room elsewhere use.
+    """
+
+    reason = IneligibleReason.EVACUATED
+
+    def __init__(self, evacuations: Evacuations, *, takes_last_resort: bool):
+        self._evacuations = evacuations
+        self._takes_last_resort = takes_last_resort
+
+    def applies_to(self, call: PendingCall) -> bool:
+        """Return whether any zone is evacuated."""
+        return not self._evacuations.is_empty
+
+    def admits(self, call: PendingCall, view: UpstreamView, now: float) -> bool:
+        """Return whether the zone of the upstream may be used."""
+        use = self._evacuations.use_of(view.record.availability_zone, now)
+        if use is ZoneUse.LAST_RESORT:
+            return self._takes_last_resort
+        return use is ZoneUse.FREE
+
+
 @final
 class VersionRule(EligibilityRule):
     """Excludes engines without the model, or with a version that has expired.
@@ -167,12 +194,26 @@
         self._rates = [rule for rule in rules if rule.is_rate]
 
     @classmethod
-    def from_versions(cls, versions: VersionRollouts) -> "EligibilityRules":
-        """Return the rules that hold on every deployment."""
+    def from_versions(
+        cls,
+        versions: VersionRollouts,
+        evacuations: Evacuations | None = None,
+        *,
+        takes_last_resort: bool = False,
+    ) -> "EligibilityRules":
+        """Return the rules that hold on every deployment.
+
+        With ``takes_last_resort`` they are those for requests that find no room outside
+        of the zones whose evacuation has just begun. None is for deployments without
+        evacuations.
+        """
+        if evacuations is None:
+            evacuations = Evacuations(None)
         return cls(
             [
                 TriedRule(),
                 AvailabilityRule(),
+                EvacuationRule(evacuations, takes_last_resort=takes_last_resort),
                 VersionRule(versions),
                 EjectionRule(),
                 LimitRule(),
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -47,6 +47,7 @@
 from bamboolever.daemons.inflightcalls import InFlightCalls
 from bamboolever.daemons.observers import (
     ConfigurationObserver,
+    EvacuationObserver,
     RevisionObserver,
     UpstreamObserver,
     VersionObserver,
@@ -73,6 +74,9 @@
 # the configuration waits less, as its responses confirm the API keys.
 LIST_WAIT_S = 20.0
 LIST_BATCH_DELAY_S = 0.6
+# Share of the time in which an evacuation must be in force that the store holds a watch
+# request for it. A response that is lost is noticed after that.
+EVACUATION_WAIT_SHARE = 0.3
 TIMER_MARGIN_S = 0.05
 # File descriptors kept for other uses than calls. A call takes two: one for its
 # caller and one for its upstream.
@@ -105,6 +109,7 @@
         self._limits = HttpLimits()
         self._is_stopping = False
         self._stopped_at = 0.0
+        self._created_at = self.task.now()
         self._known_rollouts = 0
         self.fleet = EntryFleet(settings, int(time.time() * 1000))
         self._watches: list[KindWatch] = []
@@ -220,6 +225,22 @@
                 names.VERSION_KIND, VersionObserver(self._on_version), LIST_WAIT_S, 0.0
             ),
         ]
+        timeout_s = self._settings.bounds.evacuation_timeout_s
+        if timeout_s is not None:
+            # It comes last: entries name the revisions of all kinds in this order.
+            watches.append(
+                watch(
+                    names.EVACUATION_KIND,
+                    EvacuationObserver(
+                        self.fleet.evacuations,
+                        self.task.now,
+                        lambda: self.exchange.store_relay.era,
+                        self._on_evacuations,
+                    ),
+                    EVACUATION_WAIT_SHARE * timeout_s,
+                    0.0,
+                )
+            )
         for each in watches:
             self.exchange.store_relay.add_watch(each)
         return watches
@@ -294,6 +315,7 @@
         if watch.revision is not None:
             rollouts = self.fleet.version_rollouts
             rollouts.confirm(watch.era, watch.revision, as_of)
+            self.fleet.evacuations.confirm(watch.era, watch.revision, as_of)
             if self._is_list_at(watch.era, watch.revision):
                 self.fleet.note_list_current(as_of)
 
@@ -305,6 +327,11 @@
                 return watch.era == era and known is not None and known >= revision
         return False
 
+    def _on_evacuations(self) -> None:
+        self.fleet.log_evacuations(self.telemetry)
+        if self.fleet.has_waiting_calls:
+            self.calls.on_fleet_changed()
+
     def _on_version(self, model_version: ModelVersion, revision: int | None) -> None:
         rollouts = self.fleet.version_rollouts
         model, version = model_version.model, model_version.version
@@ -323,15 +350,30 @@
     def is_ready(self) -> bool:
         """Return whether the load balancer may send new connections.
 
-        Needs a configuration, a list of upstreams and trusted API keys.
+        Needs a configuration, a list of upstreams, trusted API keys and, where the
+        deployment has them, the evacuations.
         """
         return (
             not self._is_stopping
             and self._configuration is not None
             and self.fleet.upstreams.is_known
+            and self._knows_evacuations()
             and self._freshness.can_trust_keys(self.task.now())
         )
 
+    def _knows_evacuations(self) -> bool:
+        """Return whether the evacuations are known, or were waited for long enough.
+
+        A store that serves all other kinds must not keep this entry out for good.
+        """
+        timeout_s = self._settings.bounds.evacuation_timeout_s
+        if timeout_s is None or self.task.now() - self._created_at > timeout_s:
+            return True
+        return any(
+            watch.kind == names.EVACUATION_KIND and watch.revision is not None
+            for watch in self._watches
+        )
+
     # Requests from callers.
 
     def on_request(self, connection: ServerConnection, request: Request) -> None:
--- a/src/bamboolever/daemons/entryexchange.py
+++ b/src/bamboolever/daemons/entryexchange.py
@@ -183,6 +183,7 @@
         self._fleet.expire_peers(now)
         self._fleet.note_awake(now)
         self._fleet.log_cold_periods(self._telemetry)
+        self._fleet.log_evacuations(self._telemetry)
         if now - self._load_sent_at >= LOAD_HEARTBEAT_S:
             self._send_load()
         if now - self._summaries_asked_at >= MAX_SUMMARY_INTERVAL_S:
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -40,6 +40,7 @@
 from bamboolever.config.model import Configuration
 from bamboolever.daemons.settings import InstanceSettings
 from bamboolever.fleet.cells import CellMap, EngineLocation
+from bamboolever.fleet.evacuations import Evacuations
 from bamboolever.fleet.messages import (
     AgentState,
     CellSummary,
@@ -91,6 +92,7 @@
         self.neighbors: dict[str, NeighborCell] = {}
         self.upstreams = UpstreamList()
         self.version_rollouts = VersionRollouts(settings.bounds.version_timeout_s)
+        self.evacuations = Evacuations(settings.bounds.evacuation_timeout_s)
         self.peers = PeerLoads(self._own_address)
         self.guests = LoadTable()
 
@@ -139,7 +141,9 @@
         dispatcher = self._dispatchers.get(service)
         if dispatcher is None:
             policy = self._make_policy(service)
-            dispatcher = ServiceDispatcher(policy, self.version_rollouts)
+            dispatcher = ServiceDispatcher(
+                policy, self.version_rollouts, evacuations=self.evacuations
+            )
             self._dispatchers[service] = dispatcher
         return dispatcher
 
@@ -407,6 +411,25 @@
                 },
             )
 
+    def log_evacuations(self, telemetry: Telemetry) -> None:
+        """Log and count the evacuations that began or ended since the last call."""
+        for event in self.evacuations.take_events():
+            name = "begun" if event.is_begun else "ended"
+            telemetry.count("evacuation.changed", event=name, zone=event.zone)
+            logger.info(
+                "evacuation",
+                extra={
+                    "zone": event.zone,
+                    "event": name,
+                    "age_s": event.age_s,
+                    "upstreams": [
+                        view.instance_id
+                        for view in self._views.values()
+                        if view.record.availability_zone == event.zone
+                    ],
+                },
+            )
+
     def expire_peers(self, now: float) -> None:
         """Take silent entries out of the upstreams' loads; call periodically."""
         self._note_entries(now)
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -335,6 +335,8 @@
             self._telemetry.count("permit.used", service=relay.service)
         if isinstance(decision, Assignment) and decision.has_used_token:
             self._telemetry.count("cold.token_used", service=relay.service)
+        if isinstance(decision, Assignment) and decision.is_last_resort:
+            self._telemetry.count("evacuation.last_resort", service=relay.service)
 
     def _find_part_rejection(self, relay: CallRelay) -> RejectReason | None:
         """Return why a call must not be sent now, else make it a trial if it is one."""
--- a/src/bamboolever/daemons/observers.py
+++ b/src/bamboolever/daemons/observers.py
@@ -6,6 +6,7 @@
 
 from bamboolever.config.model import Configuration
 from bamboolever.config.observer import KindObserver
+from bamboolever.fleet.evacuations import Evacuations
 from bamboolever.fleet.records import ModelVersion, UpstreamRecord
 from bamboolever.fleet.upstreams import UpstreamList
 from bamboolever.platform import documents, names
@@ -161,6 +162,52 @@
             self._on_version(model_version, document.revision)
 
 
+@final
+class EvacuationObserver(_LoggingObserver):
+    """Keeps `Evacuations` up to date with the store.
+
+    The object's name is that of the zone. Whatever else it holds, the zone is evacuated
+    while it exists. ``now`` returns seconds of the watch's task, ``era`` the store's.
+    ``on_changed`` is called after each listing and each batch of changes.
+    """
+
+    kind = names.EVACUATION_KIND
+
+    def __init__(
+        self,
+        evacuations: Evacuations,
+        now: Callable[[], float],
+        era: Callable[[], int],
+        on_changed: Callable[[], None],
+    ):
+        self._evacuations = evacuations
+        self._now = now
+        self._era = era
+        self._on_changed = on_changed
+
+    def on_listing(self, documents_: tuple[StoredDocument, ...]) -> None:
+        """Replace the evacuations by a complete listing."""
+        for document in documents_:
+            _check_evacuation(document)
+        revisions = {each.name: each.revision for each in documents_}
+        self._evacuations.apply_listing(revisions, self._now())
+        self._on_changed()
+
+    def on_changes(self, documents_: tuple[StoredDocument, ...]) -> None:
+        """Apply changes in order."""
+        for document in documents_:
+            if document.value is None:
+                self._evacuations.remove(document.name, self._now())
+                continue
+            _check_evacuation(document)
+            self._evacuations.put(document.name, document.revision, self._now())
+        self._on_changed()
+
+    def on_store_restored(self) -> None:
+        """Keep the evacuations that the copy lacks until they are written again."""
+        self._evacuations.on_store_restored(self._era(), self._now())
+
+
 @final
 class RevisionObserver(KindObserver):
     """Passes everything on to another observer, and confirmations to ``on_confirmed``.
@@ -195,6 +242,14 @@
         self._observer.on_reachability_changed(is_reachable, reason)
 
 
+def _check_evacuation(document: StoredDocument) -> None:
+    if document.value != {}:
+        logger.warning(
+            "evacuation has an unknown specification; the zone counts as evacuated",
+            extra={"zone": document.name, "specification": str(document.value)[:100]},
+        )
+
+
 def _decode(document: StoredDocument) -> UpstreamRecord | None:
     if document.value is None:
         return None
--- a/src/bamboolever/daemons/settings.py
+++ b/src/bamboolever/daemons/settings.py
@@ -21,7 +21,9 @@
     part of the contract, but the daemons do not read them.
 
     A cold upstream may get, in any second, its rate times ``cold_overage`` plus
-    ``cold_slack`` requests from all entries together.
+    ``cold_slack`` requests from all entries together. From ``evacuation_timeout_s``
+    after the store acknowledged the evacuation of a zone, none may reach an upstream of
+    it; None means that the deployment has no evacuations.
     """
 
     drain_timeout_s: float = 2.0
@@ -34,6 +36,7 @@
     configuration_timeout_s: float = 2.0
     cold_overage: float = 1.0
     cold_slack: float = 0.0
+    evacuation_timeout_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/platform/nodefile.py
+++ b/src/bamboolever/platform/nodefile.py
@@ -31,6 +31,7 @@
     configuration_apply_ms: float = Field(2000, alias="configurationApplyMs")
     cold_overage: float = Field(1, alias="coldOverage")
     cold_slack: float = Field(0, alias="coldSlack")
+    evacuation_ms: float | None = Field(None, alias="evacuationMs")
 
 
 class _Store(_Document):
@@ -155,6 +156,9 @@
             configuration_timeout_s=bounds.configuration_apply_ms / 1000,
             cold_overage=bounds.cold_overage,
             cold_slack=bounds.cold_slack,
+            evacuation_timeout_s=(
+                None if bounds.evacuation_ms is None else bounds.evacuation_ms / 1000
+            ),
         ),
     )
 
--- a/src/bamboolever/reports/explain.py
+++ b/src/bamboolever/reports/explain.py
@@ -17,6 +17,8 @@
 CONTEXT_S = 5.0
 # What an entry logs when an upstream names a limit, changes or ends it.
 LIMIT_LINE = "upstream limit"
+# What an entry logs when the evacuation of a zone begins or ends.
+EVACUATION_LINE = "evacuation"
 
 
 @dataclass(frozen=True)
@@ -73,7 +75,8 @@
     Context lines come from the same source, concern one of the request's upstreams
     or the process as a whole, and are from `CONTEXT_S` before the request's first
     line up to its last one. The limits in force of upstreams that held it back may be
-    older. The list is empty if no line has the attempt id.
+    older, and so may the lines about evacuations in force. The list is empty if no
+    line has the attempt id.
     """
     all_lines = list(lines)
     own = [line for line in all_lines if line.fields.get("attempt") == attempt]
@@ -93,8 +96,16 @@
         for line in local
         if line.message == LIMIT_LINE
     }
+    evacuations = {
+        line.fields.get("zone"): line
+        for line in local
+        if line.message == EVACUATION_LINE
+    }
+    in_force = {
+        id(line) for line in evacuations.values() if line.fields.get("event") == "begun"
+    }
     context = {id(line) for line in local if not _is_old(line, first)}
-    shown = context | set(limits.values()) | {id(line) for line in own}
+    shown = context | set(limits.values()) | in_force | {id(line) for line in own}
     return [line for line in all_lines if id(line) in shown]
 
 
@@ -129,6 +140,7 @@
         return True
     return line.message in (
         "configuration in force",
+        EVACUATION_LINE,
         "version named",
         "store lost",
         "store reached",
--- a/testing/reports/test_explain.py
+++ b/testing/reports/test_explain.py
@@ -56,6 +56,17 @@
     assert found == [("upstream limit", 1.0), ("call placed", None)]
 
 
+def test_evacuations_in_force_are_found_however_old_they_are():
+    lines = [
+        _line("08:00:00,000", "evacuation", zone="a", event="begun"),
+        _line("08:00:00,000", "evacuation", zone="b", event="begun"),
+        _line("09:00:00,000", "evacuation", zone="b", event="ended"),
+        _line(TIMES[1], "call ended", attempt="a", detail="evacuated"),
+    ]
+    found = [(line.message, line.fields.get("zone")) for line in _find(lines)]
+    assert found == [("evacuation", "a"), ("call ended", None)]
+
+
 def test_line_with_a_prefix_of_time_and_instance_is_parsed():
     line = parse_line(f"  12.5 entry-1 {LINES[3]}", "all.log")
     assert (line.source, line.time) == ("entry-1", "12.5")
