Relay: the head of a response, not its end, ends an assumed cold start

Cause: both did, so that no test noticed if the head's part was missing; a long stream would have been cold for its whole time.

Change: the end of a response counts as news only.

Test: without the call at the head, the test of the first response fails.

--- a/src/bamboolever/calls/coldstart.py
+++ b/src/bamboolever/calls/coldstart.py
@@ -229,7 +229,7 @@
             self.on_heard(now, is_home=is_home)
 
     def on_heard(self, now: float, *, is_home: bool) -> None:
-        """Record that another process had a response of the upstream.
+        """Record news of the upstream: of another process, or the end of a response.
 
         This entry sends nothing to a cold engine of another cell, so that such news
         take the place of the first response.
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -320,7 +320,7 @@
             self._on_attempt_failed(AttemptOutcome.UNKNOWN, truncation)
             return
         view.on_success()
-        view.cold.on_response(self._sent_at, self._task.now())
+        view.cold.on_heard(self._task.now(), is_home=view.is_home)
         if self._is_proven_complete():
             self._context.on_completed(self, view, self._sent_at)
         else:
