--- a/src/bamboolever/calls/eligibility.py
+++ b/src/bamboolever/calls/eligibility.py
@@ -14,6 +14,7 @@
 
 from bamboolever.calls.placement import PendingCall
 from bamboolever.calls.upstream import UpstreamView
+from bamboolever.fleet.evacuations import Evacuations, ZoneUse
 from bamboolever.fleet.versions import VersionRollouts
 
 # A rule that may be waived is ignored if it leaves a smaller share of the upstreams.
@@ -26,6 +27,7 @@
     TRIED = "tried"
     UNAVAILABLE = "unavailable"
     REGION = "region"
+    EVACUATED = "evacuated"
     VERSION = "version"
     EJECTED = "ejected"
     LIMITED = "limited"
@@ -97,6 +99,31 @@
         return call.allowed_regions is None or view.region in call.allowed_regions
 
 
+@final
+class EvacuationRule(EligibilityRule):
+    """Excludes upstreams in evacuated zones.
+
+    With ``takes_last_resort`` those are left that requests without room elsewhere use.
+    """
+
+    reason = IneligibleReason.EVACUATED
+
+    def __init__(self, evacuations: Evacuations, *, takes_last_resort: bool):
+        self._evacuations = evacuations
+        self._takes_last_resort = takes_last_resort
+
+    def applies_to(self, call: PendingCall) -> bool:
+        """Return whether any zone is evacuated."""
+        return not self._evacuations.is_empty
+
+    def admits(self, call: PendingCall, view: UpstreamView, now: float) -> bool:
+        """Return whether the zone of the upstream may be used."""
+        use = self._evacuations.use_of(view.record.availability_zone, now)
+        if use is ZoneUse.LAST_RESORT:
+            return self._takes_last_resort
+        return use is ZoneUse.FREE
+
+
 @final
 class VersionRule(EligibilityRule):
     """Excludes engines without the model, or with a version that has expired.
@@ -186,13 +213,27 @@
         self._rates = [rule for rule in rules if rule.is_rate]
 
     @classmethod
-    def from_versions(cls, versions: VersionRollouts) -> "EligibilityRules":
-        """Return the rules that hold on every deployment."""
+    def from_versions(
+        cls,
+        versions: VersionRollouts,
+        evacuations: Evacuations | None = None,
+        *,
+        takes_last_resort: bool = False,
+    ) -> "EligibilityRules":
+        """Return the rules that hold on every deployment.
+
+        With ``takes_last_resort`` they are those for requests that find no room outside
+        of the zones whose evacuation has just begun. None is for deployments without
+        evacuations.
+        """
+        if evacuations is None:
+            evacuations = Evacuations(None)
         return cls(
             [
                 TriedRule(),
                 AvailabilityRule(),
                 RegionRule(),
+                EvacuationRule(evacuations, takes_last_resort=takes_last_resort),
                 VersionRule(versions),
                 EjectionRule(),
                 LimitRule(),
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -373,6 +373,8 @@
             self._telemetry.count("permit.used", service=relay.service)
         if isinstance(decision, Assignment) and decision.has_used_token:
             self._telemetry.count("cold.token_used", service=relay.service)
+        if isinstance(decision, Assignment) and decision.is_last_resort:
+            self._telemetry.count("evacuation.last_resort", service=relay.service)
 
     def _note_regions(self, relay: CallRelay, decision: Decision) -> None:
         record, service = relay.record, relay.service
