Share the slots of an opening engine for two seconds

Cause: the first requests of an engine begin together and end together, so that its slots are free at once a second time. Change: the sharing lasts 2 s.

--- a/src/bamboolever/calls/slotclaims.py
+++ b/src/bamboolever/calls/slotclaims.py
@@ -19,9 +19,10 @@
 CLAIM_WINDOW_S = 0.1
 # The load of other cells is known from summaries, which arrive less often.
 NEIGHBOR_CLAIM_WINDOW_S = 0.3
-# Entries share the slots of an engine that opens for this long. Later their requests
-# come one by one, and the loads that they report are enough.
-OPENING_S = 0.5
+# Entries share the slots of an engine that opens for this long: its first requests
+# began together and end together. Later they come one by one, and the loads that the
+# entries report are enough.
+OPENING_S = 2.0
 
 
 @final
