--- a/testing/loadreplay.py
+++ b/testing/loadreplay.py
@@ -173,8 +173,9 @@
             view.is_leaving = region in self.dead_regions
             view.claims.stagger = self.staggers.random()
             view.claims.sharing = self.entry_count
-        views[-1].switching_until = self.last_opens_at
-        views[-1].claims.on_opened(self.last_opens_at)
+        if self.last_opens_at:
+            views[-1].switching_until = self.last_opens_at
+            views[-1].claims.on_opened(self.last_opens_at)
         return views
 
     def _make_dispatcher(self, number, views):
