Answer where a request would go, by the dispatcher's own decision on a copy

An operator could see why a request was rejected only after it was, and only in the log. ServiceDispatcher.explain copies the dispatcher with its upstreams, queue, reservations, policy and random source, and submits the request to the copy. It returns what each rule leaves, the first choices and the decision.

--- a/src/bamboolever/calls/coldstart.py
+++ b/src/bamboolever/calls/coldstart.py
@@ -10,8 +10,9 @@
 without messages, and for an entry that is cut off from the others.
 """
 
+import copy
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import final
 
@@ -191,6 +192,12 @@
         self._phase = (seed >> SEED_BITS) / 2**SEED_BITS
         self._position = (seed % 2**SEED_BITS) / 2**SEED_BITS
 
+    def snapshot(self) -> "ColdStart":
+        """Return a copy; what happens to it changes neither this nor the scope."""
+        copied = copy.copy(self)
+        copied._scope = replace(self._scope, begun=list(self._scope.begun))
+        return copied
+
     # What is known of starts.
 
     def on_record(self, record: UpstreamRecord, now: float) -> None:
--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -15,6 +15,7 @@
 Zones whose evacuation has just begun take only requests that find no room elsewhere.
 """
 
+import copy
 import math
 import random
 from collections import Counter
@@ -22,7 +23,18 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
-from bamboolever.calls.eligibility import EligibilityRules, IneligibleReason
+from bamboolever.calls.eligibility import (
+    EligibilityRules,
+    IneligibleReason,
+    RuleStep,
+)
+from bamboolever.calls.explanation import (
+    Explanation,
+    RecordingPolicy,
+    add_placement_steps,
+    copy_state,
+    copy_view,
+)
 from bamboolever.calls.hedging import MAX_HEDGE_LOAD, HedgeRefusal
 from bamboolever.calls.placement import PendingCall, Placement, PlacementPolicy
 from bamboolever.calls.regionreserve import (
@@ -147,11 +159,9 @@
     ):
         self.policy = policy
         self.region_reserve = RegionReserve()
+        self._versions = versions
         self._evacuations = evacuations or Evacuations(None)
-        self._rules = EligibilityRules.from_versions(versions, self._evacuations)
-        self._last_resort_rules = EligibilityRules.from_versions(
-            versions, self._evacuations, takes_last_resort=True
-        )
+        self._make_rules()
         self._upstreams: list[UpstreamView] = []
         self._home: list[UpstreamView] = []
         self._neighbors: list[UpstreamView] = []
@@ -192,6 +202,12 @@
         self._rules.set_upstreams(upstreams)
         self._last_resort_rules.set_upstreams(upstreams)
 
+    def _make_rules(self) -> None:
+        self._rules = EligibilityRules.from_versions(self._versions, self._evacuations)
+        self._last_resort_rules = EligibilityRules.from_versions(
+            self._versions, self._evacuations, takes_last_resort=True
+        )
+
     def take_lacking_permits(self) -> list[UpstreamView]:
         """Return the upstreams whose permits were lacking since the last call."""
         lacking = list(self._lacking_permits.values())
@@ -217,6 +233,86 @@
         self._queue.sort(key=_queue_order)
         return self.place_waiting(now)
 
+    def explain(self, call: PendingCall, now: float) -> Explanation:
+        """Return what `submit` would decide on a request, without any effect.
+
+        A copy of this dispatcher decides. ``call.call_id`` must be that of no other
+        request.
+        """
+        trial = self._copy()
+        # Ends those whose removal is due, so that all upstreams get the same rules.
+        trial._evacuations.is_any(now)
+        home = frozenset(view.instance_id for view in trial._home)
+        # Of the rules, and of those that admit zones as a last resort.
+        steps = trial._find_steps(call, now)
+        is_last_resort = trial._evacuations.has_last_resort(now)
+
+        def note_steps() -> None:
+            # Requests that wait were placed before this one.
+            nonlocal steps
+            steps = trial._find_steps(call, now)
+
+        policy = RecordingPolicy(trial.policy, call.call_id, note_steps)
+        trial.policy = policy
+        decisions = [
+            each
+            for each in trial.submit(call, now)
+            if each.call.call_id == call.call_id
+        ]
+        decision = decisions[0] if decisions else None
+        if isinstance(decision, Assignment):
+            is_last_resort = decision.is_last_resort
+        best = next((look.best for look in reversed(policy.looks) if look.best), ())
+        waiting = [each.call_id for each in trial._queue]
+        is_queued = decision is None
+        return Explanation(
+            add_placement_steps(steps[is_last_resort], policy.looks, home),
+            decision,
+            best,
+            waits_s=max(0.0, trial._expires_at(call) - now) if is_queued else 0.0,
+            queued_before=waiting.index(call.call_id) if is_queued else 0,
+        )
+
+    def _copy(self) -> "ServiceDispatcher":
+        """Return a copy on which requests can be placed without effect on this one."""
+        trial = copy.copy(self)
+        trial.policy = self.policy.snapshot()
+        trial.region_reserve = self.region_reserve.snapshot()
+        trial._evacuations = copy_state(self._evacuations)
+        trial._make_rules()
+        trial.set_upstreams([copy_view(view) for view in self._upstreams])
+        trial._queue = list(self._queue)
+        trial._lacking_permits = {}
+        trial._random = copy.copy(self._random)
+        return trial
+
+    def _find_steps(
+        self, call: PendingCall, now: float
+    ) -> tuple[tuple[RuleStep, ...], tuple[RuleStep, ...]]:
+        """Return the steps of the rules, and of those for a last resort."""
+        return (
+            self._join_steps(self._rules, call, now),
+            self._join_steps(self._last_resort_rules, call, now),
+        )
+
+    def _join_steps(
+        self, rules: EligibilityRules, call: PendingCall, now: float
+    ) -> tuple[RuleStep, ...]:
+        # A rule may be waived for the engines of one's own cell or for the others.
+        home = rules.find_steps(call, self._home, now)
+        if not self._neighbors:
+            return home
+        others = rules.find_steps(call, self._neighbors, now)
+        return tuple(
+            RuleStep(
+                own.reason,
+                own.excluded + other.excluded,
+                own.left + other.left,
+                own.is_waived or other.is_waived,
+            )
+            for own, other in zip(home, others, strict=True)
+        )
+
     def choose_hedge(self, call: PendingCall, now: float) -> Placement | HedgeRefusal:
         """Return where to send a second attempt of a request, or why to send none.
 
--- a/src/bamboolever/calls/eligibility.py
+++ b/src/bamboolever/calls/eligibility.py
@@ -9,6 +9,7 @@
 import math
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
+from dataclasses import dataclass
 from enum import Enum
 from typing import final
 
@@ -34,6 +35,20 @@
     COLD = "cold"
 
 
+@dataclass(frozen=True)
+class RuleStep:
+    """What a rule leaves of the upstreams that the rules before it left.
+
+    ``reason`` is its label, ``excluded`` and ``left`` are instance ids. ``is_waived``
+    is set if too few upstreams meet the rule, so that it excludes none.
+    """
+
+    reason: str
+    excluded: tuple[str, ...]
+    left: tuple[str, ...]
+    is_waived: bool = False
+
+
 class EligibilityRule(ABC):
     """One condition that an upstream must meet to take a request.
 
@@ -297,6 +312,30 @@
             left = remaining
         return reasons
 
+    def find_steps(
+        self, call: PendingCall, upstreams: Sequence[UpstreamView], now: float
+    ) -> tuple[RuleStep, ...]:
+        """Return what each rule leaves, in order, without those that do not apply."""
+        steps: list[RuleStep] = []
+        left = list(upstreams)
+        for rule in (*self._lasting, *self._rates):
+            if not rule.applies_to(call):
+                continue
+            remaining = _apply(rule, call, left, now)
+            kept = {view.instance_id for view in remaining}
+            fallen = (view.instance_id for view in left)
+            steps.append(
+                RuleStep(
+                    rule.reason.value,
+                    tuple(each for each in fallen if each not in kept),
+                    tuple(view.instance_id for view in remaining),
+                    rule.is_waivable
+                    and not all(rule.admits(call, view, now) for view in remaining),
+                )
+            )
+            left = remaining
+        return tuple(steps)
+
 
 def _apply(
     rule: EligibilityRule, call: PendingCall, views: list[UpstreamView], now: float
--- a/src/bamboolever/calls/placement.py
+++ b/src/bamboolever/calls/placement.py
@@ -10,6 +10,7 @@
 since all would choose the first one of the list at the same moment.
 """
 
+import copy
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Sequence
@@ -109,6 +110,14 @@
         """
         return None
 
+    def snapshot(self) -> "PlacementPolicy":
+        """Return a policy that chooses the same, for questions without effect.
+
+        Choices of the copy must not change this one. A policy that keeps state beside
+        the upstreams' views has to copy that state, too.
+        """
+        return copy.copy(self)
+
 
 @final
 class LeastOutstandingPolicy(PlacementPolicy):
@@ -171,6 +180,12 @@
         """Return 0, as the latency of plain services is not predicted."""
         return 0.0
 
+    def snapshot(self) -> "PlainServicePolicy":
+        """Return a copy with its own random source in the same state."""
+        copied = copy.copy(self)
+        copied._random = copy.copy(self._random)
+        return copied
+
     def _rank(self, view: UpstreamView, now: float) -> tuple[float, float, float]:
         # A near upstream is preferred until its load per slot exceeds that of a far
         # one by the distance term. The request itself is multiplied by the slowness
--- a/src/bamboolever/calls/regionreserve.py
+++ b/src/bamboolever/calls/regionreserve.py
@@ -20,9 +20,10 @@
 enough for requests that need less than the region serves.
 """
 
+import copy
 import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import final
 
 from bamboolever.calls.placement import PendingCall
@@ -124,6 +125,14 @@
             key = (call.allowed_regions, call.priority)
             self._arrivals.setdefault(key, _Arrivals()).add(now)
 
+    def snapshot(self) -> "RegionReserve":
+        """Return a copy; arrivals that it counts are not counted here."""
+        copied = copy.copy(self)
+        copied._arrivals = {
+            key: replace(arrivals) for key, arrivals in self._arrivals.items()
+        }
+        return copied
+
     def concerns(self, call: PendingCall, now: float) -> bool:
         """Return whether requests arrived lately that the request may leave room to."""
         if not self._arrivals:
