Answer questions on an entry's operator port where a request would go

Operators had no way to ask a running entry. POST /where takes host, path, the key or the name of its workspace, model and token counts as JSON. It runs the admission with the configuration in force and ServiceDispatcher.explain. Messages about malformed questions have none of their values. The rule for a request's priority moved from the relay to calls/admission.py, so that the answer uses the same one.

Tests against a running entry: the upstream in the answer gets the next request, malformed questions are refused without their values, and no log line, answer or metric has the key. An entry imports no further package at its start.

--- a/src/bamboolever/calls/admission.py
+++ b/src/bamboolever/calls/admission.py
@@ -100,6 +100,13 @@
     return Admitted(route, workspace, service)
 
 
+def find_priority(route: Route, workspace: Workspace | None) -> int:
+    """Return the priority of a request: the workspace's, or the route's without one."""
+    if workspace is not None and workspace.priority is not None:
+        return workspace.priority
+    return route.priority
+
+
 def can_admit_while_stopping(remaining_s: float, timeout_s: float) -> bool:
     """Return whether an entry that stops in ``remaining_s`` still admits a request.
 
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -38,7 +38,7 @@
 from bamboolever.calls.retryafter import find_retry_after_s
 from bamboolever.config import storecalls
 from bamboolever.config.freshness import Freshness
-from bamboolever.config.model import Configuration
+from bamboolever.config.model import Configuration, Route
 from bamboolever.config.routes import RouteTable
 from bamboolever.config.watch import KindWatch, WatchTiming
 from bamboolever.config.watchgroup import WatchGroup
@@ -59,6 +59,8 @@
 from bamboolever.daemons.snapshots import SnapshotHandler
 from bamboolever.daemons.statushandler import StatusHandler
 from bamboolever.daemons.storerelay import WATCH_WAIT_SHARE
+from bamboolever.daemons.whereanswers import WhereAnswers
+from bamboolever.daemons.wherehandler import WhereHandler
 from bamboolever.fleet.records import ModelVersion
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
@@ -67,6 +69,7 @@
 from bamboolever.net.server import HttpServer, ServerConnection
 from bamboolever.platform import calls as wire
 from bamboolever.platform import names
+from bamboolever.platform.where import MAX_QUESTION_BYTES
 
 logger = logging.getLogger(__name__)
 
@@ -174,8 +177,19 @@
             settings.bounds.configuration_timeout_s,
         )
         parts = PartsHandler(self.exchange.crashes, status)
+        answers = WhereAnswers(
+            settings.name,
+            self.fleet,
+            self._admission_state,
+            self._stops_before,
+            self.task.now,
+        )
         self._metrics_server = HttpServer(
-            self.task, settings.metrics_address, parts, limits, max_connections=32
+            self.task,
+            settings.metrics_address,
+            WhereHandler(answers.answer, self.task.now, parts),
+            HttpLimits(max_body_bytes=MAX_QUESTION_BYTES),
+            max_connections=32,
         )
         snapshots = SnapshotHandler(
             self.task.now, self.exchange.store_relay.snapshot_of
@@ -390,14 +404,10 @@
     def on_request(self, connection: ServerConnection, request: Request) -> None:
         """Admit a complete request and start its call, or reject it at once."""
         metadata = wire.decode_call(request)
-        now = self.task.now()
         admission_request = AdmissionRequest(
             metadata.attempt_id, metadata.host, metadata.target, metadata.api_key
         )
-        state = AdmissionState(
-            self._configuration, self._route_table, self._freshness.can_trust_keys(now)
-        )
-        admitted = admit(admission_request, state)
+        admitted = admit(admission_request, self._admission_state())
         if isinstance(admitted, Refused):
             self._reject(connection, metadata, admitted.status, admitted.reason)
             return
@@ -411,13 +421,21 @@
             return
         self._start_call(connection, request, metadata, admitted, digest, prompt)
 
+    def _admission_state(self) -> AdmissionState:
+        can_trust_keys = self._freshness.can_trust_keys(self.task.now())
+        return AdmissionState(self._configuration, self._route_table, can_trust_keys)
+
+    def _stops_before(self, route: Route) -> bool:
+        """Return whether a stop may interrupt a request of the route."""
+        return self._is_stopping and not can_admit_while_stopping(
+            self._remaining_grace_s(), route.timeout_s
+        )
+
     def _find_reject_reason(
         self, admitted: Admitted, digest: int, prompt: PromptParts
     ) -> RejectReason | None:
         """Return why an admitted request must not be sent now, or None."""
-        if self._is_stopping and not can_admit_while_stopping(
-            self._remaining_grace_s(), admitted.route.timeout_s
-        ):
+        if self._stops_before(admitted.route):
             return RejectReason.STOPPING
         if self.exchange.crashes.tracker.is_blocked(digest, self.task.now()):
             return RejectReason.POISON
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -24,6 +24,7 @@
 
 from typing import final
 
+from bamboolever.calls.admission import find_priority
 from bamboolever.calls.coldstart import ColdCause
 from bamboolever.calls.dispatcher import Rejection, RejectReason
 from bamboolever.calls.hedging import HedgeInput
@@ -184,16 +185,13 @@
         target_at = (
             self.arrived_at + self.route.target_latency_s - self.first_attempt_age_s
         )
-        priority = self.route.priority
-        if self.workspace is not None and self.workspace.priority is not None:
-            priority = self.workspace.priority
         return PendingCall(
             call_id=self.call_id,
             arrived_at=now,
             target_at=target_at,
             timeout_at=self._timeout_at,
             prompt_tokens=self.metadata.prompt_tokens or 0,
-            priority=priority,
+            priority=find_priority(self.route, self.workspace),
             first_attempt_age_s=self.first_attempt_age_s,
             model=self.metadata.model,
             tried=self._tried,
