--- a/src/bamboolever/_cli.py
+++ b/src/bamboolever/_cli.py
@@ -16,6 +16,7 @@
 
 from bamboolever._clilocal import bench_app, stand_in_app
 from bamboolever.reports.cli import explain, report
+from bamboolever.reports.wherecli import where
 
 EXIT_OK = 0
 EXIT_FAILURE = 1
@@ -40,6 +41,7 @@
 app.add_typer(bench_app, name="bench")
 app.command(epilog=EXIT_CODES)(explain)
 app.command(epilog=EXIT_CODES)(report)
+app.command(epilog=EXIT_CODES)(where)
 
 SettingsFile = Annotated[Path, typer.Option("--settings", help="TOML settings file.")]
 PlatformUrl = Annotated[
