--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -243,15 +243,15 @@
         # Ends those whose removal is due, so that all upstreams get the same rules.
         trial._evacuations.is_any(now)
         home = frozenset(view.instance_id for view in trial._home)
-        # Of the rules, and of those that admit zones as a last resort.
-        steps = trial._find_steps(call, now)
         is_last_resort = trial._evacuations.has_last_resort(now)
+        steps: list[tuple[RuleStep, ...]] = []
 
         def note_steps() -> None:
-            # Requests that wait were placed before this one.
-            nonlocal steps
-            steps = trial._find_steps(call, now)
+            steps.append(trial._find_steps(trial._rules, call, now))
+            if is_last_resort:
+                steps.append(trial._find_steps(trial._last_resort_rules, call, now))
 
+        # Requests that wait before this one are placed until its first look.
         policy = RecordingPolicy(trial.policy, call.call_id, note_steps)
         trial.policy = policy
         decisions = [
@@ -260,6 +260,9 @@
             if each.call.call_id == call.call_id
         ]
         decision = decisions[0] if decisions else None
+        if not policy.looks:
+            # It was rejected before any request was placed.
+            note_steps()
         if isinstance(decision, Assignment):
             is_last_resort = decision.is_last_resort
         best = next((look.best for look in reversed(policy.looks) if look.best), ())
@@ -287,15 +290,6 @@
         return trial
 
     def _find_steps(
-        self, call: PendingCall, now: float
-    ) -> tuple[tuple[RuleStep, ...], tuple[RuleStep, ...]]:
-        """Return the steps of the rules, and of those for a last resort."""
-        return (
-            self._join_steps(self._rules, call, now),
-            self._join_steps(self._last_resort_rules, call, now),
-        )
-
-    def _join_steps(
         self, rules: EligibilityRules, call: PendingCall, now: float
     ) -> tuple[RuleStep, ...]:
         # A rule may be waived for the engines of one's own cell or for the others.
