Rollouts: switches follow a schedule of capacity, done by the older version's end

Cause: each agent started its switch by its turn in the time left to itself, up to the older version's end, and drained for up to 1 s whatever the time.

Change: every agent computes one schedule from who has all pieces, a hash and the clock. An agent says twice, 0.25 s apart, that it has all pieces, to the whole fleet of up to 48 agents, else to its group.

--- a/src/bamboolever/daemons/swarm.py
+++ b/src/bamboolever/daemons/swarm.py
@@ -27,6 +27,7 @@
     PieceFetch,
     PiecePolicy,
 )
+from bamboolever.weights.switching import is_joint_schedule
 from bamboolever.weights.view import Peer, SwarmView
 
 logger = logging.getLogger(__name__)
@@ -48,6 +49,9 @@
 # A read from the origin that failed is still announced for this long, as it is begun
 # anew after the backoff.
 FAILED_READ_TIMEOUT_S = 2.0
+# The others' switches depend on who has all pieces: it is said twice, as a datagram may
+# be lost and an agent that has all pieces asks no more.
+COMPLETION_REPEAT_S = 0.25
 WRONG_DIGEST = "wrong digest"
 
 
@@ -304,15 +308,24 @@
         if is_accepted:
             self.view.pieces.add(number)
             self.view.progressed_at = self._task.now()
-            is_import = planned.source is None or planned.is_import
+            is_urgent = (
+                planned.source is None
+                or planned.is_import
+                or self.view.pieces.is_complete
+            )
             self._schedule_announcement(
-                IMPORT_ANNOUNCE_DELAY_S if is_import else ANNOUNCE_DELAY_S
+                IMPORT_ANNOUNCE_DELAY_S if is_urgent else ANNOUNCE_DELAY_S
             )
         if self.view.pieces.is_complete:
+            self._task.call_later(COMPLETION_REPEAT_S, self._repeat_completion)
             self._on_complete()
             return
         self._plan()
 
+    def _repeat_completion(self) -> None:
+        if not self._is_stopped and self.view.pieces.is_complete:
+            self._send_piece_map()
+
     def _schedule_announcement(self, delay_s: float) -> None:
         due_at = self._task.now() + delay_s
         if self._announcement is not None:
@@ -339,4 +352,8 @@
         for address, asked_at in list(self._asked_at.items()):
             if now - asked_at > ASKED_TIMEOUT_S:
                 del self._asked_at[address]
-        return sorted({*(self.view.watched or ()), *self._asked_at}, key=str)
+        recipients = {*(self.view.watched or ()), *self._asked_at}
+        peers = self.view.peers
+        if self.view.pieces.is_complete and is_joint_schedule(1 + len(peers)):
+            recipients.update(peer.address for peer in peers)
+        return sorted(recipients, key=str)
--- a/src/bamboolever/daemons/transfer.py
+++ b/src/bamboolever/daemons/transfer.py
@@ -23,8 +23,10 @@
 from bamboolever.net.addresses import Address
 from bamboolever.net.server import ServerConnection
 from bamboolever.platform.weights import PieceDigests
+from bamboolever.weights.groups import Group
 from bamboolever.weights.pieces import PieceSet
 from bamboolever.weights.plan import PiecePolicy
+from bamboolever.weights.switching import SwitchMember, is_joint_schedule
 from bamboolever.weights.view import SwarmView, starts_late
 
 logger = logging.getLogger(__name__)
@@ -84,6 +86,25 @@
         """Whether a transfer has started and pieces are missing."""
         return self._swarm is not None and not self._swarm.view.pieces.is_complete
 
+    def switch_members(self) -> tuple[SwitchMember, ...]:
+        """Return the other agents of this agent's schedule of switches.
+
+        These are the ones known to have all pieces, and those not known to be silent.
+        """
+        if self._swarm is None:
+            return ()
+        view, now = self._swarm.view, self._task.now()
+        members = []
+        for peer in view.peers:
+            staged_at = view.completed_at.get(peer.address)
+            is_alive = staged_at is not None or view.is_active(peer, now)
+            is_in_schedule = is_joint_schedule(1 + len(view.peers)) or Group.of(
+                peer
+            ) == Group.of(view.own)
+            if is_alive and is_in_schedule:
+                members.append(SwitchMember(str(peer.address), staged_at))
+        return tuple(members)
+
     def start(
         self,
         model: str,
--- a/src/bamboolever/weights/view.py
+++ b/src/bamboolever/weights/view.py
@@ -53,7 +53,8 @@
     the version was named, and ``is_late`` is true if this agent did: they import only
     if nobody else in their group does. ``progressed_at`` is when a piece was last seen
     for the first time, at this agent or a peer. ``is_origin_failing`` is true after a
-    read from the origin failed, until one succeeds.
+    read from the origin failed, until one succeeds. ``completed_at`` maps peers that
+    have all pieces to when this agent first heard so.
     """
 
     own: Peer
@@ -73,6 +74,7 @@
     is_late: bool = False
     progressed_at: float = -math.inf
     is_origin_failing: bool = False
+    completed_at: dict[Address, float] = field(default_factory=dict)
 
     def update_peer(
         self,
@@ -91,6 +93,10 @@
         (self.late.add if is_late else self.late.discard)(address)
         new = bitmap & ~self.peer_bitmaps.get(address, 0)
         self.peer_bitmaps[address] = bitmap
+        if bitmap.bit_count() == self.pieces.count:
+            self.completed_at.setdefault(address, now)
+        else:
+            self.completed_at.pop(address, None)
         number = 0
         while new:
             if new & 1 and number not in self.first_offered_at:
