--- a/src/bamboolever/calls/coldstart.py
+++ b/src/bamboolever/calls/coldstart.py
@@ -18,27 +18,27 @@
 
 from bamboolever.fleet.records import UpstreamRecord
 
-# An entry that knows no other cannot tell how many there are. It uses the rate of one
-# of this many, the same share as that of permits (LONE_SHARE).
+# Number of entries that an entry assumes if it knows no other one. It gives the same
+# share as that of permits (LONE_SHARE).
 LONE_ENTRIES = 5.0
-# Entries that were known within this time count although they are known no more: they
-# may be cut off from this one and still send.
+# How long the highest known number of entries is used after the number has fallen:
+# entries that are cut off from this one may still send.
 ENTRY_MEMORY_S = 120.0
-# The requests of one second may arrive within a shorter time, as their ways take
-# different times.
+# Requests that are sent within this time may arrive within one second, as network
+# delays differ.
 WINDOW_S = 1.1
-# The share of the bound that the entries of one count plan with. The rest is for
-# entries that have just started, which know a smaller count.
+# Share of the bound that is divided among the entries. The rest is a margin for entries
+# that have just started and assume fewer entries, so that their own rate is higher.
 PLANNED_SHARE = 0.85
-# With more entries than requests in a second, only some send. This share of the planned
-# requests leaves room for an uneven choice by hash.
+# With more entries than planned requests in a second, a hash selects the entries that
+# send. Selecting only this share of the planned requests allows for an uneven hash.
 SELECTED_SHARE = 0.7
-# Nothing is known of an upstream that was silent for longer, and of which no current
-# list says otherwise. Agents report each second; upstreams write their records again
-# within 2.2 s (see fleet/storetimes.py).
+# An upstream may have restarted if for longer than this nothing was heard from it and
+# the list of upstreams was not confirmed as current. Agents report each second;
+# upstreams rewrite their records within 2.2 s (see fleet/storetimes.py).
 SILENCE_S = 4.0
-# A process whose timers, of which one fires each half second, were silent for longer
-# was suspended. An upstream takes longer than that to stop and start.
+# The process was suspended if none of its timers fired for longer than this; one is due
+# every 0.5 s. An upstream takes longer than this to stop and start.
 SUSPENSION_S = 1.5
 # Absorbs the rounding of levels computed from times.
 ROUNDING = 1e-9
@@ -93,7 +93,7 @@
 
 @dataclass(frozen=True)
 class ColdPeriod:
-    """The begin of a cold period, for the log; ``seconds`` is None if unknown."""
+    """The start of a cold period, for the log; ``seconds`` is None if unknown."""
 
     upstream: str
     cause: ColdCause
@@ -198,7 +198,7 @@
         copied._scope = replace(self._scope, begun=list(self._scope.begun))
         return copied
 
-    # What is known of starts.
+    # Observations of starts.
 
     def on_record(self, record: UpstreamRecord, now: float) -> None:
         """Take a record of the list; one that is known already changes nothing.
@@ -276,7 +276,7 @@
     ) -> None:
         """Begin or extend a cold period; ``is_known`` ends an assumption."""
         if now >= self._until:
-            # The first tokens of the entries are spread over the time that one takes.
+            # Spreads the first tokens of the entries over one token interval.
             self._level = self._phase
             self._refilled_at = now
             if self.bound is not None:
--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -251,7 +251,8 @@
             if is_last_resort:
                 steps.append(trial._find_steps(trial._last_resort_rules, call, now))
 
-        # Requests that wait before this one are placed until its first look.
+        # Records the steps at the policy's first choice for this request, since those
+        # that wait before it are placed first.
         policy = RecordingPolicy(trial.policy, call.call_id, note_steps)
         trial.policy = policy
         decisions = [
@@ -479,7 +480,7 @@
         placement = self._choose_outside(call, home, reserved.preferred, rules, now)
         if placement is not None or reserved.required == reserved.preferred:
             return placement, reserved.preferred
-        # It finds no room elsewhere.
+        # No other region has room: only the required reserve still applies.
         placement = self._choose_outside(call, home, reserved.required, rules, now)
         return placement, reserved.required
 
--- a/src/bamboolever/calls/eligibility.py
+++ b/src/bamboolever/calls/eligibility.py
@@ -18,7 +18,7 @@
 from bamboolever.fleet.evacuations import Evacuations, ZoneUse
 from bamboolever.fleet.versions import VersionRollouts
 
-# A rule that may be waived is ignored if it leaves a smaller share of the upstreams.
+# A waivable rule is ignored if it admits less than this share of the upstreams.
 MIN_HEALTHY_SHARE = 0.5
 
 
@@ -53,8 +53,8 @@
     """One condition that an upstream must meet to take a request.
 
     ``is_waivable`` is set if the rule is ignored when too few upstreams meet it.
-    ``is_rate`` is set if an upstream that fails it takes requests again within
-    moments, so that the request may wait for it.
+    ``is_rate`` is set for rate limits: an upstream that fails the rule takes requests
+    again shortly, so that the request may wait for it.
     """
 
     reason: IneligibleReason
@@ -92,7 +92,7 @@
     reason = IneligibleReason.UNAVAILABLE
 
     def admits(self, call: PendingCall, view: UpstreamView, now: float) -> bool:
-        """Return whether the upstream takes new requests of this entry."""
+        """Return whether the upstream accepts new requests from this entry."""
         return view.can_accept_requests(now)
 
 
@@ -118,7 +118,8 @@
 class EvacuationRule(EligibilityRule):
     """Excludes upstreams in evacuated zones.
 
-    With ``takes_last_resort`` those are left that requests without room elsewhere use.
+    With ``takes_last_resort``, upstreams that may still be used as a last resort are
+    admitted.
     """
 
     reason = IneligibleReason.EVACUATED
@@ -323,11 +324,11 @@
                 continue
             remaining = _apply(rule, call, left, now)
             kept = {view.instance_id for view in remaining}
-            fallen = (view.instance_id for view in left)
+            candidates = (view.instance_id for view in left)
             steps.append(
                 RuleStep(
                     rule.reason.value,
-                    tuple(each for each in fallen if each not in kept),
+                    tuple(each for each in candidates if each not in kept),
                     tuple(view.instance_id for view in remaining),
                     rule.is_waivable
                     and not all(rule.admits(call, view, now) for view in remaining),
--- a/src/bamboolever/calls/explanation.py
+++ b/src/bamboolever/calls/explanation.py
@@ -50,7 +50,11 @@
 
 @dataclass(frozen=True)
 class Look:
-    """One choice of the policy: what it chose from, and what has room alone."""
+    """One choice of the policy.
+
+    ``candidates`` are the instance ids that it chose from, and ``roomy`` those that it
+    would choose if they were the only candidates.
+    """
 
     candidates: frozenset[str]
     roomy: frozenset[str]
@@ -61,7 +65,7 @@
 class RecordingPolicy(PlacementPolicy):
     """Chooses as another policy, and records the choices for one request.
 
-    ``on_first_look`` is called before the first of these.
+    ``on_first_look`` is called before the first recorded choice.
     """
 
     def __init__(
@@ -116,7 +120,8 @@
 ) -> tuple[RuleStep, ...]:
     """Return the steps with those of the placement, if there was one.
 
-    ``home`` are the upstreams of the own cell. Of the others, only some are looked at.
+    ``home`` are the upstreams of the own cell. The policy considers only some of the
+    others.
     """
     if not looks or not steps:
         return steps
@@ -145,7 +150,7 @@
 
 
 def copy_view(view: UpstreamView) -> UpstreamView:
-    """Return a copy of an upstream on which requests can be placed on trial."""
+    """Return a copy of an upstream on which a placement can be simulated."""
     copied = copy_state(view)
     copied.limit = copy_state(view.limit)
     copied.claims = copy_state(view.claims)
--- a/src/bamboolever/calls/hedging.py
+++ b/src/bamboolever/calls/hedging.py
@@ -4,7 +4,7 @@
 responses. Decides after which delay an attempt counts as slow, and whether the share of
 extra requests that the operator allows is used up.
 
-Load pattern: most responses of a service take about as long, and a few take several
+Load pattern: most responses of a service take a similar time, and a few take several
 times as long because of the upstream that serves them. A hedged request to another
 upstream is usually answered sooner than such a slow one. When all upstreams are slow,
 the delay grows with the observed times, and the share bounds what is sent in the
@@ -20,13 +20,13 @@
 from bamboolever.calls.retry import MIN_REMAINING_S
 from bamboolever.config.model import Route, RouteKind
 
-# An attempt counts as slow when it takes longer than this percentage of them.
+# An attempt counts as slow when it takes longer than this percentage of attempts.
 DEFAULT_PERCENTILE = 95.0
 # Fewer observations, weighted by age, give no usable percentile: of 50, two or three
 # lie above the 95th.
 MIN_OBSERVATIONS = 50.0
-# An observation counts half after this time. An entry sees one to eight responses of a
-# plain service in a second, so that a shorter time would leave too few.
+# Time after which the weight of an observation is halved. An entry gets one to eight
+# responses of a plain service per second; a shorter time would leave too few.
 HALF_LIFE_S = 60.0
 # Each bucket's upper bound is this multiple of the one below. A value is known to
 # within half of that, 5 percent.
@@ -35,8 +35,8 @@
 MAX_LATENCY_S = 60.0
 # Weights are divided by the newest one when it reaches this, as they lose precision.
 MAX_WEIGHT = 1e9
-# Unused extra requests that an entry saves at most for a service. More would be sent
-# together when all upstreams become slow at once.
+# Maximum number of unused hedged requests that an entry saves for a service. More would
+# all be sent together when all upstreams become slow at once.
 MAX_SAVED_HEDGES = 3.0
 # No hedged request is sent while a larger share of the slots is in use, in all eligible
 # upstreams together or in the one that it would be sent to.
--- a/src/bamboolever/calls/regionreserve.py
+++ b/src/bamboolever/calls/regionreserve.py
@@ -1,7 +1,8 @@
-"""Decides in which regions a request leaves the last room to requests bound to them.
+"""Decides in which regions the last free slots are reserved for bound requests.
 
-Takes the arrivals of requests at this entry, the loads of the engines by region, and a
-request. Returns the regions that the request leaves alone.
+A bound request may be sent to certain regions only. Takes the arrivals of requests at
+this entry, the loads of the engines by region, and a request. Returns the regions that
+the request may not use.
 
 Load pattern: the engines of one region fill up while others have room. Requests that
 may go to several regions take the near slots, and those that may not go elsewhere are
@@ -15,7 +16,7 @@
 - of a less urgent priority never.
 
 The room follows from the bound demand that this entry sees. Callers are spread evenly
-over the entries, so each takes the demand of all to be its own times their number.
+over the entries, so each estimates the total as its own demand times their number.
 Slots are freed all the time and go to whoever may take them, so a few free ones are
 enough for requests that need less than the region serves.
 """
@@ -31,7 +32,7 @@
 
 # Time constant of the average of the arrivals, in seconds. Bursts last a few seconds.
 RATE_WINDOW_S = 2.0
-# Demand of which less than this part of one arrival is left is forgotten.
+# Demand is dropped when its decayed number of arrivals is below this.
 MIN_ARRIVALS = 0.05
 # Accepted share of bound requests that find no free slot in their region.
 MAX_BLOCKED_SHARE = 0.02
@@ -53,9 +54,10 @@
 
 @dataclass(frozen=True)
 class ReservedRegions:
-    """The regions that a request leaves alone, and those if it finds no room elsewhere.
+    """The regions that a request may not use.
 
-    The second are among the first.
+    It avoids those in ``preferred`` while another region has room, and those in
+    ``required``, a subset of them, in any case.
     """
 
     preferred: frozenset[str] = frozenset()
@@ -169,7 +171,8 @@
                 offered[region] = offered.get(region, 0.0) + slots
                 if priority < call.priority:
                     urgent[region] = urgent.get(region, 0.0) + slots
-        # Demand that exceeds the region alone would leave nothing to equal requests.
+        # Where bound demand alone reaches the slots of a region, a reserve would shut
+        # out all other requests of the same priority.
         equal = {
             region: slots
             for region, slots in offered.items()
--- a/src/bamboolever/calls/regions.py
+++ b/src/bamboolever/calls/regions.py
@@ -74,6 +74,6 @@
         known = inquiry.workspace
         if workspace is not None or known is None:
             return workspace
-        # The key was replaced; its workspace may have changed, too.
+        # The key was replaced: uses the present settings of the workspace by its name.
         named = (each for each in workspaces.values() if each.name == known.name)
         return next(named, known)
--- a/src/bamboolever/calls/slotclaims.py
+++ b/src/bamboolever/calls/slotclaims.py
@@ -1,4 +1,4 @@
-"""Limits how many free slots of an engine an entry claims before it hears of others.
+"""Limits how many free slots an entry claims before others report their load.
 
 Takes the free slots that this entry sees, the number of entries that share the engine,
 and this entry's last placements there. Decides whether one more request may be sent.
@@ -14,14 +14,14 @@
 from collections import deque
 from typing import final
 
-# Requests that other entries placed longer ago are part of the loads that they
-# reported: two report intervals and the way.
+# The load reports of other entries include requests that they placed longer ago than
+# this: two report intervals and the network delay.
 CLAIM_WINDOW_S = 0.1
 # The load of other cells is known from summaries, which arrive less often.
 NEIGHBOR_CLAIM_WINDOW_S = 0.3
-# Entries share the slots of an engine that opens for this long: its first requests
-# began together and end together. Later they come one by one, and the loads that the
-# entries report are enough.
+# How long after an engine begins to serve the entries limit their claims. Its first
+# requests begin and end together. Later requests arrive one at a time, and the reported
+# loads are recent enough.
 OPENING_S = 2.0
 
 
@@ -29,9 +29,9 @@
 class SlotClaims:
     """This entry's last placements at one engine; times are seconds of its clock.
 
-    ``stagger``, from 0 to 1, is this entry's place among those that share the engine,
-    ``sharing`` their number. ``window_s`` is the time after which the others' requests
-    are known.
+    ``sharing`` is the number of entries that share the engine, and ``stagger``, from 0
+    to 1, this entry's position among them. After ``window_s`` seconds the load reports
+    include the requests of the other entries.
     """
 
     def __init__(self, stagger: float = 0.0):
--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -62,11 +62,11 @@
 SLOWNESS_FADE_S = 0.6
 # Time over which the mean slowness of an upstream is taken.
 SLOWNESS_MEAN_S = 30.0
-# Stated values beyond these are taken as these, so that a wrong one neither keeps all
+# Stated values are clamped to these bounds, so that a wrong one neither keeps all
 # requests away nor attracts them all.
 MIN_SLOWNESS = 0.5
 MAX_SLOWNESS = 10.0
-# From this slowness on, a silent upstream may just be slow.
+# At this slowness or above, a missing response is not counted as a failure.
 SLOW_FROM = 1.2
 
 
@@ -238,8 +238,8 @@
         if load.slowness is None:
             return
         slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, load.slowness))
-        # A statement stands for the time since the last one, but not for longer than
-        # a slowness holds.
+        # A stated slowness is averaged over the time since the previous statement, but
+        # at most over the time for which a slowness holds.
         known_s = min(SLOWNESS_HOLD_S, now - self._slowness_at)
         weight = -math.expm1(-known_s / SLOWNESS_MEAN_S)
         self._mean_slowness += weight * (slowness - self._mean_slowness)
--- a/src/bamboolever/daemons/deferredimports.py
+++ b/src/bamboolever/daemons/deferredimports.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from importlib.abc import Loader
 
-# Each with what it costs an entry in MB of peak memory, with all that it imports.
+# The numbers are MB of an entry's peak memory that a module and its imports take.
 DEFERRED_MODULES = frozenset(
     {
         "bz2",  # 0.1 with lzma; by shutil, which argparse imports
@@ -29,8 +29,8 @@
         "sysconfig",  # 0.2; by zoneinfo, which pydantic imports
     }
 )
-# Functions and classes that are imported by name, but at most called. They are
-# replaced by functions that load the module.
+# Functions and classes that dependencies import by name and use only by calling them.
+# They are replaced by functions that load the module.
 _CALLABLES = {
     "ctypes": ("c_double", "c_uint64"),
     "importlib.metadata": ("entry_points",),
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -78,8 +78,8 @@
 # the configuration waits less, as its responses confirm the API keys.
 LIST_WAIT_S = 20.0
 LIST_BATCH_DELAY_S = 0.6
-# Share of the time in which an evacuation must be in force that the store holds a watch
-# request for it. A response that is lost is noticed after that.
+# Share of the evacuation bound for which the store may hold a watch request. A lost
+# response is noticed only after that time.
 EVACUATION_WAIT_SHARE = 0.3
 TIMER_MARGIN_S = 0.05
 # File descriptors kept for other uses than calls. A call takes two: one for its
--- a/src/bamboolever/daemons/entryfleet.py
+++ b/src/bamboolever/daemons/entryfleet.py
@@ -61,7 +61,7 @@
 # An agent's notice that its engine switches versions keeps new calls away for this
 # long, so that an agent that falls silent does not block its engine for good.
 SWITCH_NOTICE_TTL_S = 4.0
-# Limits and cold states kept of upstreams that are listed no more.
+# Maximum numbers of limits and cold states kept of upstreams that are not listed.
 MAX_UNLISTED_LIMITS = 256
 MAX_UNLISTED_COLD = 256
 
--- a/src/bamboolever/daemons/hedgedattempt.py
+++ b/src/bamboolever/daemons/hedgedattempt.py
@@ -83,7 +83,7 @@
         return self._relay.accepts(head)
 
     def may_reuse_after(self, head: ResponseHead) -> bool:
-        """Return whether a second copy of the response would be told by its id."""
+        """Return whether its id would identify a second copy of the response."""
         return self._relay.may_reuse_after(head)
 
     def on_head(self, head: ResponseHead) -> None:
--- a/src/bamboolever/daemons/hedges.py
+++ b/src/bamboolever/daemons/hedges.py
@@ -2,9 +2,10 @@
 
 Takes the first attempts and response times of all calls. Asks `calls.hedging`, the
 service's dispatcher and its retry budget whether a slow call gets a second attempt, and
-where. Without a share nothing is observed and none is sent.
+where. With a share of 0 nothing is observed and no
+hedged request is sent.
 
-Load pattern: see `calls.hedging`. This module carries its decisions out.
+Load pattern: see `calls.hedging`, which decides; this module applies the decisions.
 """
 
 from typing import TYPE_CHECKING, final
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -645,7 +645,7 @@
         if view is not None and self._is_stream():
             view.on_unreachable(now)
         self._observe_time()
-        # An upstream that said that it is slow is not a failing one.
+        # An upstream that stated that it is slow is not counted as failed.
         is_slow = view is not None and not self._is_stream() and view.may_be_slow(now)
         self._on_attempt_failed(
             AttemptOutcome.UNKNOWN, "silent upstream", is_fault=not is_slow
--- a/src/bamboolever/daemons/responsefacts.py
+++ b/src/bamboolever/daemons/responsefacts.py
@@ -1,4 +1,4 @@
-"""What the head of a response says of its upstream, whatever becomes of the attempt."""
+"""Records what a response's head states of its upstream, whatever the outcome."""
 
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.daemons.relaycontext import RelayContext
--- a/src/bamboolever/daemons/swarm.py
+++ b/src/bamboolever/daemons/swarm.py
@@ -40,17 +40,17 @@
 # Piece maps that arrive within this time cause one plan.
 PLAN_DELAY_S = 0.02
 ANNOUNCE_DELAY_S = 0.1
-# All agents wait for a piece that was imported, and for the next one to be read.
+# Short, since other agents wait for an imported piece and for the next import.
 IMPORT_ANNOUNCE_DELAY_S = 0.01
 # How often the watched peers are asked for their pieces.
 ASK_INTERVAL_S = 0.5
 # A peer that asked for this agent's pieces longer ago is not told of new ones.
 ASKED_TIMEOUT_S = 3.0
-# A read from the origin that failed is still announced for this long, as it is begun
-# anew after the backoff.
+# A failed read from the origin is still announced for this long, since it is retried
+# after the backoff.
 FAILED_READ_TIMEOUT_S = 2.0
-# The others' switches depend on who has all pieces: it is said twice, as a datagram may
-# be lost and an agent that has all pieces asks no more.
+# Delay of the repeated announcement that this agent has all pieces. Other agents plan
+# their switches by it, and a datagram may be lost.
 COMPLETION_REPEAT_S = 0.25
 WRONG_DIGEST = "wrong digest"
 
@@ -95,7 +95,7 @@
         self._last_ask_at = -math.inf
         self._announcement: Timer | None = None
         self._announcement_due_at = math.inf
-        # Reads from the origin that failed, and when: they are still this agent's.
+        # Failed reads from the origin, and when. They remain assigned to this agent.
         self._failed_reads: dict[int, float] = {}
         self._is_plan_scheduled = False
         # Peers that asked for this agent's pieces, and when.
--- a/src/bamboolever/daemons/whereanswers.py
+++ b/src/bamboolever/daemons/whereanswers.py
@@ -35,7 +35,7 @@
     make_answer,
 )
 
-# Calls have ids from 1.
+# The ids of calls start at 1, so that no call has this one.
 QUESTION_ID = 0
 
 
--- a/src/bamboolever/daemons/wherehandler.py
+++ b/src/bamboolever/daemons/wherehandler.py
@@ -14,7 +14,8 @@
 from bamboolever.platform import where as wire
 from bamboolever.platform.where import QuestionError, WhereAnswer, WhereQuestion
 
-# An answer copies the state of a service's upstreams on the thread that serves callers.
+# Limited since each answer copies the state of a service's upstreams on the thread that
+# serves callers.
 MAX_ANSWERS_PER_S = 4
 
 _JSON: Header = (b"Content-Type", b"application/json")
--- a/src/bamboolever/fleet/cells.py
+++ b/src/bamboolever/fleet/cells.py
@@ -20,8 +20,8 @@
 from bamboolever._subset import SCORE_BITS, rank_members, score_member
 
 # Up to this number of engines, all zones form one cell. Cells of one zone each cannot
-# fill each other's engines to the last slot, which a fleet of this size feels when it
-# is short of room.
+# use the last free slots of each other's engines, which in a small fleet are a large
+# share of all slots.
 MAX_SHARED_ENGINES = 48
 # Engines that a cell of one zone has at most, on average.
 MAX_CELL_ENGINES = 24
--- a/src/bamboolever/fleet/evacuations.py
+++ b/src/bamboolever/fleet/evacuations.py
@@ -4,7 +4,7 @@
 store had no higher revision. Decides whether the upstreams of a zone are free to use, a
 last resort, or closed.
 
-Load pattern: a zone is given up while it carries traffic. A fixed time after the store
+Load pattern: a zone is evacuated while it carries traffic. A fixed time after the store
 acknowledged the evacuation, no request from any entry may reach the zone, whichever way
 each entry hears of it. The time therefore counts from when the evacuation was surely
 not in the store. In the first half of it the zone's upstreams take what finds no room
@@ -34,9 +34,9 @@
 
 @dataclass(frozen=True)
 class EvacuationEvent:
-    """The begin or the end of an evacuation, for the log.
+    """The start or the end of an evacuation, for the log.
 
-    ``age_s`` is how many seconds ago it was surely not in the store; None if that is
+    ``age_s`` is how many seconds ago it was certainly not in the store; None if that is
     unknown, so that it takes full effect at once.
     """
 
@@ -47,10 +47,10 @@
 
 @dataclass
 class _Evacuation:
-    """``since`` is a time without it, None if none is known.
+    """``since`` is the latest time at which the store lacked it, None if unknown.
 
-    ``revision`` is the first of the store's with it, None if unknown. ``is_removed`` is
-    set while its removal is deferred.
+    ``revision`` is the first revision of the store that has it, None if unknown.
+    ``is_removed`` is set while its removal is deferred.
     """
 
     since: float | None
@@ -73,7 +73,7 @@
         self._keeps_until = -math.inf
         self._events: list[EvacuationEvent] = []
 
-    # What the store says.
+    # Updates from the store.
 
     def put(self, zone: str, revision: int | None, now: float) -> None:
         """Record that the store has an evacuation of a zone, at a revision if known.
@@ -134,11 +134,11 @@
         for each in self._zones.values():
             each.revision = None
 
-    # What follows from it.
+    # Queries.
 
     @property
     def is_empty(self) -> bool:
-        """Whether there is nothing to look at, not even a deferred removal."""
+        """Whether no zone is evacuated and no removal is deferred."""
         return not self._zones
 
     def use_of(self, zone: str, now: float) -> ZoneUse:
--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -234,8 +234,8 @@
 
     @property
     def _can_process(self) -> bool:
-        # The next request waits until the caller has read the response before, or it
-        # could have one response after the other buffered.
+        # The next request waits until the caller has read the previous response, so
+        # that pipelined requests cannot fill memory with unread responses.
         return not (
             self._is_response_due
             or self._is_closed
@@ -335,7 +335,7 @@
         self._report_queued_bytes()
 
     def _report_queued_bytes(self) -> None:
-        # Up to half of the memory of a buffer may belong to bytes that were sent.
+        # Counts allocated memory: up to half of it may still hold bytes already sent.
         size_bytes = self._send_buffer.__alloc__() if self._send_buffer else 0
         if size_bytes != self._reported_bytes:
             self._reported_bytes = size_bytes
--- a/src/bamboolever/platform/where.py
+++ b/src/bamboolever/platform/where.py
@@ -22,7 +22,7 @@
 
 
 class QuestionError(Exception):
-    """Raised when a question cannot be read; the message has no value of it."""
+    """Raised when a question is invalid; the message contains none of its values."""
 
 
 class WhereQuestion(DeferredModel):
--- a/src/bamboolever/reports/wherecli.py
+++ b/src/bamboolever/reports/wherecli.py
@@ -20,7 +20,7 @@
 TIMEOUT_S = 5.0
 # An answer names each upstream of a service once.
 MAX_ANSWER_BYTES = 4 * 2**20
-# Names of upstreams in a line of text; --json has all.
+# Maximum number of upstreams named in a line of text; --json prints all.
 MAX_NAMES = 6
 
 
--- a/src/bamboolever/weights/groups.py
+++ b/src/bamboolever/weights/groups.py
@@ -54,7 +54,8 @@
 
         A group of which every watched agent is silent is left out. Agents that started
         late are left out of a group that has others: its list and its turns then stay
-        as they are, and no piece has two agents in turn while some know the newcomer.
+        as they are, and no piece is assigned to two agents while only some agents know
+        the new one.
         """
         by_group: dict[Group, list[str]] = {}
         late = {str(address) for address in view.late}
--- a/src/bamboolever/weights/plan.py
+++ b/src/bamboolever/weights/plan.py
@@ -46,15 +46,15 @@
 # Most of an agent's fetches may go to the origin: it may become unreachable before
 # every piece was read once, while peers keep the pieces they have.
 MAX_ORIGIN_FETCHES = 3
-# A read from the origin or another group does not wait for the agent's other fetches:
-# all others wait for it.
+# Limit of an agent's fetches together with its reads from the origin or another group.
+# It is higher, so that these reads, which other agents wait for, start at once.
 MAX_FETCHES_WITH_IMPORTS = 10
 # Pieces that all agents read from the origin at once. They share its link, so with more
-# of them the first arrive later, and an outage cuts more. With fewer, the link idles
+# of them the first arrive later, and an outage interrupts more. With fewer, it idles
 # while piece maps queue behind pieces: it sends 10 in 0.45 s.
 ORIGIN_WINDOW = 10
-# An agent that reads nothing looks this much further: where piece maps are late, the
-# pieces at the front were read already.
+# Factor of the window for an agent that reads nothing. With late piece maps, other
+# agents may have read the first pieces of the window already.
 IDLE_READER_WINDOW_FACTOR = 2
 # A piece whose reader was silent for longer does not hold up the pieces after it.
 SUSPECT_TIMEOUT_S = 1.0
@@ -70,8 +70,8 @@
 ORIGIN_FALLBACK_S = 12.0
 # Pause after a failed fetch before the same source is used again.
 PEER_BACKOFF_S = 1.0
-# An origin that is back is read within this time: each agent tries one piece at a time
-# while its reads fail.
+# Delay before a failed read from the origin is retried, and so the time until an origin
+# that recovers is used. While reads fail, each agent tries one piece at a time.
 ORIGIN_BACKOFF_S = 0.15
 
 
--- a/src/bamboolever/weights/switching.py
+++ b/src/bamboolever/weights/switching.py
@@ -23,16 +23,15 @@
 # How long running requests may continue before the engine is ordered to abort them.
 DRAIN_TIMEOUT_S = 1.0
 # From the end of the drain until the engine serves: the pieces are read back and
-# loaded, and a report shows it. Without a drain, engines were seen to be away for
-# 0.35 s.
+# loaded, and a report shows it. Loading and reporting take 0.35 s; the rest is margin.
 LOAD_DURATION_S = 0.4
 # The largest share of the engines that is out of service at once, while time allows it.
 MAX_SWITCHING_SHARE = 0.2
-# An agent waits this long after its last piece for the piece maps of others that were
-# staged at the same time. They are sent within 0.01 s of the last piece.
+# An agent waits this long after its last piece for the piece maps of agents that got
+# all pieces at the same time. They are sent within 0.01 s of the last piece.
 SETTLE_S = 0.1
-# Added to the time of a switch when the places are counted: piece maps are late by
-# differing times, so that two engines may take the same place.
+# Added to the duration of a switch when places are scheduled: the delays of piece maps
+# differ, so that two engines may take the same place.
 PLACE_SLACK_S = 0.15
 # In a larger fleet, the agents tell only those of their group that they have all
 # pieces, so that the messages of one agent do not grow with the fleet.
@@ -57,11 +56,10 @@
     ``own`` is this agent's address and ``staged_at`` when it had all pieces.
     ``others`` are the other agents of the schedule that may be alive. ``fleet_size`` is
     the number of agents in all schedules. ``phase`` is the schedule's place among them,
-    from 0 to less than 1. ``older_expires_at`` is when
-    the older version may begin no more requests. ``turn`` is the agent's place among
-    all agents, from 0 for the first to 1 for the last. ``is_superseded`` is true when a
-    newer rollout has started, and ``serves_older`` while the engine still serves an
-    older version.
+    from 0 to less than 1. From ``older_expires_at`` on, no request may begin on the
+    older version. ``turn`` is the agent's place among all agents, from 0 for the first
+    to 1 for the last. ``is_superseded`` is true when a newer rollout has started, and
+    ``serves_older`` while the engine still serves an older version.
     """
 
     own: str
@@ -112,7 +110,7 @@
 class CapacityPolicy(SwitchPolicy):
     """Keeps ``max_share`` of the fleet out of service at most, while time allows it.
 
-    A share of 0 lets one engine of the fleet switch after the other.
+    With a share of 0 the engines of a schedule switch one at a time.
     """
 
     def __init__(self, max_share: float = MAX_SWITCHING_SHARE):
--- a/src/bamboolever/weights/view.py
+++ b/src/bamboolever/weights/view.py
@@ -9,8 +9,8 @@
 # An agent that was silent for longer is not selected to import pieces. It is asked each
 # 0.5 s; question and answer may each be 0.45 s late behind eight pieces on a full link.
 PEER_TIMEOUT_S = 2.0
-# A silent agent's imports are left to it for this long: a read that it has begun takes
-# no longer, and its bytes would be sent in vain.
+# A silent agent's imports are reassigned only after this time. A read that it has begun
+# ends within it, and reading the piece again would waste the origin's bandwidth.
 IMPORT_TIMEOUT_S = 3.0
 
 
