Take out the changes of rollouts: reads once, schedule of switches

Suspected: agents that start after a version was named leave its reading to others, and after a loss of power all have.

--- a/protocol/exchange.thrift
+++ b/protocol/exchange.thrift
@@ -128,11 +128,6 @@
   5: i32 uploads
   // The pieces are left from an earlier transfer: the agent fetches no more of them.
   6: bool is_retained
-  // The pieces that the agent is bringing into its group, from the origin or another
-  // group, in the form of bitmap. Absent stands for none.
-  7: optional binary imports
-  // The agent started long after the version was named.
-  8: optional bool is_late
 }
 
 // A crash of an upstream by a request, or by a part of a prompt, and how long ago the
--- a/src/bamboolever/_exchange_protocol/ttypes.py
+++ b/src/bamboolever/_exchange_protocol/ttypes.py
@@ -1253,8 +1253,6 @@
      - is_reply_wanted
      - uploads
      - is_retained
-     - imports
-     - is_late
 
     """
 
@@ -1265,20 +1263,16 @@
         'is_reply_wanted',
         'uploads',
         'is_retained',
-        'imports',
-        'is_late',
     )
 
 
-    def __init__(self, model=None, version=None, bitmap=None, is_reply_wanted=None, uploads=None, is_retained=None, imports=None, is_late=None,):
+    def __init__(self, model=None, version=None, bitmap=None, is_reply_wanted=None, uploads=None, is_retained=None,):
         self.model = model
         self.version = version
         self.bitmap = bitmap
         self.is_reply_wanted = is_reply_wanted
         self.uploads = uploads
         self.is_retained = is_retained
-        self.imports = imports
-        self.is_late = is_late
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1319,16 +1313,6 @@
                     self.is_retained = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.STRING:
-                    self.imports = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 8:
-                if ftype == TType.BOOL:
-                    self.is_late = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1363,14 +1347,6 @@
             oprot.writeFieldBegin('is_retained', TType.BOOL, 6)
             oprot.writeBool(self.is_retained)
             oprot.writeFieldEnd()
-        if self.imports is not None:
-            oprot.writeFieldBegin('imports', TType.STRING, 7)
-            oprot.writeBinary(self.imports)
-            oprot.writeFieldEnd()
-        if self.is_late is not None:
-            oprot.writeFieldBegin('is_late', TType.BOOL, 8)
-            oprot.writeBool(self.is_late)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2833,8 +2809,6 @@
     (4, TType.BOOL, 'is_reply_wanted', None, None, ),  # 4
     (5, TType.I32, 'uploads', None, None, ),  # 5
     (6, TType.BOOL, 'is_retained', None, None, ),  # 6
-    (7, TType.STRING, 'imports', 'BINARY', None, ),  # 7
-    (8, TType.BOOL, 'is_late', None, None, ),  # 8
 )
 all_structs.append(Crash)
 Crash.thrift_spec = (
--- a/src/bamboolever/daemons/loader.py
+++ b/src/bamboolever/daemons/loader.py
@@ -17,7 +17,6 @@
 from bamboolever.net.addresses import Address
 from bamboolever.net.fetch import Fetch, FetchResult, Response
 from bamboolever.platform import weights as wire
-from bamboolever.weights.groups import Group
 from bamboolever.weights.loading import (
     LoadState,
     LoadStep,
@@ -29,12 +28,9 @@
 )
 from bamboolever.weights.plan import PiecePolicy
 from bamboolever.weights.switching import (
-    CapacityPolicy,
     SwitchInput,
-    SwitchPlan,
-    SwitchPolicy,
+    drain_starts_at,
     is_drain_finished,
-    is_joint_schedule,
     is_second_half,
     switch_turn,
 )
@@ -50,8 +46,6 @@
 ORDER_REPEAT_S = 5.0
 # An older verification is repeated before the engine is ordered to load.
 MAX_VERIFICATION_AGE_S = 1.5
-# A planned switch is planned again after this time, as more agents have all pieces.
-SWITCH_PLAN_INTERVAL_S = 0.05
 
 
 @final
@@ -69,7 +63,6 @@
         rollouts: VersionRollouts,
         link_bytes_per_s: float,
         policy: PiecePolicy,
-        switch_policy: SwitchPolicy | None = None,
     ):
         self._context = context
         self._task = context.task
@@ -85,14 +78,11 @@
         self._newest_started_at = 0.0
         self._ordered: ModelVersion | None = None
         self._report: EngineReport | None = None
-        self._switch_policy = switch_policy or CapacityPolicy()
         self._drain_started_at: float | None = None
-        self._drain_limit_s = 0.0
         self._verified_at: float | None = None
         self._is_order_pending = False
         self._order_timer: Timer | None = None
         self._drain_timer: Timer | None = None
-        self._is_switch_put_off = False
 
     @property
     def is_switching(self) -> bool:
@@ -207,9 +197,7 @@
             return False
         if not self._context.can_interrupt_requests() or self._newest != self._target:
             return True
-        return is_drain_finished(
-            report.running + report.queued, now - started_at, self._drain_limit_s
-        )
+        return is_drain_finished(report.running + report.queued, now - started_at)
 
     def _on_engine_restarted(self) -> None:
         logger.info("engine restarted")
@@ -277,10 +265,8 @@
     def _start_transfer(self) -> None:
         target, profile = self._target, self._context.profile()
         if target is not None:
-            self.transfer.named_at = self._target_started_at
             self.transfer.start(target.model, target.version, self._accept_manifest)
         elif profile is not None and profile.models:
-            self.transfer.named_at = None
             self.transfer.start(profile.models[0], None, self._accept_manifest)
 
     def _accept_manifest(self, model_version: ModelVersion) -> bool:
@@ -297,20 +283,13 @@
         now = self._task.now()
         if self.is_switching:
             return
-        plan = self._plan_switch(now)
-        wait_s = plan.starts_at - now
+        wait_s = self._drain_starts_at(now) - now
         if wait_s > 0:
-            if not self._is_switch_put_off:
-                self._is_switch_put_off = True
-                logger.info("switch put off", extra={"seconds": round(wait_s, 3)})
             if self._drain_timer is None:
-                self._drain_timer = self._task.call_later(
-                    min(wait_s, SWITCH_PLAN_INTERVAL_S), self._on_drain_due
-                )
+                logger.info("switch put off", extra={"seconds": round(wait_s, 3)})
+                self._drain_timer = self._task.call_later(wait_s, self._on_drain_due)
             return
-        self._is_switch_put_off = False
         self._drain_started_at = now
-        self._drain_limit_s = plan.drain_limit_s
         self._ordered = None
         logger.info("draining the engine", extra=_log_fields(self._target))
         self._context.on_serving_changed()
@@ -320,25 +299,13 @@
         self._drain_timer = None
         self.advance()
 
-    def _plan_switch(self, now: float) -> SwitchPlan:
+    def _drain_starts_at(self, now: float) -> float:
         target, report = self._target, self._report
         assert target is not None
         expires_at = self._served_expires_at()
         staged_at = self.transfer.staged_at
-        own = self._context.own_peer()
-        everyone = [own, *self._context.peers()]
-        groups = sorted({Group.of(peer) for peer in everyone})
-        return self._switch_policy.plan(
+        return drain_starts_at(
             SwitchInput(
-                own=str(own.address),
-                version=target.version,
-                others=self.transfer.switch_members(),
-                fleet_size=len(everyone),
-                phase=(
-                    0.0
-                    if is_joint_schedule(len(everyone))
-                    else groups.index(Group.of(own)) / len(groups)
-                ),
                 staged_at=now if staged_at is None else staged_at,
                 older_expires_at=now if expires_at is None else expires_at,
                 turn=self._switch_turn(target),
--- a/src/bamboolever/daemons/swarm.py
+++ b/src/bamboolever/daemons/swarm.py
@@ -5,7 +5,6 @@
 """
 
 import logging
-import math
 from collections.abc import Callable
 
 from bamboolever._task import IoTask, Timer
@@ -19,7 +18,7 @@
 from bamboolever.net.fetch import Fetch, FetchResult
 from bamboolever.net.messages import Request
 from bamboolever.platform import weights as wire
-from bamboolever.weights.groups import Group, find_watched
+from bamboolever.weights.groups import find_watched
 from bamboolever.weights.pieces import DigestMismatches
 from bamboolever.weights.plan import (
     ORIGIN_BACKOFF_S,
@@ -27,7 +26,6 @@
     PieceFetch,
     PiecePolicy,
 )
-from bamboolever.weights.switching import is_joint_schedule
 from bamboolever.weights.view import Peer, SwarmView
 
 logger = logging.getLogger(__name__)
@@ -40,18 +38,9 @@
 # Piece maps that arrive within this time cause one plan.
 PLAN_DELAY_S = 0.02
 ANNOUNCE_DELAY_S = 0.1
-# Short, since other agents wait for an imported piece and for the next import.
-IMPORT_ANNOUNCE_DELAY_S = 0.01
-# How often the watched peers are asked for their pieces.
-ASK_INTERVAL_S = 0.5
+ANNOUNCE_HEARTBEAT_S = 1.0
 # A peer that asked for this agent's pieces longer ago is not told of new ones.
 ASKED_TIMEOUT_S = 3.0
-# A failed read from the origin is still announced for this long, since it is retried
-# after the backoff.
-FAILED_READ_TIMEOUT_S = 2.0
-# Delay of the repeated announcement that this agent has all pieces. Other agents plan
-# their switches by it, and a datagram may be lost.
-COMPLETION_REPEAT_S = 0.25
 WRONG_DIGEST = "wrong digest"
 
 
@@ -90,13 +79,8 @@
         self._mismatches = DigestMismatches()
         self._fetches: dict[int, Fetch] = {}
         self._is_stopped = False
-        # Apart from announcements: a peer is not told of new pieces for long after the
-        # last question, and silence makes it count as dead.
-        self._last_ask_at = -math.inf
-        self._announcement: Timer | None = None
-        self._announcement_due_at = math.inf
-        # Failed reads from the origin, and when. They remain assigned to this agent.
-        self._failed_reads: dict[int, float] = {}
+        self._announced_at = 0.0
+        self._is_announcement_scheduled = False
         self._is_plan_scheduled = False
         # Peers that asked for this agent's pieces, and when.
         self._asked_at: dict[Address, float] = {}
@@ -131,14 +115,7 @@
             self._asked_at[sender] = now
         is_changed = piece_map.bitmap != self.view.peer_bitmaps.get(sender)
         uploads = piece_map.uploads
-        self.view.update_peer(
-            sender,
-            piece_map.bitmap,
-            now,
-            uploads=uploads,
-            imports=piece_map.imports,
-            is_late=piece_map.is_late,
-        )
+        self.view.update_peer(sender, piece_map.bitmap, now, uploads=uploads)
         if piece_map.is_retained:
             self.view.mark_inactive(sender)
         if is_changed:
@@ -153,31 +130,13 @@
             self.view.pieces.verified,
             is_reply_wanted,
             self._get_upload_count(),
-            imports=self._imports(),
-            is_late=self.view.is_late,
         )
 
-    def _imports(self) -> int:
-        """Return the pieces that this agent is bringing into its group, as a bitmap."""
-        now, own_group = self._task.now(), Group.of(self.view.own)
-        local = {
-            peer.address for peer in self.view.peers if Group.of(peer) == own_group
-        }
-        numbers = {
-            number
-            for number, source in self.view.in_flight.items()
-            if source not in local
-        }
-        for number, failed_at in list(self._failed_reads.items()):
-            if now - failed_at > FAILED_READ_TIMEOUT_S:
-                del self._failed_reads[number]
-        return sum(1 << number for number in numbers | self._failed_reads.keys())
-
     def _tick(self) -> None:
         if self._is_stopped:
             return
-        elapsed_s = self._task.now() - self._last_ask_at
-        if elapsed_s >= ASK_INTERVAL_S and not self.view.pieces.is_complete:
+        elapsed_s = self._task.now() - self._announced_at
+        if elapsed_s >= ANNOUNCE_HEARTBEAT_S and not self.view.pieces.is_complete:
             self._send_piece_map(is_reply_wanted=True)
         self._plan()
         self._timer = self._task.call_later(PLAN_INTERVAL_S, self._tick)
@@ -197,8 +156,6 @@
             return
         for planned in self._policy.plan(self.view, self._task.now()):
             self._start_fetch(planned)
-            if planned.source is None:
-                self._schedule_announcement(IMPORT_ANNOUNCE_DELAY_S)
 
     def _start_fetch(self, planned: PieceFetch) -> None:
         origin = self._get_origin()
@@ -247,16 +204,14 @@
         assert not isinstance(result, ExchangeFailure)
         if planned.source is None:
             self.origin_bytes += len(result.body)
-            self.view.is_origin_failing = False
         else:
             self.peer_bytes += len(result.body)
-            self.view.note_heard(planned.source, self._task.now())
         model = self.view.pieces.manifest.model
         self._staging.put(
             model,
             number,
             result.body,
-            lambda is_accepted: self._on_staged(planned, is_accepted),
+            lambda is_accepted: self._on_staged(number, is_accepted),
         )
 
     def _failure_reason(self, number: int, result: FetchResult) -> str | None:
@@ -287,9 +242,6 @@
         )
         self.view.in_flight.pop(planned.number, None)
         source = planned.source
-        if source is None:
-            self._failed_reads[planned.number] = self._task.now()
-            self.view.is_origin_failing = True
         if source is not None and reason in (WRONG_DIGEST, "status 404"):
             # Only this piece is invalid or missing; the peer's others may be fetched.
             bitmap = self.view.peer_bitmaps.get(source, 0)
@@ -299,51 +251,33 @@
             self.view.backoff_until[source] = self._task.now() + backoff_s
         self._plan()
 
-    def _on_staged(self, planned: PieceFetch, is_accepted: bool) -> None:
-        number = planned.number
+    def _on_staged(self, number: int, is_accepted: bool) -> None:
         self.view.in_flight.pop(number, None)
-        self._failed_reads.pop(number, None)
         if self._is_stopped:
             return
         if is_accepted:
             self.view.pieces.add(number)
-            self.view.progressed_at = self._task.now()
-            is_urgent = (
-                planned.source is None
-                or planned.is_import
-                or self.view.pieces.is_complete
-            )
-            self._schedule_announcement(
-                IMPORT_ANNOUNCE_DELAY_S if is_urgent else ANNOUNCE_DELAY_S
-            )
+            self._schedule_announcement()
         if self.view.pieces.is_complete:
-            self._task.call_later(COMPLETION_REPEAT_S, self._repeat_completion)
             self._on_complete()
             return
         self._plan()
 
-    def _repeat_completion(self) -> None:
-        if not self._is_stopped and self.view.pieces.is_complete:
-            self._send_piece_map()
-
-    def _schedule_announcement(self, delay_s: float) -> None:
-        due_at = self._task.now() + delay_s
-        if self._announcement is not None:
-            if self._announcement_due_at <= due_at:
-                return
-            self._announcement.cancel()
-        self._announcement_due_at = due_at
-        self._announcement = self._task.call_later(delay_s, self._on_announcement_due)
+    def _schedule_announcement(self) -> None:
+        if self._is_announcement_scheduled:
+            return
+        self._is_announcement_scheduled = True
+        self._task.call_later(ANNOUNCE_DELAY_S, self._on_announcement_due)
 
     def _on_announcement_due(self) -> None:
-        self._announcement = None
+        self._is_announcement_scheduled = False
         if not self._is_stopped:
             self._send_piece_map()
 
     def _send_piece_map(self, *, is_reply_wanted: bool = False) -> None:
         now = self._task.now()
+        self._announced_at = now
         if is_reply_wanted:
-            self._last_ask_at = now
             self.view.watch(find_watched(self.view, now), now)
         piece_map = self.make_piece_map(is_reply_wanted=is_reply_wanted)
         self._announce_pieces(piece_map, self._recipients(now))
@@ -352,8 +286,4 @@
         for address, asked_at in list(self._asked_at.items()):
             if now - asked_at > ASKED_TIMEOUT_S:
                 del self._asked_at[address]
-        recipients = {*(self.view.watched or ()), *self._asked_at}
-        peers = self.view.peers
-        if self.view.pieces.is_complete and is_joint_schedule(1 + len(peers)):
-            recipients.update(peer.address for peer in peers)
-        return sorted(recipients, key=str)
+        return list({*(self.view.watched or ()), *self._asked_at})
--- a/src/bamboolever/daemons/transfer.py
+++ b/src/bamboolever/daemons/transfer.py
@@ -23,11 +23,9 @@
 from bamboolever.net.addresses import Address
 from bamboolever.net.server import ServerConnection
 from bamboolever.platform.weights import PieceDigests
-from bamboolever.weights.groups import Group
 from bamboolever.weights.pieces import PieceSet
 from bamboolever.weights.plan import PiecePolicy
-from bamboolever.weights.switching import SwitchMember, is_joint_schedule
-from bamboolever.weights.view import SwarmView, starts_late
+from bamboolever.weights.view import SwarmView
 
 logger = logging.getLogger(__name__)
 
@@ -42,7 +40,6 @@
     ``on_changed`` is called when all pieces are staged, when a verification ends, and
     when a manifest turned out to be of another version. ``staged_at`` is when all
     pieces were first staged, in seconds of the task's clock; None before that.
-    ``named_at`` is when the version to transfer was named, or None if it is looked up.
     """
 
     def __init__(
@@ -69,7 +66,6 @@
         self._held_requests = HeldRequests()
         self._is_verifying = False
         self.staged_at: float | None = None
-        self.named_at: float | None = None
 
     @property
     def is_started(self) -> bool:
@@ -86,25 +82,6 @@
         """Whether a transfer has started and pieces are missing."""
         return self._swarm is not None and not self._swarm.view.pieces.is_complete
 
-    def switch_members(self) -> tuple[SwitchMember, ...]:
-        """Return the other agents of this agent's schedule of switches.
-
-        These are the ones known to have all pieces, and those not known to be silent.
-        """
-        if self._swarm is None:
-            return ()
-        view, now = self._swarm.view, self._task.now()
-        members = []
-        for peer in view.peers:
-            staged_at = view.completed_at.get(peer.address)
-            is_alive = staged_at is not None or view.is_active(peer, now)
-            is_in_schedule = is_joint_schedule(1 + len(view.peers)) or Group.of(
-                peer
-            ) == Group.of(view.own)
-            if is_alive and is_in_schedule:
-                members.append(SwitchMember(str(peer.address), staged_at))
-        return tuple(members)
-
     def start(
         self,
         model: str,
@@ -344,7 +321,6 @@
             origin_region=self._context.region_of(zone),
             pieces=pieces,
             started_at=self._task.now(),
-            is_late=starts_late(self.named_at, self._task.now()),
         )
         self._swarm = SwarmMember(
             self._task,
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -220,23 +220,17 @@
 
 
 def _map_to_wire(message: PieceMap) -> Any:
+    size = max(1, (message.bitmap.bit_length() + 7) // 8)
     return ttypes.PieceMap(
         message.model,
         message.version,
-        _bitmap_to_wire(message.bitmap),
+        message.bitmap.to_bytes(size, "big"),
         message.is_reply_wanted,
         message.uploads,
         message.is_retained,
-        _bitmap_to_wire(message.imports) if message.imports else None,
-        message.is_late or None,
     )
 
 
-def _bitmap_to_wire(bitmap: int) -> bytes:
-    size = max(1, (bitmap.bit_length() + 7) // 8)
-    return bitmap.to_bytes(size, "big")
-
-
 def _from_wire(datagram: Any) -> Message:
     if datagram.entry_load is not None:
         return _load_from_wire(datagram.entry_load)
@@ -344,8 +338,6 @@
         bool(wire.is_reply_wanted),
         wire.uploads or 0,
         bool(wire.is_retained),
-        int.from_bytes(wire.imports or b"", "big"),
-        bool(wire.is_late),
     )
 
 
--- a/src/bamboolever/fleet/messages.py
+++ b/src/bamboolever/fleet/messages.py
@@ -154,9 +154,7 @@
     Bit N of ``bitmap`` stands for piece N. ``uploads`` is the number of pieces that
     the agent is sending or has queued. ``is_reply_wanted`` asks the receiver for its
     own piece map. ``is_retained`` means that the pieces are left from an earlier
-    transfer, so that the agent imports no more of them. ``imports`` are the pieces that
-    the agent is bringing into its group, in the form of ``bitmap``. ``is_late`` means
-    that it started long after the version was named.
+    transfer, so that the agent imports no more of them.
     """
 
     model: str
@@ -165,8 +163,6 @@
     is_reply_wanted: bool = False
     uploads: int = 0
     is_retained: bool = False
-    imports: int = 0
-    is_late: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/weights/groups.py
+++ b/src/bamboolever/weights/groups.py
@@ -52,15 +52,9 @@
     def from_view(cls, view: SwarmView, now: float) -> "Membership":
         """Return the agents that are not known to be silent.
 
-        A group of which every watched agent is silent is left out. Agents that started
-        late are left out of a group that has others: its list and its turns then stay
-        as they are, and no piece is assigned to two agents while only some agents know
-        the new one.
+        A group of which every watched agent is silent is left out.
         """
         by_group: dict[Group, list[str]] = {}
-        late = {str(address) for address in view.late}
-        if view.is_late:
-            late.add(str(view.own.address))
         silent: set[Group] = set()
         heard: set[Group] = {Group.of(view.own)}
         for peer in view.active_members(now):
@@ -74,7 +68,7 @@
             }
         return cls(
             {
-                group: tuple(sorted(set(names) - late or names))
+                group: tuple(sorted(names))
                 for group, names in by_group.items()
                 if group in heard or group not in silent
             }
@@ -118,18 +112,6 @@
     return _rank_groups(number, [g for g in groups if g.region == previous])[0]
 
 
-def import_depth(
-    number: int, own: Group, groups: tuple[Group, ...], origin_region: str
-) -> int:
-    """Return how many groups a piece passes before ``own``; 0 reads the origin."""
-    depth = 0
-    source = import_source(number, own, groups, origin_region)
-    while source is not None:
-        depth += 1
-        source = import_source(number, source, groups, origin_region)
-    return depth
-
-
 def _rank_groups(number: int, groups: list[Group]) -> list[Group]:
     by_name = {str(group.number): group for group in groups}
     return [by_name[name] for name in rank_members(f"group\0{number}", by_name)]
--- a/src/bamboolever/weights/view.py
+++ b/src/bamboolever/weights/view.py
@@ -6,26 +6,8 @@
 from bamboolever.net.addresses import Address
 from bamboolever.weights.pieces import PieceSet
 
-# An agent that was silent for longer is not selected to import pieces. It is asked each
-# 0.5 s; question and answer may each be 0.45 s late behind eight pieces on a full link.
-PEER_TIMEOUT_S = 2.0
-# A silent agent's imports are reassigned only after this time. A read that it has begun
-# ends within it, and reading the piece again would waste the origin's bandwidth.
-IMPORT_TIMEOUT_S = 3.0
-
-
-# An agent that starts a transfer later than this after the version was named has been
-# replaced as importer by then.
-LATE_START_S = PEER_TIMEOUT_S
-
-
-def starts_late(named_at: float | None, now: float) -> bool:
-    """Return whether a transfer that starts now does so after the others' transfers.
-
-    ``named_at`` is when the version was named, in seconds of the same clock, or None
-    for an agent that looks up the newest version.
-    """
-    return named_at is None or now - named_at > LATE_START_S
+# An agent that was silent for longer is not selected to import pieces.
+PEER_TIMEOUT_S = 1.6
 
 
 @dataclass(frozen=True)
@@ -48,13 +30,7 @@
     them, ``last_heard_at`` peers to when their pieces were last received, and
     ``uploads`` peers to the number of pieces that they are sending or have queued.
     ``watched`` are the peers that are asked for their pieces, so that their silence
-    means something; None stands for all. ``peer_imports`` maps peers to the pieces that
-    they are bringing into their groups. ``late`` are the peers that started long after
-    the version was named, and ``is_late`` is true if this agent did: they import only
-    if nobody else in their group does. ``progressed_at`` is when a piece was last seen
-    for the first time, at this agent or a peer. ``is_origin_failing`` is true after a
-    read from the origin failed, until one succeeds. ``completed_at`` maps peers that
-    have all pieces to when this agent first heard so.
+    means something; None stands for all.
     """
 
     own: Peer
@@ -69,60 +45,22 @@
     last_heard_at: dict[Address, float] = field(default_factory=dict)
     uploads: dict[Address, int] = field(default_factory=dict)
     watched: frozenset[Address] | None = None
-    peer_imports: dict[Address, int] = field(default_factory=dict)
-    late: set[Address] = field(default_factory=set)
-    is_late: bool = False
-    progressed_at: float = -math.inf
-    is_origin_failing: bool = False
-    completed_at: dict[Address, float] = field(default_factory=dict)
 
     def update_peer(
-        self,
-        address: Address,
-        bitmap: int,
-        now: float,
-        *,
-        uploads: int = 0,
-        imports: int = 0,
-        is_late: bool = False,
+        self, address: Address, bitmap: int, now: float, *, uploads: int = 0
     ) -> None:
-        """Record a peer's verified pieces, its imports and its pending uploads."""
+        """Record a peer's verified pieces and its number of pending uploads."""
         self.last_heard_at[address] = now
         self.uploads[address] = uploads
-        self.peer_imports[address] = imports
-        (self.late.add if is_late else self.late.discard)(address)
         new = bitmap & ~self.peer_bitmaps.get(address, 0)
         self.peer_bitmaps[address] = bitmap
-        if bitmap.bit_count() == self.pieces.count:
-            self.completed_at.setdefault(address, now)
-        else:
-            self.completed_at.pop(address, None)
         number = 0
         while new:
-            if new & 1 and number not in self.first_offered_at:
-                self.first_offered_at[number] = self.progressed_at = now
+            if new & 1:
+                self.first_offered_at.setdefault(number, now)
             new >>= 1
             number += 1
 
-    def note_heard(self, address: Address, now: float) -> None:
-        """Record a sign of life of a peer other than its piece map.
-
-        Ignored for one that transfers another version.
-        """
-        if self.last_heard_at.get(address, self.started_at) > -math.inf:
-            self.last_heard_at[address] = now
-
-    def imports_of_others(self, now: float) -> int:
-        """Return the pieces that peers are bringing into their groups, as a bitmap.
-
-        A peer's count until it was silent for `IMPORT_TIMEOUT_S`.
-        """
-        imports = 0
-        for address, bitmap in self.peer_imports.items():
-            if now - self.last_heard_at[address] < IMPORT_TIMEOUT_S:
-                imports |= bitmap
-        return imports
-
     def mark_inactive(self, address: Address) -> None:
         """Stop selecting a peer as importer, since it transfers another version.
 
--- a/testing/daemons/test_loader.py
+++ b/testing/daemons/test_loader.py
@@ -6,17 +6,11 @@
 
 from bamboolever.daemons.loader import EngineLoader
 from bamboolever.daemons.loadercontext import LoaderContext
-from bamboolever.fleet.records import (
-    EngineReport,
-    LayerRange,
-    LoadedModel,
-    ModelVersion,
-)
+from bamboolever.fleet.records import ModelVersion
 from bamboolever.fleet.versions import VersionRollouts
 from bamboolever.net.addresses import Address
 from bamboolever.weights.loading import SWITCH_DURATION_S
 from bamboolever.weights.plan import Peer, make_piece_policy
-from bamboolever.weights.switching import SwitchMember
 
 FIRST, SECOND = ModelVersion("model-1", 2), ModelVersion("model-1", 3)
 TIMEOUT_S = 8.0
@@ -29,7 +23,6 @@
     def __init__(self):
         self.task = ManualTask()
         self.pool = ManualPool(self.task)
-        self.is_interruptible = False
 
     def profile(self):
         return make_profile(weight_bytes=WEIGHT_BYTES)
@@ -50,7 +43,7 @@
         return "region-1"
 
     def can_interrupt_requests(self):
-        return self.is_interruptible
+        return False
 
     def refresh_lists(self):
         pass
@@ -144,61 +137,3 @@
     context.task.advance(2.0)
     loader.advance()
     assert set(loader.transfer.started) == {FIRST.version}
-
-
-class StagedTransfer(EndlessTransfer):
-    """A transfer that has all pieces."""
-
-    is_complete = True
-
-    def __init__(self, staged_at, others):
-        super().__init__()
-        self.staged_at = staged_at
-        self.others = others
-
-    def switch_members(self):
-        return self.others
-
-    def adopt_staged(self, report):
-        pass
-
-    def verify(self, on_verified):
-        pass
-
-
-def _serve_older(loader, context, others=()):
-    layers = make_profile().layers
-    model = LoadedModel(FIRST.model, FIRST.version - 1, LayerRange(0, layers, 1))
-    _start_rollout(loader, context, FIRST)
-    loader.transfer = StagedTransfer(context.task.now(), others)
-    loader.set_report(EngineReport((model,), False, 0, running=3, queued=0))
-
-
-def test_staged_engine_switches_when_its_place_is_free(loader, context):
-    _serve_older(loader, context)
-    assert not loader.is_switching
-    context.task.advance(0.3)
-    assert loader.is_switching
-
-
-def test_engine_switches_sooner_if_the_older_version_is_about_to_expire(
-    loader, context
-):
-    """Guards against a place that was planned once and is kept."""
-    others = tuple(SwitchMember(f"m{n}", context.task.now()) for n in range(9))
-    _serve_older(loader, context, others)
-    context.task.advance(TIMEOUT_S)
-    assert loader.is_switching
-
-
-def test_engine_drains_no_longer_than_planned(loader, context):
-    """Guards against an engine that drains when the older version has expired."""
-    context.is_interruptible = True
-    _start_rollout(loader, context, FIRST)
-    context.task.advance(TIMEOUT_S + 0.1)
-    loader.transfer = StagedTransfer(context.task.now(), ())
-    layers = make_profile().layers
-    model = LoadedModel(FIRST.model, FIRST.version - 1, LayerRange(0, layers, 1))
-    loader.set_report(EngineReport((model,), False, 0, running=3, queued=0))
-    assert loader.is_switching
-    assert loader._state().is_drained
