Datagrams carry ages over 24 days and large counts as the highest that fits

Ages are 32-bit milliseconds: 24.8 days after a version was named, every hello and every agent's state failed to encode (OverflowError), so entries no longer heard of engines, nor of each other. A caller that states 10**10 prompt tokens ended the loads of its entry the same way.

Ages and counts are bounded where they are encoded, and at 0 where they are decoded; a slowdown that is no factor makes the datagram malformed.

--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -1,6 +1,5 @@
 """Encodes and decodes the datagrams between entries and agents."""
 
-import math
 import zlib
 from typing import Any
 
@@ -9,7 +8,7 @@
 
 from bamboolever._exchange_protocol import ttypes
 from bamboolever.calls.engine import EngineLoad
-from bamboolever.fleet import limitcodec
+from bamboolever.fleet import crashcodec, limitcodec
 from bamboolever.fleet.echoes import Echo
 from bamboolever.fleet.messages import (
     AgentState,
@@ -23,20 +22,24 @@
     PermitRequests,
     PieceMap,
     Rejections,
-    ReportedCrash,
     RolloutAge,
     StoreUpdate,
     UpstreamSummary,
 )
+from bamboolever.fleet.wirevalues import (
+    age_from_wire,
+    age_to_wire,
+    count_from_wire,
+    count_to_wire,
+    oldest_age_from_wire,
+    oldest_age_to_wire,
+    slowdown_from_wire,
+)
 from bamboolever.net.addresses import parse_address
 
 _FACTORY = TCompactProtocolAcceleratedFactory()
-_UNKNOWN_AGE_MS = -1
 _UNKNOWN_VERSION = -1
 # A store's response that expands to more is not decoded.
-UNKNOWN_AGE_MS = -1
-MAX_AGE_MS = 2**31 - 1
-MAX_TRIED_PARTS = 127
 MAX_CHANGES_BYTES = 2**20
 
 
@@ -78,7 +81,7 @@
     if isinstance(message, AgentState):
         return {"agent_state": _state_to_wire(message)}
     if isinstance(message, CrashReport):
-        return {"crash_report": _report_to_wire(message)}
+        return {"crash_report": crashcodec.report_to_wire(message)}
     if isinstance(message, CellSummary):
         return {"cell_summary": _summary_to_wire(message)}
     if isinstance(message, StoreUpdate):
@@ -91,7 +94,7 @@
         return {"permit_grants": limitcodec.grants_to_wire(message)}
     if isinstance(message, Rejections):
         rejected = [
-            ttypes.Rejected(digest, int(age_s * 1000))
+            ttypes.Rejected(digest, age_to_wire(age_s))
             for digest, age_s in message.ages_s.items()
         ]
         return {"rejections": ttypes.Rejections(rejected)}
@@ -100,7 +103,9 @@
 
 def _load_to_wire(message: EntryLoad) -> Any:
     wire_loads = [
-        ttypes.UpstreamUse(key, load.writing, load.waiting, load.waiting_tokens)
+        ttypes.UpstreamUse(
+            key, load.writing, load.waiting, count_to_wire(load.waiting_tokens)
+        )
         for key, load in message.loads.items()
     ]
     return ttypes.EntryLoad(
@@ -123,9 +128,7 @@
         ttypes.RolloutAge(
             rollout.model,
             rollout.version,
-            _UNKNOWN_AGE_MS
-            if rollout.age_s is None
-            else math.ceil(rollout.age_s * 1000),
+            oldest_age_to_wire(rollout.age_s),
         )
         for rollout in rollouts
     ]
@@ -141,51 +144,20 @@
         _rollouts_to_wire(message.rollouts),
         message.model,
         message.cell,
-        message.active,
+        count_to_wire(message.active),
         message.started_ms,
         message.is_down,
         **_echo_to_wire(message),
     )
 
 
-def _report_to_wire(message: CrashReport) -> Any:
-    return ttypes.CrashReport(
-        _crashes_to_wire(message.crashes),
-        _completions_to_wire(message.completed_ages_s),
-        list(message.ended),
-        _crashes_to_wire(message.part_crashes),
-        _completions_to_wire(message.part_completed_ages_s),
-        list(message.trials),
-        list(message.ended_trials),
-    )
-
-
-def _crashes_to_wire(crashes: tuple[ReportedCrash, ...]) -> list[Any]:
-    return [
-        ttypes.Crash(
-            crash.digest,
-            crash.upstream,
-            min(MAX_AGE_MS, int(crash.age_s * 1000)),
-            min(MAX_TRIED_PARTS, crash.tried_parts),
-        )
-        for crash in crashes
-    ]
-
-
-def _completions_to_wire(ages_s: dict[int, float]) -> list[Any]:
-    return [
-        ttypes.Completion(digest, min(MAX_AGE_MS, int(age_s * 1000)))
-        for digest, age_s in ages_s.items()
-    ]
-
-
 def _summary_to_wire(message: CellSummary) -> Any:
     upstreams = [
         ttypes.UpstreamSummary(
             key,
             summary.load.writing,
             summary.load.waiting,
-            summary.load.waiting_tokens,
+            count_to_wire(summary.load.waiting_tokens),
             summary.model,
             summary.version,
             summary.load.slowdown,
@@ -196,12 +168,6 @@
     return ttypes.CellSummary(message.cell, upstreams)
 
 
-def _age_to_wire(age_s: float | None) -> int:
-    if age_s is None:
-        return UNKNOWN_AGE_MS
-    return min(MAX_AGE_MS, math.ceil(age_s * 1000))
-
-
 def _update_to_wire(message: StoreUpdate) -> Any:
     changes = message.changes
     return ttypes.StoreUpdate(
@@ -211,10 +177,10 @@
         message.revision,
         zlib.compress(changes) if changes else b"",
         changes is not None,
-        _age_to_wire(message.confirmed_age_s),
+        oldest_age_to_wire(message.confirmed_age_s),
         message.echo_started_ms,
         message.echo_sequence,
-        int(message.echo_age_s * 1000),
+        age_to_wire(message.echo_age_s),
         message.is_after_outage,
     )
 
@@ -253,11 +219,11 @@
     if datagram.store_update is not None:
         return _update_from_wire(datagram.store_update)
     if datagram.crash_report is not None:
-        return _report_from_wire(datagram.crash_report)
+        return crashcodec.report_from_wire(datagram.crash_report)
     if datagram.rejections is not None:
         rejected = datagram.rejections.rejected
         return Rejections(
-            {rejection.digest: rejection.age_ms / 1000 for rejection in rejected}
+            {each.digest: age_from_wire(each.age_ms) for each in rejected}
         )
     if datagram.named_limits is not None:
         return limitcodec.limits_from_wire(datagram.named_limits)
@@ -269,10 +235,7 @@
 
 
 def _load_from_wire(wire: Any) -> EntryLoad:
-    loads = {
-        load.upstream_key: EngineLoad(load.writing, load.waiting, load.waiting_tokens)
-        for load in wire.uses
-    }
+    loads = {load.upstream_key: _engine_load_from_wire(load) for load in wire.uses}
     return EntryLoad(
         wire.instance_id,
         wire.started_ms,
@@ -288,12 +251,21 @@
     )
 
 
+def _engine_load_from_wire(wire: Any, slowdown: float = 1.0) -> EngineLoad:
+    return EngineLoad(
+        count_from_wire(wire.writing),
+        count_from_wire(wire.waiting),
+        count_from_wire(wire.waiting_tokens),
+        slowdown,
+    )
+
+
 def _rollouts_from_wire(rollouts: Any) -> tuple[RolloutAge, ...]:
     return tuple(
         RolloutAge(
             rollout.model,
             rollout.version,
-            None if rollout.age_ms == _UNKNOWN_AGE_MS else rollout.age_ms / 1000,
+            oldest_age_from_wire(rollout.age_ms),
         )
         for rollout in rollouts
     )
@@ -304,7 +276,7 @@
         parse_address(wire.upstream_address),
         wire.is_switching,
         None if wire.version == _UNKNOWN_VERSION else wire.version,
-        wire.pace,
+        slowdown_from_wire(wire.pace),
         tuple(parse_address(text) for text in wire.entries),
         _rollouts_from_wire(wire.rollouts),
         wire.model or "",
@@ -322,12 +294,12 @@
     return {
         "sequence": message.sequence,
         "echo_sequence": echo.sequence,
-        "echo_age_ms": int(echo.age_s * 1000),
+        "echo_age_ms": age_to_wire(echo.age_s),
     }
 
 
 def _echo_from_wire(wire: Any) -> Echo:
-    return Echo(wire.echo_sequence or 0, (wire.echo_age_ms or 0) / 1000)
+    return Echo(wire.echo_sequence or 0, age_from_wire(wire.echo_age_ms or 0))
 
 
 def _map_from_wire(wire: Any) -> PieceMap:
@@ -341,38 +313,10 @@
     )
 
 
-def _report_from_wire(wire: Any) -> CrashReport:
-    return CrashReport(
-        _crashes_from_wire(wire.crashes),
-        _completions_from_wire(wire.completions),
-        tuple(wire.ended or ()),
-        _crashes_from_wire(wire.part_crashes),
-        _completions_from_wire(wire.part_completions),
-        tuple(wire.trials or ()),
-        tuple(wire.ended_trials or ()),
-    )
-
-
-def _crashes_from_wire(wire: Any) -> tuple[ReportedCrash, ...]:
-    return tuple(
-        ReportedCrash(
-            crash.digest,
-            crash.upstream_key,
-            crash.age_ms / 1000,
-            crash.tried_parts or 0,
-        )
-        for crash in wire or ()
-    )
-
-
-def _completions_from_wire(wire: Any) -> dict[int, float]:
-    return {each.digest: each.age_ms / 1000 for each in wire or ()}
-
-
 def _summary_from_wire(wire: Any) -> CellSummary:
     upstreams = {
         each.upstream_key: UpstreamSummary(
-            EngineLoad(each.writing, each.waiting, each.waiting_tokens, each.pace),
+            _engine_load_from_wire(each, slowdown_from_wire(each.pace)),
             each.model,
             each.version,
             bool(each.takes_requests),
@@ -392,10 +336,10 @@
         wire.from_revision,
         wire.revision,
         changes,
-        None if wire.confirmed_age_ms < 0 else wire.confirmed_age_ms / 1000,
+        oldest_age_from_wire(wire.confirmed_age_ms),
         wire.echo_started_ms,
         wire.echo_sequence,
-        wire.echo_age_ms / 1000,
+        age_from_wire(wire.echo_age_ms),
         bool(wire.is_after_outage),
     )
 
--- a/testing/fleet/test_exchange.py
+++ b/testing/fleet/test_exchange.py
@@ -1,5 +1,7 @@
 """Encoding of the datagrams between entries and agents."""
 
+import math
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -7,7 +9,12 @@
 from bamboolever.calls.engine import EngineLoad
 from bamboolever.fleet import exchange
 from bamboolever.fleet.echoes import Echo
-from bamboolever.fleet.messages import NamedLimit, PermitGrant, PermitRequest
+from bamboolever.fleet.messages import (
+    NamedLimit,
+    PermitGrant,
+    PermitRequest,
+    ReportedCrash,
+)
 from bamboolever.fleet.records import upstream_key
 from bamboolever.net.addresses import Address
 
@@ -59,10 +66,10 @@
     ),
     exchange.CrashReport(),
     exchange.CrashReport(
-        (exchange.ReportedCrash(-(2**63), -5, 1.25), exchange.ReportedCrash(5, 6, 0.0)),
+        (ReportedCrash(-(2**63), -5, 1.25), ReportedCrash(5, 6, 0.0)),
         {-9: 1.25, 3: 0.0},
         (-7, 8),
-        (exchange.ReportedCrash(-(2**63), -5, 1.25, 2),),
+        (ReportedCrash(-(2**63), -5, 1.25, 2),),
         {-4: 0.5},
         (2**62, -1),
         (-(2**62),),
@@ -116,3 +123,45 @@
     message = exchange.NamedLimits((limit, NamedLimit(6, 1, 1.0, 1.0, 1.0)))
     decoded = exchange.decode(exchange.encode(message))
     assert [each.upstream for each in decoded.limits] == [6]
+
+
+MONTH_S = 30 * 86400.0
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        exchange.Hello("e", "", "", (exchange.RolloutAge("m", 1, MONTH_S),)),
+        exchange.Hello("e", echo=Echo(1, MONTH_S)),
+        exchange.AgentState(Address("10.0.0.1", 80), False, 0, 1.0, (), active=2**32),
+        exchange.EntryLoad("e", 1, 2, {5: EngineLoad(1, 1, 2**32)}),
+        exchange.StoreUpdate("config", 1, 2, 3, b"", MONTH_S, 1, 1, MONTH_S),
+        exchange.Rejections({5: MONTH_S}),
+        exchange.CellSummary(
+            "c", {5: exchange.UpstreamSummary(EngineLoad(1, 2, 2**32), "m", 2, True)}
+        ),
+    ],
+)
+def test_message_of_a_process_that_has_run_for_months_is_encoded(message):
+    """Guards against an exchange that ends 24 days after a version was named."""
+    assert type(exchange.decode(exchange.encode(message))) is type(message)
+
+
+def test_age_over_the_range_of_a_datagram_is_the_highest_in_it():
+    hello = exchange.Hello("e", "", "", (exchange.RolloutAge("m", 1, MONTH_S),))
+    decoded = exchange.decode(exchange.encode(hello))
+    assert decoded.rollouts[0].age_s == (2**31 - 1) / 1000
+
+
+@pytest.mark.parametrize("slowdown", [math.nan, math.inf, -1.0])
+def test_slowdown_that_is_no_factor_is_rejected(slowdown):
+    state = exchange.AgentState(Address("10.0.0.1", 80), False, 0, slowdown, ())
+    with pytest.raises(exchange.ExchangeError):
+        exchange.decode(exchange.encode(state))
+
+
+def test_ages_and_counts_below_zero_are_zero():
+    load = exchange.EntryLoad("e", 1, 2, {5: EngineLoad(-1, -2, -3)})
+    assert exchange.decode(exchange.encode(load)).loads == {5: EngineLoad()}
+    rejections = exchange.Rejections({5: -1.0})
+    assert exchange.decode(exchange.encode(rejections)).ages_s == {5: 0.0}
