Numbers in headers, targets and event ids have at most 18 digits

A caller's Token-Counts of 5000 digits ended the handling of its request without an answer; event ids, piece and manifest targets and a Content-Length had the same shape (by reading).

One function parses them; anything else counts as absent, as other undecodable values do.

--- a/src/bamboolever/daemons/eventstream.py
+++ b/src/bamboolever/daemons/eventstream.py
@@ -5,6 +5,7 @@
 from bamboolever.calls.buffers import BufferBudget
 from bamboolever.calls.events import EventBatch, EventSplitter
 from bamboolever.net.messages import BodyFraming, ResponseHead
+from bamboolever.net.numbers import parse_whole_number
 from bamboolever.net.server import ServerConnection
 from bamboolever.platform import calls as wire
 
@@ -112,9 +113,10 @@
     def _is_next(self, batch: EventBatch) -> bool:
         """Return whether a continuation begins behind the last forwarded event."""
         first, last = batch.first_event_id, self.last_event_id
-        if first is None or last is None or not (first.isdigit() and last.isdigit()):
+        first_number, last_number = parse_whole_number(first), parse_whole_number(last)
+        if first_number is None or last_number is None:
             return first != last or first is None
-        return int(first) > int(last)
+        return first_number > last_number
 
     def find_truncation(self, framing: BodyFraming) -> str | None:
         """Return how an attempt's response was truncated although it has ended.
--- a/src/bamboolever/daemons/manifestfetch.py
+++ b/src/bamboolever/daemons/manifestfetch.py
@@ -17,6 +17,7 @@
 from bamboolever.net.exchange import ExchangeFailure
 from bamboolever.net.fetch import Fetch, FetchResult
 from bamboolever.net.messages import Request
+from bamboolever.net.numbers import parse_whole_number
 from bamboolever.net.server import ServerConnection
 from bamboolever.platform import weights as wire
 from bamboolever.platform.errors import AdapterError
@@ -47,7 +48,8 @@
         return None
     if parts[1] == NEWEST:
         return unquote(parts[0]), None
-    return (unquote(parts[0]), int(parts[1])) if parts[1].isdigit() else None
+    version = parse_whole_number(parts[1].encode())
+    return None if version is None else (unquote(parts[0]), version)
 
 
 def encode_manifest(manifest: PieceDigests) -> bytes:
--- a/src/bamboolever/daemons/piecehandler.py
+++ b/src/bamboolever/daemons/piecehandler.py
@@ -22,6 +22,7 @@
 from bamboolever.net.addresses import Address
 from bamboolever.net.handlers import RequestHandler
 from bamboolever.net.messages import Request
+from bamboolever.net.numbers import parse_whole_number
 from bamboolever.net.server import ServerConnection
 
 logger = logging.getLogger(__name__)
@@ -175,6 +176,9 @@
     if not target.startswith(PATH_PREFIX):
         return None
     parts = target.removeprefix(PATH_PREFIX).split("/")
-    if len(parts) != 3 or not parts[1].isdigit() or not parts[2].isdigit():
+    if len(parts) != 3:
         return None
-    return unquote(parts[0]), int(parts[1]), int(parts[2])
+    version, number = (parse_whole_number(part.encode()) for part in parts[1:])
+    if version is None or number is None:
+        return None
+    return unquote(parts[0]), version, number
--- a/src/bamboolever/net/fetch.py
+++ b/src/bamboolever/net/fetch.py
@@ -9,6 +9,7 @@
 from bamboolever.net.client import ClientConnection, ConnectionPool
 from bamboolever.net.exchange import ExchangeFailure, FailureKind, ResponseHandler
 from bamboolever.net.messages import Request, ResponseHead
+from bamboolever.net.numbers import parse_whole_number
 from bamboolever.net.timers import RearmableTimer
 
 # Fewer bytes than this since the last progress are none.
@@ -112,8 +113,8 @@
         """Store the head until the response is complete; fail if it names too much."""
         self._head = head
         self._head_at = self._progressed_at = self._task.now()
-        length = head.get(b"content-length")
-        if length is not None and length.isdigit() and int(length) > self._max_bytes:
+        length = parse_whole_number(head.get(b"content-length"))
+        if length is not None and length > self._max_bytes:
             self._fail(FailureKind.TOO_LARGE, "the response is over the limit")
 
     def on_data(self, data: bytes) -> None:
--- a/src/bamboolever/platform/calls.py
+++ b/src/bamboolever/platform/calls.py
@@ -11,6 +11,7 @@
     ResponseHead,
     strip_hop_by_hop_headers,
 )
+from bamboolever.net.numbers import parse_whole_number
 from bamboolever.platform import names
 
 _REPLACED_HEADERS = frozenset(
@@ -153,8 +154,7 @@
 
 def response_version(head: ResponseHead) -> int | None:
     """Return the version of the weights that served the request, or None."""
-    value = _parse_non_negative(head.get(names.WEIGHT_VERSION.lower()))
-    return None if value is None else int(value)
+    return parse_whole_number(head.get(names.WEIGHT_VERSION.lower()))
 
 
 def is_upstream_leaving(head: ResponseHead) -> bool:
@@ -255,7 +255,7 @@
     if value is None:
         return None, None
     parts = value.split(b",")
-    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+    if len(parts) != 2 or not all(map(_COUNT.fullmatch, parts)):
         return None, None
     return int(parts[0]), int(parts[1])
 
--- a/testing/platform/test_calls.py
+++ b/testing/platform/test_calls.py
@@ -151,3 +151,16 @@
     except calls.HeaderError:
         return
     assert load.slowness is None or load.slowness > 0
+
+
+@pytest.mark.parametrize("counts", [b"9" * 5000 + b",1", b"1," + b"9" * 10, b"-1,1"])
+def test_token_counts_that_no_prompt_has_are_left_aside(counts):
+    """Guards against a caller whose number ends the handling of its request."""
+    request = Request(b"POST", b"/", ((b"Bamboolever-Token-Counts", counts),))
+    assert calls.decode_call(request).prompt_tokens is None
+
+
+@pytest.mark.parametrize("version", [b"9" * 5000, b"-1", b"2.5", b"inf"])
+def test_version_of_a_response_that_is_no_version_is_unknown(version):
+    head = ResponseHead(200, ((b"Bamboolever-Weight-Versions", version),))
+    assert calls.response_version(head) is None
