An odd entry in the store costs itself only

Cause: a page of objects was decoded as one text, so that what one object held decided for all; and a record was accepted by the types of its fields, while what later code compares, sleeps on, encodes or connects to has ranges.

A watch whose observer fails reads all objects again instead of ending. An ignored entry is logged once until it changes.

--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -324,6 +324,11 @@
         except AdapterError as error:
             self._listing = ListingProgress()
             self._on_failure(str(error))
+        except Exception:
+            # A watch that ended here would leave the process with old objects for good.
+            logger.exception("objects not applied", extra={"kind": self._kind})
+            self._listing = ListingProgress()
+            self._retry_later()
 
     def _list_instead(self, call: StoreCall) -> None:
         logger.info(
@@ -439,6 +444,9 @@
         if self._calls.has_current:
             return
         self._set_unreachable(reason)
+        self._retry_later()
+
+    def _retry_later(self) -> None:
         delay_s = self._retry_delay_s * self._random.uniform(0.5, 1.0)
         self._retry_delay_s = min(
             MAX_RETRY_DELAY_S, self._retry_delay_s * RETRY_DELAY_GROWTH
--- a/src/bamboolever/daemons/observers.py
+++ b/src/bamboolever/daemons/observers.py
@@ -105,10 +105,15 @@
         self._upstreams = upstreams
         self._now = now
         self._on_changed = on_changed
+        # Why each record that does not decode was left out.
+        self._ignored: dict[str, str] = {}
 
     def on_listing(self, documents_: tuple[StoredDocument, ...]) -> None:
         """Replace the list by a complete listing; undecodable records are left out."""
-        decoded = [_decode(document) for document in documents_]
+        listed = {document.name for document in documents_}
+        for name in self._ignored.keys() - listed:
+            del self._ignored[name]
+        decoded = [self._decode(document) for document in documents_]
         records = [record for record in decoded if record is not None]
         self._upstreams.apply_listing(records, self._now())
         self._on_changed()
@@ -116,7 +121,7 @@
     def on_changes(self, documents_: tuple[StoredDocument, ...]) -> None:
         """Apply changes in order; a record that does not decode is removed."""
         for document in documents_:
-            record = _decode(document)
+            record = self._decode(document)
             if record is not None:
                 self._upstreams.put(record)
             else:
@@ -132,6 +137,26 @@
         super().on_reachability_changed(is_reachable, reason)
         self._upstreams.set_store_reachable(is_reachable, self._now())
 
+    def _decode(self, document: StoredDocument) -> UpstreamRecord | None:
+        name = document.name
+        if document.value is None:
+            self._ignored.pop(name, None)
+            return None
+        try:
+            record = documents.decode_upstream(name, document.value)
+        except AdapterError as error:
+            self._log_ignored(name, str(error))
+            return None
+        self._ignored.pop(name, None)
+        return record
+
+    def _log_ignored(self, name: str, reason: str) -> None:
+        """Log a record that does not decode once, not at each of its heartbeats."""
+        if self._ignored.get(name) == reason:
+            return
+        self._ignored[name] = reason
+        logger.warning("upstream ignored", extra={"name_": name, "reason": reason})
+
 
 @final
 class VersionObserver(_LoggingObserver):
@@ -248,15 +273,3 @@
             "evacuation has an unknown specification; the zone counts as evacuated",
             extra={"zone": document.name, "specification": str(document.value)[:100]},
         )
-
-
-def _decode(document: StoredDocument) -> UpstreamRecord | None:
-    if document.value is None:
-        return None
-    try:
-        return documents.decode_upstream(document.name, document.value)
-    except AdapterError as error:
-        logger.warning(
-            "upstream ignored", extra={"name_": document.name, "reason": str(error)}
-        )
-        return None
--- a/src/bamboolever/daemons/snapshots.py
+++ b/src/bamboolever/daemons/snapshots.py
@@ -24,7 +24,10 @@
 from bamboolever.net.fetch import Fetch, FetchResult, Response
 from bamboolever.net.handlers import RequestHandler
 from bamboolever.net.messages import Request, ResponseHead
+from bamboolever.net.numbers import parse_whole_number
 from bamboolever.net.server import ServerConnection
+from bamboolever.platform.errors import AdapterError
+from bamboolever.platform.jsontext import decode_json
 from bamboolever.platform.store import StoredDocument
 
 logger = logging.getLogger(__name__)
@@ -67,9 +70,9 @@
             StoredDocument(
                 str(name), value, None if revision is None else int(revision)
             )
-            for name, value, revision in json.loads(text)
+            for name, value, revision in decode_json(text)
         )
-    except (zlib.error, ValueError, TypeError) as error:
+    except (zlib.error, AdapterError, ArithmeticError, ValueError, TypeError) as error:
         raise SnapshotError(f"snapshot does not decode: {error}") from error
 
 
@@ -192,15 +195,16 @@
 
 
 def _read_number(head: ResponseHead, name: bytes) -> int:
-    value = head.get(name)
-    if value is None or not value.isdigit():
+    number = parse_whole_number(head.get(name))
+    if number is None:
         raise SnapshotError(f"no number in {name.decode()}")
-    return int(value)
+    return number
 
 
 def _knows(query: str, snapshot: Snapshot) -> bool:
     parameters = parse_qs(query)
-    era, known = parameters.get("era", [""])[0], parameters.get("known", [""])[0]
-    if not era.isdigit() or not known.isdigit():
+    era = parse_whole_number(parameters.get("era", [""])[0].encode())
+    known = parse_whole_number(parameters.get("known", [""])[0].encode())
+    if era is None or known is None:
         return False
-    return int(era) == snapshot.era and int(known) >= snapshot.revision
+    return era == snapshot.era and known >= snapshot.revision
--- a/src/bamboolever/net/addresses.py
+++ b/src/bamboolever/net/addresses.py
@@ -1,7 +1,11 @@
 """IPv4 socket addresses and their text form ``HOST:PORT``."""
 
+import re
 from typing import NamedTuple
 
+MAX_PORT = 65535
+_ADDRESS = re.compile(r"(?P<host>[A-Za-z0-9._-]{1,253}):(?P<port>[0-9]{1,5})")
+
 
 class Address(NamedTuple):
     """An IPv4 address and a TCP or UDP port."""
@@ -17,9 +21,10 @@
 def parse_address(text: str) -> Address:
     """Parse a socket address in the form ``HOST:PORT``.
 
-    Raises `ValueError` when the text has another form or the port exceeds 65535.
+    Raises `ValueError` when the text has another form, the host has characters that no
+    host name has, or the port is not from 1 to 65535.
     """
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"{text!r} is not HOST:PORT")
-    return Address(host, int(port))
+    match = _ADDRESS.fullmatch(text)
+    if match is None or not 0 < int(match["port"]) <= MAX_PORT:
+        raise ValueError(f"{text[:80]!r} is not HOST:PORT")
+    return Address(match["host"], int(match["port"]))
--- a/src/bamboolever/platform/documents.py
+++ b/src/bamboolever/platform/documents.py
@@ -29,6 +29,14 @@
 from bamboolever.net.handlers import HttpLimits
 from bamboolever.platform.errors import AdapterError
 from bamboolever.platform.models import DeferredModel, validate
+from bamboolever.platform.values import (
+    Count,
+    DurationMs,
+    Name,
+    Ordinal,
+    Slots,
+    Slowdown,
+)
 
 _ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -135,35 +143,35 @@
 
 
 class _LayerRange(_Document):
-    start: int = Field(alias="from")
-    stop: int = Field(alias="to")
-    version: int
+    start: Count = Field(alias="from")
+    stop: Count = Field(alias="to")
+    version: Ordinal
 
 
 class _LoadedModel(_Document):
-    name: str
-    version: int
+    name: Name
+    version: Ordinal
     layers: _LayerRange | None = None
 
 
 class _Upstream(_Document):
-    service: str
+    service: Name
     address: str
-    zone: str = ""
-    slots: int = 1
+    zone: Name = ""
+    slots: Slots = 1
     state: str
-    cold_remaining_ms: float = Field(0, alias="coldRemainingMs")
-    born: int | None = None
+    cold_remaining_ms: DurationMs = Field(0, alias="coldRemainingMs")
+    born: Ordinal | None = None
     # The number of heartbeats since the upstream started.
-    sequence: int | None = None
+    sequence: Ordinal | None = None
     models: list[_LoadedModel] = []
     # The loaded layers of all models that have no range of their own.
     layers: _LayerRange | None = None
 
 
 class _ModelVersion(_Document):
-    model: str
-    version: int
+    model: Name
+    version: Ordinal
 
 
 class _EngineReport(_Document):
@@ -172,11 +180,11 @@
     layers: _LayerRange | None = None
     busy: bool = False
     # The number of orders accepted since the engine started.
-    sequence: int = 0
-    queued: int = 0
-    running: int = 0
-    pace: float = 1.0
-    born: int | None = None
+    sequence: Ordinal = 0
+    queued: Count = 0
+    running: Count = 0
+    pace: Slowdown = 1.0
+    born: Ordinal | None = None
 
 
 def decode_configuration(document: Any) -> Configuration:
@@ -228,7 +236,7 @@
             availability_zone=wire.zone,
             slots=wire.slots,
             is_draining=wire.state == _DRAINING_STATE,
-            cold_remaining_s=wire.cold_remaining_ms / 1000,
+            cold_remaining_s=max(0.0, wire.cold_remaining_ms / 1000),
             started_ms=wire.born,
             models=_to_loaded_models(wire.models, wire.layers),
             heartbeat=wire.sequence,
--- a/src/bamboolever/platform/standins/store.py
+++ b/src/bamboolever/platform/standins/store.py
@@ -31,6 +31,13 @@
     CLOSES = "closes"
 
 
+@dataclass(frozen=True)
+class RawValue:
+    """A value that responses hold as this text, which may be any bytes."""
+
+    text: bytes
+
+
 @dataclass
 class _Change:
     revision: int
@@ -179,7 +186,7 @@
             "hasMore": len(names) > PAGE_SIZE,
             "at": self._revision,
         }
-        connection.respond(200, self._headers(), json.dumps(content).encode())
+        connection.respond(200, self._headers(), _encode_json(content))
 
     def _start_watch(
         self, connection: ServerConnection, kind: str, revision: int, wait_s: float
@@ -210,7 +217,7 @@
             self._close_watch(watch, 200, self._encode_changes([]))
 
     def _encode_changes(self, events: list[dict[str, Any]]) -> bytes:
-        return json.dumps({"events": events, "at": self._revision}).encode()
+        return _encode_json({"events": events, "at": self._revision})
 
     def _close_watch(self, watch: _Watch, status: int, body: bytes) -> None:
         watch.is_open = False
@@ -226,3 +233,17 @@
         "specification": value,
         "status": None,
     }
+
+
+def _encode_json(content: Any) -> bytes:
+    raw_texts: dict[bytes, bytes] = {}
+
+    def name_raw(value: RawValue) -> str:
+        name = f"raw value {len(raw_texts)}"
+        raw_texts[b'"%s"' % name.encode()] = value.text
+        return name
+
+    body = json.dumps(content, default=name_raw).encode()
+    for name, text in raw_texts.items():
+        body = body.replace(name, text)
+    return body
--- a/src/bamboolever/platform/weights.py
+++ b/src/bamboolever/platform/weights.py
@@ -2,9 +2,10 @@
 
 import json
 from dataclasses import dataclass
-from typing import Any
 from urllib.parse import quote, urlencode
 
+from pydantic import Field
+
 from bamboolever.fleet.records import EngineReport
 from bamboolever.net.addresses import Address
 from bamboolever.net.messages import Request
@@ -12,11 +13,25 @@
 from bamboolever.platform.calls import host_header
 from bamboolever.platform.documents import decode_report
 from bamboolever.platform.errors import AdapterError
+from bamboolever.platform.jsontext import decode_json
+from bamboolever.platform.models import DeferredModel, validate
+from bamboolever.platform.values import MAX_PIECES, Name, Ordinal, PieceNumber
 
 ORDER_ACCEPTED_STATUS = 202
 ORDER_IN_EFFECT_STATUS = 200
 ORDER_CONFLICT_STATUS = 409
 VERSION_GONE_STATUS = 410
+SHA256_BYTES = 32
+
+
+class _Manifest(DeferredModel):
+    model: Name
+    version: Ordinal
+    digests: list[str] = Field(max_length=MAX_PIECES)
+
+
+class _StagedList(DeferredModel):
+    held: list[PieceNumber]
 
 
 @dataclass(frozen=True)
@@ -38,7 +53,7 @@
 
     Raises `AdapterError` when it does not decode.
     """
-    return decode_report(_parse_json(body))
+    return decode_report(decode_json(body))
 
 
 def manifest_request(address: Address, model: str, version: int | None) -> Request:
@@ -55,14 +70,14 @@
 
     Raises `AdapterError` when it does not decode or a digest is not of 32 bytes.
     """
-    content = _parse_json(body)
     try:
-        digests = tuple(bytes.fromhex(text) for text in content["digests"])
-        if any(len(digest) != 32 for digest in digests):
-            raise ValueError("a SHA-256 digest must have 32 bytes")
-        return PieceDigests(str(content["model"]), int(content["version"]), digests)
-    except (ValueError, KeyError, TypeError) as error:
+        wire = validate(_Manifest, decode_json(body))
+        digests = tuple(bytes.fromhex(text) for text in wire.digests)
+    except ValueError as error:
         raise AdapterError(f"manifest does not decode: {error}") from error
+    if any(len(digest) != SHA256_BYTES for digest in digests):
+        raise AdapterError(f"a SHA-256 digest must have {SHA256_BYTES} bytes")
+    return PieceDigests(wire.model, wire.version, digests)
 
 
 def piece_request(address: Address, model: str, version: int, number: int) -> Request:
@@ -94,8 +109,8 @@
     Raises `AdapterError` when it does not decode.
     """
     try:
-        return frozenset(int(number) for number in _parse_json(body)["held"])
-    except (ValueError, KeyError, TypeError) as error:
+        return frozenset(validate(_StagedList, decode_json(body)).held)
+    except ValueError as error:
         raise AdapterError(f"staged list does not decode: {error}") from error
 
 
@@ -119,10 +134,3 @@
 
 def _get(address: Address, target: str) -> Request:
     return Request(b"GET", target.encode(), (host_header(address),))
-
-
-def _parse_json(body: bytes) -> Any:
-    try:
-        return json.loads(body)
-    except ValueError as error:
-        raise AdapterError(f"not JSON: {error}") from error
--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -120,6 +120,31 @@
     assert pool.targets[3] == "/-/objects/a?watch=1&waitMs=2000"
 
 
+@pytest.mark.parametrize("is_watched", [False, True])
+def test_watch_goes_on_after_objects_that_its_observer_cannot_apply(
+    task, pool, is_watched
+):
+    """Guards against a process that keeps its old objects for good."""
+    recorder = _start(pool, "a", WAIT_S, WatchGroup())
+    take = recorder.on_changes
+
+    def fail_once(documents):
+        recorder.on_changes = recorder.on_listing = take
+        raise RuntimeError("not applicable")
+
+    recorder.on_changes = recorder.on_listing = fail_once
+    if is_watched:
+        pool.respond(-1, events=[_event("x", 2)], at=2)
+    else:
+        pool.respond(-1, status=410)
+        pool.respond(-1, items=[_event("x", 2)["object"]], at=2)
+    task.advance(MAX_RETRY_DELAY_S)
+    assert pool.targets[-1] == "/-/objects/a"
+    pool.respond(-1, items=[_event("y", 3)["object"]], at=3)
+    assert recorder.changed_names == ["y"]
+    assert recorder.reachability == [True]
+
+
 def test_timeouts_of_probes_are_short_and_grow_to_a_limit(task, pool):
     _start(pool, "a", WAIT_S, WatchGroup())
     task.advance(WAIT_S + RESPONSE_MARGIN_S)
--- a/testing/daemons/test_observers.py
+++ b/testing/daemons/test_observers.py
@@ -4,9 +4,15 @@
 
 from bamboolever.config.watch import KindWatch, WatchTiming
 from bamboolever.config.watchgroup import WatchGroup
-from bamboolever.daemons.observers import RevisionObserver, VersionObserver
+from bamboolever.daemons.observers import (
+    RevisionObserver,
+    UpstreamObserver,
+    VersionObserver,
+)
+from bamboolever.fleet.upstreams import UpstreamList
 from bamboolever.fleet.versions import VersionRollouts
 from bamboolever.net.addresses import Address
+from bamboolever.platform.store import StoredDocument
 
 WAIT_S = 20.0
 
@@ -49,3 +55,24 @@
     pool.respond(-1, at=2, events=[_event(2, 2)])
     assert versions.newest("m") == 2
     assert versions.min_version("m", asked_at + 8.0) == 2
+
+
+def test_odd_entry_is_logged_once_until_it_changes(caplog):
+    observer = UpstreamObserver(UpstreamList(), lambda: 0.0, lambda: None)
+
+    def count_lines():
+        lines = [each for each in caplog.records if each.message == "upstream ignored"]
+        caplog.clear()
+        return len(lines)
+
+    odd = (StoredDocument("odd", {"slots": "many"}),)
+    observer.on_listing(odd)
+    assert count_lines() == 1
+    observer.on_changes(odd)
+    observer.on_listing(odd)
+    assert count_lines() == 0
+    observer.on_changes((StoredDocument("odd", {}),))
+    assert count_lines() == 1
+    observer.on_listing(())
+    observer.on_listing(odd)
+    assert count_lines() == 1
--- a/testing/platform/test_documents.py
+++ b/testing/platform/test_documents.py
@@ -1,6 +1,7 @@
 """Decoding of valid and invalid documents of the store."""
 
 import copy
+import math
 
 import pytest
 from hypothesis import given
@@ -69,6 +70,60 @@
         documents.decode_upstream("i-1", invalid)
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("slots", 10**400),
+        ("slots", 0),
+        ("slots", -1),
+        ("sequence", 10**30),
+        ("sequence", -1),
+        ("born", 10**30),
+        ("coldRemainingMs", math.inf),
+        ("coldRemainingMs", math.nan),
+        ("coldRemainingMs", 10**30),
+        ("address", "10.0.0.1:0"),
+        ("address", "10.0.0.1:65536"),
+        ("address", "10.0.0.1:" + "9" * 5000),
+        ("address", "10.0\0.1:80"),
+        ("address", "10.0.0.1:²"),
+        ("service", "\ud800"),
+        ("service", "a\r\nb"),
+        ("zone", "\ud800"),
+        ("zone", "z" * 5000),
+        ("models", [{"name": "m", "version": 10**30}]),
+        ("models", [{"name": "\ud800", "version": 1}]),
+        ("layers", {"from": -1, "to": 16, "version": 1}),
+        ("layers", {"from": 0, "to": 10**30, "version": 1}),
+    ],
+)
+def test_upstream_with_a_value_out_of_range_is_rejected(field, value):
+    with pytest.raises(AdapterError):
+        documents.decode_upstream("i-1", {**UPSTREAM, field: value})
+
+
+@pytest.mark.parametrize("version", [10**30, -1, 1.5])
+def test_version_out_of_range_is_rejected(version):
+    with pytest.raises(AdapterError):
+        documents.decode_version({"model": "m", "version": version})
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("sequence", 10**30),
+        ("running", -1),
+        ("queued", 2**31),
+        ("pace", math.nan),
+        ("pace", -1.0),
+        ("born", 10**30),
+    ],
+)
+def test_report_with_a_value_out_of_range_is_rejected(field, value):
+    with pytest.raises(AdapterError):
+        documents.decode_report({field: value})
+
+
 @pytest.mark.parametrize(
     ("field", "value"),
     [("slots", "16"), ("state", "dancing"), ("address", "nowhere"), ("service", 3)],
