A stopping entry admits calls only if all of their time is left

Cause: a request was admitted with four seconds of grace left, since nearly every call ends within that; a route with a longer timeout allows more.

Change: the longest that a request can last is a fact: its route's timeout or the time that its caller states. Plain requests, and streams that cannot resume, are admitted only if all of it is left; others get 503 at once, with the Retry-After of an entry whose peers are ready. For streams that resume elsewhere the bound stays.

test_stopping_entry_admits_what_it_can_finish asserted the fault (4 s of grace for a timeout of 6 s); two tests replace it, which hold the old figures for resumable streams and the full time for all others.

--- a/src/bamboolever/calls/admission.py
+++ b/src/bamboolever/calls/admission.py
@@ -15,15 +15,15 @@
 from bamboolever.calls.dispatcher import RejectReason
 from bamboolever.calls.regions import find_allowed_regions
 from bamboolever.calls.split import choose_service
-from bamboolever.config.model import Configuration, Route, Workspace
+from bamboolever.config.model import Configuration, Route, RouteKind, Workspace
 from bamboolever.config.routes import RouteTable, path_of
 
 BAD_REQUEST_STATUS = 400
 UNKNOWN_KEY_STATUS = 401
 NO_ROUTE_STATUS = 404
 UNAVAILABLE_STATUS = 503
-# Nearly every call ends within this time.
-USUAL_MAX_CALL_S = 4.0
+# Nearly every stream ends within this time.
+USUAL_MAX_STREAM_S = 4.0
 
 
 @dataclass(frozen=True)
@@ -107,11 +107,26 @@
     return route.priority
 
 
-def can_admit_while_stopping(remaining_s: float, timeout_s: float) -> bool:
-    """Return whether an entry that stops in ``remaining_s`` still admits a request.
+def find_max_duration_s(route: Route, remaining_s: float | None) -> float:
+    """Return for how many seconds a request of the route lasts at most.
 
-    ``timeout_s`` is the timeout of the request's route. Load pattern: callers still
-    connect for seconds after a stop was requested. A request that the stop would
-    interrupt is refused before it runs.
+    ``remaining_s`` is the time for which its caller waits; None if it states none.
     """
-    return remaining_s >= min(timeout_s, USUAL_MAX_CALL_S)
+    return min(route.timeout_s, remaining_s or route.timeout_s)
+
+
+def can_admit_while_stopping(
+    grace_s: float, route: Route, remaining_s: float | None
+) -> bool:
+    """Return whether an entry that stops in ``grace_s`` still admits a request.
+
+    ``remaining_s`` is the time for which the caller waits; None if it states none.
+    Load pattern: callers still connect for seconds after a stop was requested. A
+    request that the stop could interrupt is refused before it runs: another entry
+    serves it at once. A stream that resumes elsewhere is admitted unless it usually
+    lasts longer.
+    """
+    max_duration_s = find_max_duration_s(route, remaining_s)
+    if route.kind is RouteKind.STREAMING and route.can_resume:
+        max_duration_s = min(max_duration_s, USUAL_MAX_STREAM_S)
+    return grace_s >= max_duration_s
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -415,7 +415,9 @@
             request.method, request.target, metadata.api_key or "", request.body
         )
         prompt = PromptParts.from_ids(metadata.model, metadata.shared_parts)
-        reason = self._find_reject_reason(admitted, digest, prompt)
+        reason = self._find_reject_reason(
+            admitted, metadata.remaining_s, digest, prompt
+        )
         if reason is not None:
             self._reject(connection, metadata, UNAVAILABLE_STATUS, reason.value)
             return
@@ -425,17 +427,24 @@
         can_trust_keys = self._freshness.can_trust_keys(self.task.now())
         return AdmissionState(self._configuration, self._route_table, can_trust_keys)
 
-    def _stops_before(self, route: Route) -> bool:
-        """Return whether a stop may interrupt a request of the route."""
+    def _stops_before(self, route: Route, remaining_s: float | None) -> bool:
+        """Return whether a stop may interrupt a request of the route.
+
+        ``remaining_s`` is the time for which its caller waits; None if unknown.
+        """
         return self._is_stopping and not can_admit_while_stopping(
-            self._remaining_grace_s(), route.timeout_s
+            self._remaining_grace_s(), route, remaining_s
         )
 
     def _find_reject_reason(
-        self, admitted: Admitted, digest: int, prompt: PromptParts
+        self,
+        admitted: Admitted,
+        remaining_s: float | None,
+        digest: int,
+        prompt: PromptParts,
     ) -> RejectReason | None:
         """Return why an admitted request must not be sent now, or None."""
-        if self._stops_before(admitted.route):
+        if self._stops_before(admitted.route, remaining_s):
             return RejectReason.STOPPING
         if self.exchange.crashes.tracker.is_blocked(digest, self.task.now()):
             return RejectReason.POISON
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -24,7 +24,7 @@
 
 from typing import final
 
-from bamboolever.calls.admission import find_priority
+from bamboolever.calls.admission import find_max_duration_s, find_priority
 from bamboolever.calls.coldstart import ColdCause
 from bamboolever.calls.dispatcher import Rejection, RejectReason
 from bamboolever.calls.hedging import HedgeInput
@@ -98,8 +98,8 @@
         self.digest = digest
         self.prompt = prompt
         self.arrived_at = self._task.now()
-        self._timeout_at = self.arrived_at + min(
-            route.timeout_s, metadata.remaining_s or route.timeout_s
+        self._timeout_at = self.arrived_at + find_max_duration_s(
+            route, metadata.remaining_s
         )
         self.record = CallRecord()
         self._tried: set[str] = set()
--- a/src/bamboolever/daemons/whereanswers.py
+++ b/src/bamboolever/daemons/whereanswers.py
@@ -52,7 +52,7 @@
         name: str,
         fleet: EntryFleet,
         find_state: Callable[[], AdmissionState],
-        stops_before: Callable[[Route], bool],
+        stops_before: Callable[[Route, float | None], bool],
         now: Callable[[], float],
     ):
         self._name = name
@@ -84,7 +84,7 @@
             **_describe_admission(route, workspaces.get(request.api_key or "")),
         }
         admitted = admit(request, state)
-        if isinstance(admitted, Admitted) and self._stops_before(admitted.route):
+        if isinstance(admitted, Admitted) and self._stops_before(admitted.route, None):
             admitted = Refused(UNAVAILABLE_STATUS, RejectReason.STOPPING.value)
         if isinstance(admitted, Refused):
             return make_answer({**content, **self._describe_refusal(admitted)})
--- a/testing/calls/test_admission.py
+++ b/testing/calls/test_admission.py
@@ -6,7 +6,7 @@
 from sitebuilders import make_route
 
 from bamboolever.calls.admission import (
-    USUAL_MAX_CALL_S,
+    USUAL_MAX_STREAM_S,
     AdmissionRequest,
     AdmissionState,
     Admitted,
@@ -14,7 +14,7 @@
     can_admit_while_stopping,
 )
 from bamboolever.calls.regions import find_allowed_regions
-from bamboolever.config.model import Configuration, Workspace
+from bamboolever.config.model import Configuration, RouteKind, Workspace
 from bamboolever.config.routes import RouteTable
 
 CONFIGURATION = Configuration(
@@ -97,8 +97,21 @@
     assert find_allowed_regions(admitted.route, admitted.workspace) == expected
 
 
-def test_stopping_entry_admits_what_it_can_finish():
-    assert can_admit_while_stopping(USUAL_MAX_CALL_S, 6.0)
-    assert not can_admit_while_stopping(USUAL_MAX_CALL_S - 0.1, 6.0)
-    assert can_admit_while_stopping(1.0, 0.8)
-    assert not can_admit_while_stopping(0.5, 0.8)
+def test_stopping_entry_admits_a_resumable_stream_that_usually_ends_in_time():
+    stream = make_route(kind=RouteKind.STREAMING, can_resume=True, timeout_s=6.0)
+    assert can_admit_while_stopping(USUAL_MAX_STREAM_S, stream, None)
+    assert not can_admit_while_stopping(USUAL_MAX_STREAM_S - 0.1, stream, None)
+    short = make_route(kind=RouteKind.STREAMING, can_resume=True, timeout_s=0.8)
+    assert can_admit_while_stopping(1.0, short, None)
+    assert not can_admit_while_stopping(0.5, short, None)
+
+
+@pytest.mark.parametrize("kind", list(RouteKind))
+def test_stopping_entry_admits_other_requests_only_if_all_of_their_time_is_left(kind):
+    """Guards against calls that are passed on and cut as the grace period ends."""
+    route = make_route(kind=kind, timeout_s=5.0)
+    assert can_admit_while_stopping(5.0, route, None)
+    assert can_admit_while_stopping(5.0, route, 60.0)
+    assert not can_admit_while_stopping(4.9, route, 60.0)
+    assert can_admit_while_stopping(1.5, route, 1.5)
+    assert not can_admit_while_stopping(1.4, route, 1.5)
--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -215,6 +215,35 @@
     assert _count_executions(engines) == 0
 
 
+@pytest.mark.parametrize("path", ["/orders/1", "/lookup/1"])
+def test_stopping_entry_rejects_calls_that_may_outlast_it(
+    plain_upstreams, start_entry, path
+):
+    """Guards against calls that are passed on and cut as the grace period ends.
+
+    Calls of 4.9 s were admitted 4 s before the end.
+    """
+    entry = start_entry(gracePeriodS=5.2).wait_ready(2)
+    entry.entry.task.send(entry.entry.request_stop)
+    wait_for(lambda: not entry.entry.is_ready())
+    response = entry.call(path, Bamboolever_Deadline_Remaining="5000")
+    assert response.status == 503
+    assert float(response.headers["Retry-After"]) < 1.0
+    assert not _count_executions(plain_upstreams)
+    assert entry.call(path, Bamboolever_Deadline_Remaining="1500").status == 200
+
+
+def test_stopping_entry_answers_each_call_that_it_admits(plain_upstreams, start_entry):
+    for upstream in plain_upstreams:
+        upstream.behaviours.append(Behaviour.MUTE)
+    entry = start_entry(gracePeriodS=5.2).wait_ready(2)
+    entry.entry.task.send(entry.entry.request_stop)
+    wait_for(lambda: not entry.entry.is_ready())
+    response = entry.call("/orders/1", Bamboolever_Deadline_Remaining="800")
+    assert response.status == 504
+    assert response.is_complete
+
+
 def test_conflicting_lengths_are_rejected(plain_upstreams, start_entry):
     entry = start_entry().wait_ready(2)
     with socket.create_connection(entry.settings.caller_address, 30) as sock:
