Send again after an outage what the store held when it fell silent

The list of upstreams is a long poll of 20 s. If the store falls silent while it holds the call and never responds to it, the watch of the configuration (a wait of seconds) notices and recovers, and the list's watch stays reachable, since its call is not overdue; nothing that leaves meanwhile is seen, unless its responses say so.

Class: silence taken for a fact, as long as a time of ours has not passed, though another watch of the same process knows of the outage.

A watch that recovers now makes all watches of the process send a further call beside those that wait; once for each outage. It costs one call for each kind.

Both new tests failed before (one call of the list in place of two).

--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -254,12 +254,14 @@
         self._calls.cancel_all()
         self._send_next()
 
-    def retry_if_hung(self) -> None:
+    def retry_if_hung(self, *, is_after_outage: bool = False) -> None:
         """Send a further call if those in flight may have been lost.
 
-        Does nothing while the store is reachable for this watch.
+        While the store is reachable for this watch, only after an outage.
         """
-        if self._is_reachable or self._is_stopped or not self._calls.is_any:
+        if self._is_stopped or not self._calls.is_any:
+            return
+        if self._is_reachable and not is_after_outage:
             return
         self._calls.doubt()
         self._send_next()
@@ -427,7 +429,7 @@
         self._calls.on_answered(call)
         was_unreachable = not self._is_reachable
         self._set_reachable()
-        self._group.on_response()
+        self._group.on_response(self, is_after_outage=was_unreachable)
         return was_unreachable
 
     def _set_reachable(self) -> None:
--- a/src/bamboolever/config/watchgroup.py
+++ b/src/bamboolever/config/watchgroup.py
@@ -12,8 +12,9 @@
     """The watches of one process.
 
     Load pattern: a store that responds again after an outage. It never responds to
-    calls sent during the outage, so a response to one watch makes the others send
-    further calls beside their hung ones at once.
+    calls sent during the outage, nor, perhaps, to those that it held when the outage
+    began. A response to one watch therefore makes the others send further calls beside
+    theirs at once: those whose calls are overdue, and after an outage all.
 
     ``response_times`` are those of the store, as all watches of the process see them.
     """
@@ -31,7 +32,11 @@
         for watch in self._watches:
             watch.follow_era(era)
 
-    def on_response(self) -> None:
-        """Retry the hung calls of all watches; called after each valid response."""
+    def on_response(self, answered: "KindWatch", *, is_after_outage: bool) -> None:
+        """Retry the calls that may have been lost; called after each valid response.
+
+        ``is_after_outage`` is set if the store was unreachable for ``answered`` before.
+        """
         for watch in self._watches:
-            watch.retry_if_hung()
+            if watch is not answered:
+                watch.retry_if_hung(is_after_outage=is_after_outage)
--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -169,6 +169,43 @@
     assert "/-/objects/a?watch=1&waitMs=0" in pool.targets[sent_before:]
 
 
+def test_call_that_the_store_held_during_an_outage_is_sent_again_after_it(task, pool):
+    """Guards against an upstream that leaves unseen for the rest of a long poll.
+
+    The store held the call when it fell silent, and never responded to it.
+    """
+    group = WatchGroup()
+    first = _start(pool, "a", WAIT_S, group)
+    second = _start(pool, "b", 20.0, group)
+    _advance_to_probe(task, pool)
+    probe = len(pool.sent) - 1
+    assert pool.targets.count("/-/objects/b?watch=1&waitMs=20000") == 1
+    pool.respond(probe, events=[])
+    assert first.reachability == [True, False, True]
+    assert pool.targets.count("/-/objects/b?watch=1&waitMs=20000") == 2
+    newest = (
+        len(pool.sent)
+        - 1
+        - pool.targets[::-1].index("/-/objects/b?watch=1&waitMs=20000")
+    )
+    pool.respond(newest, events=[_event("x", 2)], at=2)
+    assert second.changed_names == ["x"]
+    assert second.reachability == [True]
+
+
+def test_held_call_is_sent_again_once_for_each_outage(task, pool):
+    group = WatchGroup()
+    _start(pool, "a", WAIT_S, group)
+    _start(pool, "b", 20.0, group)
+    _advance_to_probe(task, pool)
+    pool.respond(len(pool.sent) - 1, events=[])
+    for _ in range(3):
+        task.advance(1.0)
+        waiting = [n for n, each in enumerate(pool.targets) if "a?watch" in each][-1]
+        pool.respond(waiting, events=[])
+    assert pool.targets.count("/-/objects/b?watch=1&waitMs=20000") == 2
+
+
 def test_call_that_was_just_sent_is_not_cancelled(task, pool):
     """Guards against repeated cancellation at a slow store.
 
