Agents ask their peers each second, also while pieces arrive

Cause: an agent asked its peers for their pieces when it had announced nothing for a second. While pieces arrive it announces each tenth of a second, so it asked nobody. Agents tell those that asked in the last 3 s; agents of other groups therefore fell silent after it, counted as gone after 1.6 s more, and were never asked again, since only active ones are watched. Each agent then had another view of who is there: pieces were read from the origin again, and importers waited for agents that they did not hear.

Class: silence taken for a fact, where nobody had been asked.

The time of the last question is kept by itself. A transfer that gains no piece for 2 s is logged with what it waits for.

--- a/src/bamboolever/daemons/swarm.py
+++ b/src/bamboolever/daemons/swarm.py
@@ -38,7 +38,10 @@
 # Piece maps that arrive within this time cause one plan.
 PLAN_DELAY_S = 0.02
 ANNOUNCE_DELAY_S = 0.1
-ANNOUNCE_HEARTBEAT_S = 1.0
+# How often the peers are asked for their pieces; they answer also without news.
+ASK_INTERVAL_S = 1.0
+# A transfer that gained no piece for longer is logged, as often.
+STALL_LOG_S = 2.0
 # A peer that asked for this agent's pieces longer ago is not told of new ones.
 ASKED_TIMEOUT_S = 3.0
 WRONG_DIGEST = "wrong digest"
@@ -79,7 +82,9 @@
         self._mismatches = DigestMismatches()
         self._fetches: dict[int, Fetch] = {}
         self._is_stopped = False
-        self._announced_at = 0.0
+        self._asked_peers_at = 0.0
+        # When a piece was staged or a stall logged.
+        self._progressed_at = task.now()
         self._is_announcement_scheduled = False
         self._is_plan_scheduled = False
         # Peers that asked for this agent's pieces, and when.
@@ -135,12 +140,30 @@
     def _tick(self) -> None:
         if self._is_stopped:
             return
-        elapsed_s = self._task.now() - self._announced_at
-        if elapsed_s >= ANNOUNCE_HEARTBEAT_S and not self.view.pieces.is_complete:
+        elapsed_s = self._task.now() - self._asked_peers_at
+        if elapsed_s >= ASK_INTERVAL_S and not self.view.pieces.is_complete:
             self._send_piece_map(is_reply_wanted=True)
         self._plan()
+        self._log_stall()
         self._timer = self._task.call_later(PLAN_INTERVAL_S, self._tick)
 
+    def _log_stall(self) -> None:
+        now = self._task.now()
+        if self.view.pieces.is_complete or now - self._progressed_at < STALL_LOG_S:
+            return
+        self._progressed_at = now
+        missing = self.view.pieces.missing()
+        logger.info(
+            "transfer stalled",
+            extra={
+                "missing": len(missing),
+                "first_missing": missing[0],
+                "fetching": sorted(self.view.in_flight),
+                "agents": 1 + len(self.view.peers),
+                "active_agents": len(self.view.active_members(now)),
+            },
+        )
+
     def _schedule_plan(self) -> None:
         if self._is_plan_scheduled:
             return
@@ -256,6 +279,7 @@
         if self._is_stopped:
             return
         if is_accepted:
+            self._progressed_at = self._task.now()
             self.view.pieces.add(number)
             self._schedule_announcement()
         if self.view.pieces.is_complete:
@@ -276,8 +300,8 @@
 
     def _send_piece_map(self, *, is_reply_wanted: bool = False) -> None:
         now = self._task.now()
-        self._announced_at = now
         if is_reply_wanted:
+            self._asked_peers_at = now
             self.view.watch(find_watched(self.view, now), now)
         piece_map = self.make_piece_map(is_reply_wanted=is_reply_wanted)
         self._announce_pieces(piece_map, self._recipients(now))
