Agents leave a silent region out until it is heard, and take from whoever has a piece

Cause: an agent watches two agents of the group that it imports a piece from. If they are silent, the group is left out of the chain, but at the next question two others are watched, which count as there until they are silent too: 1 to 2.6 s for each pair of a group of up to 24. The chain stood still meanwhile, until each agent read the origin for itself after 12 s. And an importer of the origin's region read from the origin only, also what other regions had and when the origin was away.

Change: a group of which all that were asked are silent stays out until one of it is heard; another of its agents is asked each second. Who would read the origin takes the piece from any peer that is known to have it first. A changed list of agents asks those who are watched from then on at once.

Both new tests of the replay and the two of the plan failed before.

--- a/src/bamboolever/daemons/swarm.py
+++ b/src/bamboolever/daemons/swarm.py
@@ -97,7 +97,14 @@
         """Replace the list of agents, in which this agent's group may have changed."""
         self.view.own = own
         self.view.peers = peers
-        self.view.watch(find_watched(self.view, self._task.now()), self._task.now())
+        now = self._task.now()
+        watched = find_watched(self.view, now)
+        is_any_new = bool(watched - (self.view.watched or frozenset()))
+        if self.view.pieces.is_complete or not is_any_new:
+            self.view.watch(watched, now)
+            return
+        # Those that are watched from now on have to be asked, or they seem silent.
+        self._send_piece_map(is_reply_wanted=True)
 
     def start(self) -> None:
         """Ask the peers for their piece maps and start fetching."""
--- a/src/bamboolever/weights/groups.py
+++ b/src/bamboolever/weights/groups.py
@@ -13,7 +13,7 @@
 
 from bamboolever._subset import rank_members
 from bamboolever.net.addresses import Address
-from bamboolever.weights.view import Peer, SwarmView
+from bamboolever.weights.view import PEER_TIMEOUT_S, Group, SwarmView
 
 # Agents of a region that form one group, at most on average.
 MAX_GROUP_AGENTS = 24
@@ -21,19 +21,6 @@
 MAX_CACHED_CHOICES = 4096
 
 
-@dataclass(frozen=True, order=True)
-class Group:
-    """A group of agents: a region, or one of the parts of a large region."""
-
-    region: str
-    number: int
-
-    @classmethod
-    def of(cls, peer: Peer) -> "Group":
-        """Return the group of an agent."""
-        return cls(peer.region, peer.group)
-
-
 def group_number(member: str, agents_in_region: int) -> int:
     """Return the group within its region of the agent with this address."""
     count = math.ceil(agents_in_region / MAX_GROUP_AGENTS)
@@ -52,7 +39,8 @@
     def from_view(cls, view: SwarmView, now: float) -> "Membership":
         """Return the agents that are not known to be silent.
 
-        A group of which every watched agent is silent is left out.
+        A group is left out if every watched agent of it is silent, and from then on
+        until one of its agents is heard.
         """
         by_group: dict[Group, list[str]] = {}
         silent: set[Group] = set()
@@ -70,7 +58,8 @@
             {
                 group: tuple(sorted(names))
                 for group, names in by_group.items()
-                if group in heard or group not in silent
+                if group not in view.silent_groups
+                and (group in heard or group not in silent)
             }
         )
 
@@ -130,8 +119,9 @@
 def find_watched(view: SwarmView, now: float) -> frozenset[Address]:
     """Return the peers that an agent has to hear from.
 
-    These are the agents of its group, and for each piece that it imports the first
-    agents of the group that it imports from.
+    These are the agents of its group, for each piece that it imports the first agents
+    of the group that it imports from, and one of each silent group, another each time,
+    to learn when the group is back.
     """
     membership = Membership.from_view(view, now)
     own_group, own = Group.of(view.own), str(view.own.address)
@@ -143,6 +133,20 @@
         source = import_source(number, own_group, membership.groups, view.origin_region)
         if source is not None:
             watched.update(rank_importers(number, membership.members[source])[:2])
+    watched.update(_probe_silent_groups(view, now))
     return frozenset(
         peer.address for peer in view.peers if str(peer.address) in watched
     )
+
+
+def _probe_silent_groups(view: SwarmView, now: float) -> list[str]:
+    members: dict[Group, list[str]] = {}
+    if view.silent_groups:
+        for peer in view.peers:
+            members.setdefault(Group.of(peer), []).append(str(peer.address))
+    turn = int(now / PEER_TIMEOUT_S)
+    found = []
+    for group in view.silent_groups & members.keys():
+        ranked = rank_members(f"probe\0{view.own.address}", members[group])
+        found.append(ranked[turn % len(ranked)])
+    return found
--- a/src/bamboolever/weights/manifests.py
+++ b/src/bamboolever/weights/manifests.py
@@ -16,8 +16,8 @@
 
 from bamboolever._subset import rank_members
 from bamboolever.net.addresses import Address
-from bamboolever.weights.groups import Group, import_source
-from bamboolever.weights.view import Peer
+from bamboolever.weights.groups import import_source
+from bamboolever.weights.view import Group, Peer
 
 # How long a source may be silent until the next one is asked as well. The response of
 # the first is not lost, so this bounds the calls, not the time of a response.
--- a/src/bamboolever/weights/plan.py
+++ b/src/bamboolever/weights/plan.py
@@ -25,8 +25,8 @@
 
 from bamboolever._subset import score_member
 from bamboolever.net.addresses import Address
-from bamboolever.weights.groups import Group, Membership, import_source, select_importer
-from bamboolever.weights.view import Peer, SwarmView
+from bamboolever.weights.groups import Membership, import_source, select_importer
+from bamboolever.weights.view import Group, Peer, SwarmView
 
 MAX_FETCHES = 8
 # While an agent imports a piece, fetches within its group leave it a part of the link:
@@ -170,7 +170,7 @@
             if local:
                 return self._fetch_from_peer(view, local, number, source_load)
         if inputs.now - view.started_at > ORIGIN_FALLBACK_S:
-            return self._fetch_from_origin(view, number, source_load, inputs)
+            return self._fetch_from_anyone(view, number, source_load, inputs)
         local_members = inputs.membership.members[inputs.own_group]
         if select_importer(number, local_members) != str(view.own.address):
             return None
@@ -186,16 +186,41 @@
         groups = inputs.membership.groups
         source = import_source(number, inputs.own_group, groups, view.origin_region)
         if source is None:
-            return self._fetch_from_origin(view, number, source_load, inputs)
+            return self._fetch_from_anyone(view, number, source_load, inputs)
         previous = [peer for peer in view.peers if Group.of(peer) == source]
         holders = self._holders(view, number, inputs.now, previous)
         if not holders and self._is_chain_stalled(view, number, inputs.now):
             holders = self._holders(view, number, inputs.now, view.peers)
         if not holders:
             return None
+        return self._import_from(view, holders, number, source_load)
+
+    def _import_from(
+        self,
+        view: SwarmView,
+        holders: list[Address],
+        number: int,
+        source_load: Counter,
+    ) -> PieceFetch | None:
         fetch = self._fetch_from_peer(view, holders, number, source_load)
         return None if fetch is None else replace(fetch, is_import=True)
 
+    def _fetch_from_anyone(
+        self,
+        view: SwarmView,
+        number: int,
+        source_load: Counter,
+        inputs: "_PlanInputs",
+    ) -> PieceFetch | None:
+        """Fetch a piece that the group lacks from any peer that has it, or the origin.
+
+        Other groups may have read it while this one was silent.
+        """
+        holders = self._holders(view, number, inputs.now, view.peers)
+        if holders:
+            return self._import_from(view, holders, number, source_load)
+        return self._fetch_from_origin(view, number, source_load, inputs)
+
     def _holders(
         self, view: SwarmView, number: int, now: float, peers: Iterable[Peer]
     ) -> list[Address]:
--- a/src/bamboolever/weights/view.py
+++ b/src/bamboolever/weights/view.py
@@ -19,6 +19,19 @@
     group: int = 0
 
 
+@dataclass(frozen=True, order=True)
+class Group:
+    """A group of agents: a region, or one of the parts of a large region."""
+
+    region: str
+    number: int
+
+    @classmethod
+    def of(cls, peer: Peer) -> "Group":
+        """Return the group of an agent."""
+        return cls(peer.region, peer.group)
+
+
 @dataclass
 class SwarmView:
     """One agent's view of the transfer of a version.
@@ -30,7 +43,8 @@
     them, ``last_heard_at`` peers to when their pieces were last received, and
     ``uploads`` peers to the number of pieces that they are sending or have queued.
     ``watched`` are the peers that are asked for their pieces, so that their silence
-    means something; None stands for all.
+    means something; None stands for all. ``silent_groups`` are the other groups of
+    which no agent was heard while some were watched.
     """
 
     own: Peer
@@ -45,12 +59,15 @@
     last_heard_at: dict[Address, float] = field(default_factory=dict)
     uploads: dict[Address, int] = field(default_factory=dict)
     watched: frozenset[Address] | None = None
+    silent_groups: set[Group] = field(default_factory=set)
 
     def update_peer(
         self, address: Address, bitmap: int, now: float, *, uploads: int = 0
     ) -> None:
         """Record a peer's verified pieces and its number of pending uploads."""
         self.last_heard_at[address] = now
+        if self.silent_groups:
+            self.silent_groups -= self._groups_with(address)
         self.uploads[address] = uploads
         new = bitmap & ~self.peer_bitmaps.get(address, 0)
         self.peer_bitmaps[address] = bitmap
@@ -72,8 +89,10 @@
     def watch(self, watched: frozenset[Address], now: float) -> None:
         """Replace the watched peers.
 
-        One that was silent until now stays inactive until it is heard.
+        One that was silent until now stays inactive until it is heard, and so does a
+        group of which all were.
         """
+        self._note_silent_groups(now)
         for peer in self.peers:
             if peer.address in watched or peer.address not in (self.watched or ()):
                 continue
@@ -86,6 +105,15 @@
                 self.last_heard_at[address] = now
         self.watched = watched
 
+    def _note_silent_groups(self, now: float) -> None:
+        watched = [peer for peer in self.peers if peer.address in (self.watched or ())]
+        heard = {Group.of(peer) for peer in watched if self.is_active(peer, now)}
+        heard.add(Group.of(self.own))
+        self.silent_groups |= {Group.of(peer) for peer in watched} - heard
+
+    def _groups_with(self, address: Address) -> set[Group]:
+        return {Group.of(peer) for peer in self.peers if peer.address == address}
+
     def active_members(self, now: float) -> list[Peer]:
         """Return this agent and the peers that are not known to be silent."""
         return [self.own, *(peer for peer in self.peers if self.is_active(peer, now))]
--- a/testing/daemons/test_swarm.py
+++ b/testing/daemons/test_swarm.py
@@ -5,7 +5,8 @@
 import pytest
 from swarmreplay import LINK_PIECE_S, ORIGIN, PIECE_COUNT, SwarmReplay
 
-from bamboolever.daemons.swarm import STALL_LOG_S
+from bamboolever.daemons.swarm import ASK_INTERVAL_S, STALL_LOG_S
+from bamboolever.weights.view import PEER_TIMEOUT_S
 
 AT_ONCE = [[0.0] * 15, [0.0] * 13, [0.0] * 13]
 # The agents of one region get the configuration later than the others.
@@ -39,6 +40,25 @@
     assert duration_s - last_start_s <= 1.5 * PIECE_COUNT * LINK_PIECE_S
 
 
+@pytest.mark.parametrize("late_s", [6.0, 60.0])
+def test_other_regions_do_not_wait_for_a_silent_one(late_s):
+    """Guards against a fleet without a version for 12 s after a loss of power.
+
+    The agents of the origin's region were late. Those of the others asked two of them
+    after the other, and took the region to be back each time.
+    """
+    replay = SwarmReplay([[late_s] * 15, [0.0] * 13, [0.0] * 13])
+    noticed_s = PEER_TIMEOUT_S + ASK_INTERVAL_S
+    replay.advance_to(noticed_s + 1.5 * PIECE_COUNT * LINK_PIECE_S)
+    assert len(replay.completed_s) >= 26
+
+
+def test_region_that_comes_back_takes_what_the_others_have():
+    replay = SwarmReplay([[6.0] * 15, [0.0] * 13, [0.0] * 13])
+    replay.run()
+    assert replay.origin_copies <= 1.5
+
+
 def test_transfer_that_gains_no_piece_is_logged(caplog):
     caplog.set_level("INFO")
     replay = SwarmReplay([[0.0] * 2, [0.0], [0.0]])
--- a/testing/swarmreplay.py
+++ b/testing/swarmreplay.py
@@ -169,7 +169,8 @@
         self.completed_s.setdefault(address, self.task.now() - self.started_at)
 
     def _announce(self, sender, piece_map, recipients):
-        for recipient in recipients:
+        # They come from a set, whose order differs between runs.
+        for recipient in sorted(recipients):
             self.task.call_later(
                 DELAY_S,
                 lambda to=recipient: self._deliver_map(sender, to, piece_map),
--- a/testing/weights/test_plan.py
+++ b/testing/weights/test_plan.py
@@ -10,10 +10,15 @@
 from bamboolever.net.addresses import Address
 from bamboolever.platform.weights import PieceDigests
 from bamboolever.weights import plan
-from bamboolever.weights.groups import MAX_GROUP_AGENTS, find_watched, group_number
+from bamboolever.weights.groups import (
+    MAX_GROUP_AGENTS,
+    Membership,
+    find_watched,
+    group_number,
+)
 from bamboolever.weights.pieces import PieceSet
 from bamboolever.weights.plan import ORIGIN_FALLBACK_S, make_piece_policy
-from bamboolever.weights.view import Peer, SwarmView
+from bamboolever.weights.view import PEER_TIMEOUT_S, Group, Peer, SwarmView
 
 PIECE_COUNT = 96
 LINK_PIECE_S = 24576 / (3.65e6 / 8)
@@ -338,3 +343,44 @@
     assert view.active_members(5.0) == [view.own]
     view.update_peer(other.own.address, 0b1, 6.0)
     assert other.own in view.active_members(6.0)
+
+
+def _make_view(own_region, peers):
+    manifest = PieceDigests("m", 2, (b"",) * PIECE_COUNT)
+    own = Peer(Address("10.0.0.1", 7000), own_region)
+    return SwarmView(own, peers, "region-o", PieceSet(manifest), 0.0)
+
+
+@pytest.mark.parametrize("now", [0.1, ORIGIN_FALLBACK_S + 0.1])
+def test_piece_that_only_another_region_has_is_not_read_from_the_origin(now):
+    """Guards against waiting for an origin that is away while a peer has the piece."""
+    holder = Peer(Address("10.1.0.1", 7000), "region-p")
+    view = _make_view("region-o", [holder])
+    view.update_peer(holder.address, 1 << 5, now)
+    fetches = {
+        each.number: each for each in make_piece_policy("region-chain").plan(view, now)
+    }
+    assert fetches[5].source == holder.address
+    assert fetches[5].is_import
+    assert all(each.source is None for number, each in fetches.items() if number != 5)
+
+
+def test_silent_group_is_left_out_until_one_of_it_is_heard():
+    """Guards against a group that counts as back when others of it are watched."""
+    late = [Peer(Address(f"10.1.0.{index}", 7000), "region-p") for index in range(4)]
+    view = _make_view("region-o", late)
+    group = Group.of(late[0])
+    view.watch(frozenset({late[0].address}), 0.0)
+    now = PEER_TIMEOUT_S + 0.1
+    view.watch(frozenset({late[1].address}), now)
+    assert group not in Membership.from_view(view, now).members
+    assert find_watched(view, now) <= {peer.address for peer in late}
+    assert len(find_watched(view, now)) == 1
+    probed = {
+        address
+        for turn in range(40)
+        for address in find_watched(view, now + turn * PEER_TIMEOUT_S)
+    }
+    assert len(probed) == len(late)
+    view.update_peer(late[3].address, 0, now)
+    assert group in Membership.from_view(view, now).members
