A member whose name is no text does not end the decoding

Found by reading: the name of a member is decoded by itself, and a list or an object as name raised TypeError where the odd entry's page is decoded. Such members are left out; any bytes decode or raise AdapterError now, which a test with random brackets holds.

--- a/src/bamboolever/platform/jsontext.py
+++ b/src/bamboolever/platform/jsontext.py
@@ -39,8 +39,8 @@
     """Return the value of a body, in which members that do not decode are None.
 
     The members of arrays and objects down to ``levels`` are decoded one by one if the
-    whole does not decode. Bytes that are no UTF-8 become lone surrogates. Raises
-    `AdapterError` when there are no such members.
+    whole does not decode; those whose name does not are left out. Bytes that are no
+    UTF-8 become lone surrogates. Raises `AdapterError` when there are no such members.
     """
     value = _decode_members(body.decode(errors="surrogateescape"), levels)
     if value is None:
@@ -62,9 +62,11 @@
         return None
     if text.lstrip().startswith("["):
         return [_decode_members(member, levels - 1) for _, member in members]
+    named = [(_decode_members(key, 0), member) for key, member in members]
     return {
-        _decode_members(key, 0): _decode_members(member, levels - 1)
-        for key, member in members
+        name: _decode_members(member, levels - 1)
+        for name, member in named
+        if isinstance(name, str)
     }
 
 
--- a/testing/platform/test_jsontext.py
+++ b/testing/platform/test_jsontext.py
@@ -58,6 +58,21 @@
         decode_json_members(text, 3)
 
 
+@pytest.mark.parametrize("name", [b"[1]", b"{}", b"7", b'"\\x"', b"9" * 5000])
+def test_member_whose_name_does_not_decode_is_left_out(name):
+    content = decode_json_members(b'{"a": 1, %s: 2, "b": 3}' % name, 1)
+    assert content == {"a": 1, "b": 3}
+
+
+@given(st.binary(max_size=60) | st.text('[]{}",:1\\', max_size=40).map(str.encode))
+def test_any_bytes_decode_or_raise_adapter_error(data):
+    for decode in (decode_json, lambda text: decode_json_members(text, 3)):
+        try:
+            decode(data)
+        except AdapterError:
+            pass
+
+
 @given(_VALUES, _VALUES)
 def test_sound_members_are_decoded_beside_one_that_is_not(first, second):
     text = json.dumps([[first], "gap", {"x": second}]).replace('"gap"', "9" * 5000)
