--- a/testing/daemons/test_oddentries.py
+++ b/testing/daemons/test_malformedobjects.py
@@ -23,7 +23,7 @@
     return json.dumps(document).encode()
 
 
-ODD_UPSTREAMS = {
+MALFORMED_UPSTREAMS = {
     "nested": b'{"service": %s}' % (b"[" * 3000 + b"]" * 3000),
     "long-number": b'{"slots": %s}' % (b"9" * 5000),
     "no-text": b'{"service": "\xff"}',
@@ -39,34 +39,34 @@
 }
 
 
-@pytest.fixture(params=list(ODD_UPSTREAMS))
-def odd_value(request):
-    return RawValue(ODD_UPSTREAMS[request.param])
+@pytest.fixture(params=list(MALFORMED_UPSTREAMS))
+def malformed_value(request):
+    return RawValue(MALFORMED_UPSTREAMS[request.param])
 
 
-def test_entry_becomes_ready_beside_an_odd_entry(
-    site, plain_upstreams, start_entry, odd_value
+def test_entry_becomes_ready_beside_a_malformed_object(
+    site, plain_upstreams, start_entry, malformed_value
 ):
-    site.store.put(UPSTREAM_KIND, "odd", odd_value)
+    site.store.put(UPSTREAM_KIND, "malformed", malformed_value)
     entry = start_entry().wait_ready(2)
     assert {entry.call("/orders/1").status for _ in range(6)} == {200}
-    assert "odd" not in entry.entry.fleet._views
+    assert "malformed" not in entry.entry.fleet._views
 
 
-def test_entry_follows_the_list_past_an_odd_entry(
-    site, plain_upstreams, start_entry, odd_value
+def test_entry_follows_the_list_past_a_malformed_object(
+    site, plain_upstreams, start_entry, malformed_value
 ):
     entry = start_entry().wait_ready(2)
-    site.store.put(UPSTREAM_KIND, "odd", odd_value)
+    site.store.put(UPSTREAM_KIND, "malformed", malformed_value)
     site.add_plain_upstream("plain-3")
     wait_for(lambda: "plain-3" in views_of(entry))
-    site.store.put(UPSTREAM_KIND, "plain-3", odd_value)
+    site.store.put(UPSTREAM_KIND, "plain-3", malformed_value)
     wait_for(lambda: "plain-3" not in views_of(entry))
     assert {entry.call("/orders/1").status for _ in range(6)} == {200}
 
 
-def test_peers_follow_the_list_past_an_odd_entry(
-    site, engines, start_entry, start_agent, odd_value
+def test_peers_follow_the_list_past_a_malformed_object(
+    site, engines, start_entry, start_agent, malformed_value
 ):
     for engine in engines:
         start_agent(engine)
@@ -78,15 +78,15 @@
         entry.wait_ready(2)
     wait_for(lambda: first.entry.fleet.peers.recipients())
     wait_for(lambda: second.entry.fleet.peers.recipients())
-    site.store.put(UPSTREAM_KIND, "odd", odd_value)
+    site.store.put(UPSTREAM_KIND, "malformed", malformed_value)
     site.add_plain_upstream("plain-3")
     wait_for(lambda: "plain-3" in views_of(first))
     wait_for(lambda: "plain-3" in views_of(second))
 
 
-def test_agent_loads_a_version_beside_odd_entries(site, start_agent):
-    for name, value in ODD_UPSTREAMS.items():
-        site.store.put(UPSTREAM_KIND, f"odd-{name}", RawValue(value))
+def test_agent_loads_a_version_beside_malformed_objects(site, start_agent):
+    for name, value in MALFORMED_UPSTREAMS.items():
+        site.store.put(UPSTREAM_KIND, f"malformed-{name}", RawValue(value))
     engine = site.add_engine("engine-1", "127.0.0.2", version=None)
     start_agent(engine)
     wait_for(lambda: engine.engine.version == 1)
@@ -123,9 +123,11 @@
     assert entry.call("/stream/1", **make_stream_headers()).status == 200
 
 
-def test_odd_upstream_is_not_chosen_for_engines_either(site, engines, start_entry):
-    odd = _upstream_with(service=ENGINE_SERVICE, slots=10**400)
-    site.store.put(UPSTREAM_KIND, "odd", RawValue(odd))
+def test_malformed_upstream_is_not_chosen_for_engines_either(
+    site, engines, start_entry
+):
+    malformed = _upstream_with(service=ENGINE_SERVICE, slots=10**400)
+    site.store.put(UPSTREAM_KIND, "malformed", RawValue(malformed))
     entry = start_entry().wait_ready(2)
     assert entry.call("/stream/1", **make_stream_headers()).status == 200
-    assert "odd" not in views_of(entry)
+    assert "malformed" not in views_of(entry)
--- a/testing/daemons/test_observers.py
+++ b/testing/daemons/test_observers.py
@@ -57,7 +57,7 @@
     assert versions.min_version("m", asked_at + 8.0) == 2
 
 
-def test_odd_entry_is_logged_once_until_it_changes(caplog):
+def test_malformed_object_is_logged_once_until_it_changes(caplog):
     observer = UpstreamObserver(UpstreamList(), lambda: 0.0, lambda: None)
 
     def count_lines():
@@ -65,14 +65,14 @@
         caplog.clear()
         return len(lines)
 
-    odd = (StoredDocument("odd", {"slots": "many"}),)
-    observer.on_listing(odd)
+    malformed = (StoredDocument("malformed", {"slots": "many"}),)
+    observer.on_listing(malformed)
     assert count_lines() == 1
-    observer.on_changes(odd)
-    observer.on_listing(odd)
+    observer.on_changes(malformed)
+    observer.on_listing(malformed)
     assert count_lines() == 0
-    observer.on_changes((StoredDocument("odd", {}),))
+    observer.on_changes((StoredDocument("malformed", {}),))
     assert count_lines() == 1
     observer.on_listing(())
-    observer.on_listing(odd)
+    observer.on_listing(malformed)
     assert count_lines() == 1
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -36,7 +36,7 @@
         assert [document.name for document in documents] == ["a", "b", "c"]
 
 
-ODD_VALUES = [
+MALFORMED_VALUES = [
     b"[" * 3000 + b"]" * 3000,
     b"[" * 900 + b"]" * 900,
     b'{"slots": ' + b"9" * 5000 + b"}",
@@ -45,32 +45,32 @@
     b"NaN",
 ]
 SOUND = b'{"metadata": {"name": "%s", "revision": 3}, "specification": {"a": [{}]}}'
-ODD = b'{"metadata": {"name": "odd", "revision": 4}, "specification": %s}'
+MALFORMED = b'{"metadata": {"name": "malformed", "revision": 4}, "specification": %s}'
 
 
-@pytest.mark.parametrize("value", ODD_VALUES)
-def test_odd_entry_in_a_listing_costs_no_other(value):
+@pytest.mark.parametrize("value", MALFORMED_VALUES)
+def test_malformed_object_in_a_listing_costs_no_other(value):
     """Guards against a list that nobody can read because of one object in it."""
-    items = b", ".join([SOUND % b"a", ODD % value, SOUND % b"b"])
+    items = b", ".join([SOUND % b"a", MALFORMED % value, SOUND % b"b"])
     listing = decode_listing(b'{"items": [%s], "hasMore": true, "at": 9}' % items)
     documents = {each.name: each.value for each in listing.documents}
     assert documents["a"] == documents["b"] == {"a": [{}]}
-    assert list(documents) == ["a", "odd", "b"]
+    assert list(documents) == ["a", "malformed", "b"]
     assert (listing.revision, listing.has_more) == (9, True)
     json.dumps(documents)
 
 
-@pytest.mark.parametrize("value", ODD_VALUES)
-def test_odd_entry_in_changes_costs_no_other(value):
+@pytest.mark.parametrize("value", MALFORMED_VALUES)
+def test_malformed_object_in_changes_costs_no_other(value):
     """Guards against changes that nobody can follow because of one object in them."""
-    objects = [SOUND % b"a", ODD % value, SOUND % b"b"]
+    objects = [SOUND % b"a", MALFORMED % value, SOUND % b"b"]
     events = b", ".join(b'{"object": %s, "deleted": false}' % each for each in objects)
     body = b'{"events": [%s], "at": 9}' % events
     parts = [part for _, part in split_changes(body, 3000)]
     for text in (body, *parts):
         documents = {each.name: each.value for each in decode_changes(text).documents}
         assert documents["a"] == documents["b"] == {"a": [{}]}
-        assert list(documents) == ["a", "odd", "b"]
+        assert list(documents) == ["a", "malformed", "b"]
 
 
 @pytest.mark.parametrize(
@@ -78,8 +78,8 @@
     [b'"\\ud800"', b'"a\\u0000"', b'"a\\r\\nHost: b"', b"5", b"[" * 3000 + b"]" * 3000],
 )
 def test_object_whose_name_cannot_be_sent_is_left_out(name):
-    odd = b'{"metadata": {"name": %s, "revision": 4}, "specification": {}}' % name
-    items = b", ".join([odd, SOUND % b"a", b"null", b"7"])
+    malformed = b'{"metadata": {"name": %s, "revision": 4}, "specification": {}}' % name
+    items = b", ".join([malformed, SOUND % b"a", b"null", b"7"])
     listing = decode_listing(b'{"items": [%s], "at": 9}' % items)
     assert [each.name for each in listing.documents] == ["a"]
 
