--- a/src/bamboolever/net/client.py
+++ b/src/bamboolever/net/client.py
@@ -114,6 +114,9 @@
         return encoded
 
     def _on_ready(self, events: int) -> None:
+        if self._is_closed:
+            # An earlier event of the same pass of the loop ended the request.
+            return
         if self._is_connecting and not self._finish_connect():
             return
         if events & WRITE and not self._is_closed:
--- a/src/bamboolever/weights/plan.py
+++ b/src/bamboolever/weights/plan.py
@@ -11,7 +11,8 @@
 import a piece in a chain, each from the one before it, so that no region's uplinks
 carry all copies; the other groups of a region import it in a tree below its first. All
 other agents fetch the piece within their group. If the selected agent is silent, the
-next in rank takes over after a delay.
+next in rank takes over after a delay. A piece that a peer of any group is known to have
+is not read from the origin.
 
 `weights.groups` has the groups and the order in them.
 """
--- a/testing/net/test_client.py
+++ b/testing/net/test_client.py
@@ -1,12 +1,14 @@
 """The HTTP client with complete, broken, late and unexpected responses."""
 
 import queue
+import socket
 import threading
 
 import pytest
 from rawserver import Endless, RawServer, make_response
 
-from bamboolever._task import IoTask
+from bamboolever._task import READ, WRITE, IoTask
+from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool, parse_keep_alive_timeout
 from bamboolever.net.exchange import FailureKind, ResponseHandler
 from bamboolever.net.messages import Request, ResponseHead
@@ -68,6 +70,18 @@
     assert server.accepted_connections == 1
 
 
+def test_event_of_a_connection_that_was_just_closed_is_ignored():
+    """Guards against a callback that fails on a socket closed in the same pass."""
+    task = IoTask("test")
+    pool = ConnectionPool(task, connect_timeout_s=1.0, max_idle_s=1.0)
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        address = Address(*server.getsockname())
+        connection = pool.send(address, REQUEST, RecordingHandler())
+        connection.cancel()
+        connection._on_ready(READ | WRITE)
+    assert connection.is_closed
+
+
 def test_response_without_length_ends_with_the_connection(pool):
     server = RawServer([b"HTTP/1.1 200 OK\r\n\r\nto the end", "close"])
     handler, outcome = _exchange(pool, server.address)
