Review: the entry keeps the bodies of answered requests until it is killed

Cause: a cancelled timer stays on the loop's heap until it would have been due and holds the call with its request body; after that the call waits in reference cycles for a full garbage collection. Nothing bounds the bodies of all requests together.

The stand-ins' shared module got a way to cut the store off, a process id and an engine service for this and the following cases, and follows the linter.

--- a/review/standins/loopback.py
+++ b/review/standins/loopback.py
@@ -28,7 +28,7 @@
 
 
 def free_host():
-    """Return a loopback address on which the metrics port of the deploy file is free."""
+    """Return a loopback address where the deploy file's metrics port is free."""
     for _ in range(50):
         host = f"127.{random.randint(20, 220)}.{random.randint(1, 250)}.10"
         with socket.socket() as sock:
@@ -64,6 +64,11 @@
         """Ignore connections that the other side closed."""
 
 
+def _address_of(server):
+    host, port = server.server_address
+    return f"{host}:{port}"
+
+
 def _serve(handler, host):
     server = _Server((host, 0), handler)
     threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True).start()
@@ -79,6 +84,7 @@
         self._objects = {}
         self._events = []
         self._revision = 100
+        self._is_cut = False
         store = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -91,7 +97,7 @@
                 pass
 
         self._server = _serve(Handler, host)
-        self.address = "%s:%d" % self._server.server_address
+        self.address = _address_of(self._server)
 
     def put(self, kind, name, value, *, note=None):
         """Write an object, and return the time of the acknowledgement."""
@@ -113,8 +119,17 @@
         self._record.add(f"store: {kind}/{name} acknowledged{note or ''}")
         return time.monotonic()
 
+    def cut(self):
+        """Answer nothing from now on, as behind a silent partition from the store."""
+        self._is_cut = True
+        self._record.add("partition: the machine no longer reaches the store")
+
     def answer(self, handler):
         """Answer a list or a watch."""
+        if self._is_cut:
+            handler.close_connection = True
+            time.sleep(60)
+            return
         parts = urlsplit(handler.path)
         query = {key: values[0] for key, values in parse_qs(parts.query).items()}
         kind = unquote(parts.path.removeprefix("/-/objects/"))
@@ -141,6 +156,10 @@
                     break
                 self._changed.wait(left_s)
             body = {"events": events, "at": self._revision}
+        if self._is_cut:
+            handler.close_connection = True
+            time.sleep(60)
+            return
         send(handler, 200, body)
 
     def _since(self, kind, revision):
@@ -183,13 +202,13 @@
             def do_GET(self):
                 worker.handle(self)
 
-            do_POST = do_GET
+            do_POST = do_GET  # noqa: N815 (named by http.server)
 
             def log_message(self, *args):
                 pass
 
         self._server = _serve(Handler, host)
-        self.address = "%s:%d" % self._server.server_address
+        self.address = _address_of(self._server)
 
     def entry(self, service, zone, **changes):
         """Return the worker's entry in the store."""
@@ -297,6 +316,33 @@
     return {"name": name, "healthCheckPath": "/health", "maxConnections": 110}
 
 
+def engine_service(name):
+    """Return a service of model workers, as in the deployment's example."""
+    return {
+        **plain_service(name),
+        "maxConnections": 434,
+        "engine": {
+            "slots": 16,
+            "kvCacheTokens": 685000,
+            "stride": 6,
+            "models": [{"name": MODEL, "pace": 1.0, "loadTimeS": 4.0, "warmUpS": 0.3}],
+            "sizeMb": 297000.0,
+            "step_ms": 7.4,
+            "per_seq_ms": 0.0387,
+            "context_per_k": 0.0203,
+            "read_per_s": 31900.0,
+            "pairs_per_m": 0.733,
+            "chunk": 2048,
+            "report_lag_ms": 200.0,
+            "usual": {"prompt": 973, "answer": 106},
+            "layers": 16,
+            "layer_mb": 4540.0,
+            "chunks": 96,
+            "chunkBytes": 24576,
+        },
+    }
+
+
 def free_port(host):
     """Return a port of ``host`` that is free now."""
     with socket.socket() as sock:
@@ -382,7 +428,9 @@
         self._log = self.log_path.open("wb")
         self.document = document
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["BAMBOOLEVER_NODE_FILE"] = str(path)
@@ -396,6 +444,11 @@
             stdin=subprocess.DEVNULL,
         )
 
+    @property
+    def pid(self):
+        """Return the id of the process."""
+        return self._popen.pid
+
     @property
     def exit_code(self):
         """Return the exit code; None while the process runs."""
@@ -412,7 +465,9 @@
             if self.is_ready():
                 return
             if self._popen.poll() is not None:
-                raise CannotRun(f"the program ended: {self.log_path.read_text()[-400:]}")
+                raise CannotRun(
+                    f"the program ended: {self.log_path.read_text()[-400:]}"
+                )
             time.sleep(0.05)
         raise CannotRun("the program did not become ready")
 
@@ -498,7 +553,9 @@
     with tempfile.TemporaryDirectory() as scratch:
         try:
             if not (ROOT / "target" / "deps" / "bamboolever").exists():
-                raise CannotRun("target/deps is missing: run the build of the deploy file")
+                raise CannotRun(
+                    "target/deps is missing: run the build of the deploy file"
+                )
             result = case(record, scratch, closers)
         except (CannotRun, OSError) as error:
             record.add(f"could not run: {error}")
