--- a/review/loopback.py
+++ b/review/1/loopback.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, unquote, urlsplit
 
-ROOT = Path(__file__).resolve().parents[1]
+ROOT = Path(__file__).resolve().parents[2]
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MODEL = "daka510000"
