Requests need a key also when no tenant holds one

Cause: whether requests must carry a key was derived from the index of keys, which is empty then, so admission left its check out. It is not a configuration that wasn't applied, nor an old index: a key that no configuration ever held runs too.

Why it works: the check depends on what the operator stated and no longer on how many keys are left; a configuration that says nothing refuses.

--- a/src/bamboolever/calls/admission.py
+++ b/src/bamboolever/calls/admission.py
@@ -87,7 +87,7 @@
     if route is None:
         return Refused(NO_ROUTE_STATUS, "no-route")
     workspace = configuration.workspaces_by_key.get(request.api_key or "")
-    if configuration.has_workspaces and not route.is_anonymous:
+    if configuration.requires_keys and not route.is_anonymous:
         if not state.can_trust_keys:
             return Refused(UNAVAILABLE_STATUS, RejectReason.STALE_KEYS.value)
         if workspace is None:
--- a/src/bamboolever/config/model.py
+++ b/src/bamboolever/config/model.py
@@ -142,7 +142,9 @@
     """One version of the complete configuration.
 
     ``services`` maps names to services, ``workspaces_by_key`` maps API keys to
-    workspaces. ``limits`` are those of the caller port.
+    workspaces. ``limits`` are those of the caller port. Unless ``requires_keys`` is
+    False, requests must carry a key, except to anonymous routes; a configuration
+    without any key then admits none.
     """
 
     version: int
@@ -150,11 +152,7 @@
     services: Mapping[str, Service] = field(default_factory=dict)
     workspaces_by_key: Mapping[str, Workspace] = field(default_factory=dict)
     limits: HttpLimits = field(default_factory=HttpLimits)
-
-    @property
-    def has_workspaces(self) -> bool:
-        """Whether requests must carry a key, except to anonymous routes."""
-        return bool(self.workspaces_by_key)
+    requires_keys: bool = True
 
     @property
     def named_regions(self) -> frozenset[str]:
--- a/src/bamboolever/platform/documents.py
+++ b/src/bamboolever/platform/documents.py
@@ -138,7 +138,8 @@
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
-    tenants: list[_Tenant] = []
+    # None if the deployment has no tenants: its requests carry no keys.
+    tenants: list[_Tenant] | None = None
     limits: _Limits = Field(default_factory=lambda: validate(_Limits, {}))
 
 
@@ -205,7 +206,7 @@
                     tenant.priority,
                     frozenset(tenant.allowed_regions or ()),
                 )
-                for tenant in wire.tenants
+                for tenant in wire.tenants or ()
                 for key in tenant.api_keys
             },
             limits=HttpLimits(
@@ -214,6 +215,7 @@
                 header_timeout_s=wire.limits.header_timeout_ms / 1000,
                 idle_timeout_s=wire.limits.idle_timeout_ms / 1000,
             ),
+            requires_keys=wire.tenants is not None,
         )
     except (ValidationError, ValueError, KeyError) as error:
         raise AdapterError(f"configuration does not decode: {error}") from error
--- a/testing/calls/test_admission.py
+++ b/testing/calls/test_admission.py
@@ -67,6 +67,23 @@
     assert (refused.status, refused.reason) == (status, reason)
 
 
+@pytest.mark.parametrize("api_key", ["key", "other", None])
+def test_no_request_is_admitted_once_the_last_key_is_taken_away(api_key):
+    """Guards against taking a configuration without keys for one that needs none."""
+    configuration = dataclasses.replace(CONFIGURATION, workspaces_by_key={})
+    state = dataclasses.replace(STATE, configuration=configuration)
+    refused = _admit(state, api_key=api_key)
+    assert (refused.status, refused.reason) == (401, "unknown-key")
+
+
+def test_requests_need_no_key_where_the_configuration_requires_none():
+    configuration = dataclasses.replace(
+        CONFIGURATION, workspaces_by_key={}, requires_keys=False
+    )
+    state = dataclasses.replace(STATE, configuration=configuration)
+    assert isinstance(_admit(state, api_key=None), Admitted)
+
+
 def test_nothing_is_admitted_before_a_configuration_is_known():
     state = dataclasses.replace(STATE, configuration=None)
     assert _admit(state).status == 503
--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -61,6 +61,19 @@
     assert not _count_executions(plain_upstreams)
 
 
+def test_requests_are_rejected_after_the_last_key_was_taken_away(
+    site, plain_upstreams, start_entry
+):
+    """Guards against serving everybody once no tenant holds a key."""
+    entry = start_entry().wait_ready(2)
+    site.apply_configuration(tenants=[{"name": WORKSPACE, "apiKeys": []}])
+    wait_for(lambda: entry.call("/orders/1").status == 401)
+    executed = _count_executions(plain_upstreams)
+    for key in (f"Token {API_KEY}", "Token nobody", None):
+        assert entry.call("/orders/1", Authorization=key).status == 401
+    assert _count_executions(plain_upstreams) == executed
+
+
 def test_unknown_path_and_host_are_rejected(plain_upstreams, start_entry):
     entry = start_entry().wait_ready(2)
     assert entry.call("/unknown/1").status == 404
--- a/testing/platform/test_documents.py
+++ b/testing/platform/test_documents.py
@@ -155,10 +155,26 @@
     assert (route.timeout_s, route.target_latency_s) == (6.0, 0.405)
     assert [share.weight for share in route.targets] == [90, 10]
     assert configuration.workspaces_by_key["k2"].name == "t"
+    assert configuration.requires_keys
     assert configuration.services["o"].origin.bytes_per_s == 1e6
     assert configuration.limits.idle_timeout_s == 15.0
 
 
+@pytest.mark.parametrize("tenants", [[], [{"name": "t", "apiKeys": []}]])
+def test_keys_are_required_also_when_no_tenant_holds_one(tenants):
+    """Guards against serving everybody once the last key is taken away."""
+    configuration = documents.decode_configuration(
+        {**CONFIGURATION, "tenants": tenants}
+    )
+    assert not configuration.workspaces_by_key
+    assert configuration.requires_keys
+
+
+def test_no_key_is_required_in_a_deployment_without_tenants():
+    document = {key: value for key, value in CONFIGURATION.items() if key != "tenants"}
+    assert not documents.decode_configuration(document).requires_keys
+
+
 @pytest.mark.parametrize(
     ("stated", "expected"),
     [
