Keys that are not trusted name no workspace, on anonymous routes too

Cause: admission asked whether keys are trusted only where the route needs one, but passed on the workspace (with its priority and regions) wherever a key was sent. It is not a configuration that counted as confirmed: the same entry answered 503 stale-keys elsewhere.

Change: a request with a key is refused with 503 stale-keys on any route while keys are not trusted. Serving it without a workspace would be as wrong if the key is still held.

Why it works: no decision reads a workspace before the age of the keys is checked.

--- a/src/bamboolever/calls/admission.py
+++ b/src/bamboolever/calls/admission.py
@@ -44,7 +44,7 @@
 class Admitted:
     """The request may be placed at an upstream of this service.
 
-    ``workspace`` is None if the key belongs to none.
+    ``workspace`` is None if the request has no key or the key belongs to none.
     """
 
     route: Route
@@ -87,10 +87,11 @@
     if route is None:
         return Refused(NO_ROUTE_STATUS, "no-route")
     workspace = configuration.workspaces_by_key.get(request.api_key or "")
-    if configuration.requires_keys and not route.is_anonymous:
-        if not state.can_trust_keys:
+    if configuration.requires_keys:
+        names_workspace = request.api_key is not None or not route.is_anonymous
+        if names_workspace and not state.can_trust_keys:
             return Refused(UNAVAILABLE_STATUS, RejectReason.STALE_KEYS.value)
-        if workspace is None:
+        if workspace is None and not route.is_anonymous:
             return Refused(UNKNOWN_KEY_STATUS, "unknown-key")
     if find_allowed_regions(route, workspace) == frozenset():
         return Refused(UNAVAILABLE_STATUS, RejectReason.NO_ALLOWED_REGION.value)
--- a/testing/calls/test_admission.py
+++ b/testing/calls/test_admission.py
@@ -95,6 +95,14 @@
     assert isinstance(_admit(state, target="/b/x", api_key=None), Admitted)
 
 
+@pytest.mark.parametrize("api_key", ["key", "other"])
+def test_key_that_is_not_trusted_names_no_workspace_on_an_anonymous_route(api_key):
+    """Guards against telling upstreams the former holder of a key taken away."""
+    state = dataclasses.replace(STATE, can_trust_keys=False)
+    refused = _admit(state, target="/b/x", api_key=api_key)
+    assert (refused.status, refused.reason) == (503, "stale-keys")
+
+
 def test_key_on_an_anonymous_route_determines_the_workspace():
     assert _admit(target="/b/x").workspace.name == "studio"
     assert _admit(target="/b/x", api_key="other").workspace is None
--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -74,6 +74,23 @@
     assert _count_executions(plain_upstreams) == executed
 
 
+def test_entry_without_the_store_names_the_workspace_of_no_key(
+    site, plain_upstreams, start_entry
+):
+    """Guards against telling upstreams the former holder of a key taken away."""
+    for route in site.configuration["routes"]:
+        route["allowAnonymous"] = route["pathPrefix"] == "/lookup/"
+    site.apply_configuration()
+    entry = start_entry(revocationMs=1500).wait_ready(2)
+    assert entry.call("/lookup/1").status == 200
+    site.store.stop()
+    wait_for(lambda: entry.call("/orders/1").status == 503)
+    executed = _count_executions(plain_upstreams)
+    assert entry.call("/lookup/1").status == 503
+    assert _count_executions(plain_upstreams) == executed
+    assert entry.call("/lookup/1", Authorization=None).status == 200
+
+
 def test_unknown_path_and_host_are_rejected(plain_upstreams, start_entry):
     entry = start_entry().wait_ready(2)
     assert entry.call("/unknown/1").status == 404
