Silence cuts no stream that nothing else can go on with

Cause: after 1.5 s without an event the attempt at a sound upstream was cancelled first, and then the retry refused (attempts used, budget used, no upstream), so the stream was cut.

Change: a begun stream is moved only if an upstream that it hasn't tried takes it at once, with an attempt and the budget left; else the silent one is awaited until the time limit, and another is looked for each 0.25 s.

Why it works: nothing is given up before its replacement is there.

The new test of the entry failed on the sources before.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -313,7 +313,7 @@
 
         ``call.tried`` has the upstream of the first attempt. Another zone than its is
         used if an upstream there has room. The request is never queued, and is counted
-        at the upstream only by `assign_hedge`.
+        at the upstream only by `assign_chosen`.
         """
         if self._queue:
             return HedgeRefusal.WAITING
@@ -343,10 +343,26 @@
         placement = self.policy.choose(call, elsewhere or free, now)
         return HedgeRefusal.NO_ROOM if placement is None else placement
 
-    def assign_hedge(
+    def choose_replacement(self, call: PendingCall, now: float) -> Placement | None:
+        """Return where a stream could go on at once whose upstream is silent, or None.
+
+        ``call.tried`` has the silent upstream. The stream is never queued, and is
+        counted at the upstream only by `assign_chosen`. Streams that wait to be resumed
+        go first.
+        """
+        if any(each.is_resumed for each in self._queue):
+            return None
+        home = self._eligible(call, self._home, now)
+        reserved = self._find_reserved(call, home, {}, now)
+        placement, _left = self._choose(call, home, reserved, self._rules, now)
+        if placement is None or placement.upstream.instance_id in call.tried:
+            return None
+        return placement
+
+    def assign_chosen(
         self, call: PendingCall, placement: Placement, now: float
     ) -> Assignment:
-        """Count a hedged request at the upstream that `choose_hedge` returned."""
+        """Count a request where `choose_hedge` or `choose_replacement` placed it."""
         return self._assign(call, placement, [], frozenset(), now)
 
     def cancel(self, call_id: int) -> None:
--- a/src/bamboolever/daemons/attempttimers.py
+++ b/src/bamboolever/daemons/attempttimers.py
@@ -17,6 +17,9 @@
 from bamboolever.config.model import Route
 from bamboolever.net.timers import RearmableTimer
 
+# How often another upstream is looked for while one is silent.
+SILENCE_CHECK_INTERVAL_S = 0.25
+
 
 @final
 class AttemptTimers:
@@ -54,6 +57,10 @@
         if self._stall_timeout_s is not None:
             self._stall_timer.arm(self._stall_timeout_s, self._on_stalled)
 
+    def check_silence_again(self) -> None:
+        """Call ``on_stalled`` again soon, unless something arrives before."""
+        self._stall_timer.arm(SILENCE_CHECK_INTERVAL_S, self._on_stalled)
+
     def on_begun(self) -> None:
         """End the limit for the beginning; call when the response's content starts."""
         self._is_waiting = False
--- a/src/bamboolever/daemons/hedges.py
+++ b/src/bamboolever/daemons/hedges.py
@@ -84,7 +84,7 @@
             return None
         self._of(relay.service).take_token()
         dispatcher = self._fleet.dispatcher(relay.service)
-        dispatcher.assign_hedge(pending, placement, self._task.now())
+        dispatcher.assign_chosen(pending, placement, self._task.now())
         self._telemetry.count("hedge.sent", service=relay.service)
         return placement
 
@@ -105,7 +105,7 @@
             return placement
         if not self._of(relay.service).has_token:
             return HedgeRefusal.SHARE_USED
-        if self._context.acquire_retry(relay, is_hedge=True) is not None:
+        if self._context.acquire_retry(relay, is_under_way=True) is not None:
             return HedgeRefusal.NO_RETRY
         return placement
 
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -29,7 +29,7 @@
 )
 from bamboolever.calls.eligibility import IneligibleReason
 from bamboolever.calls.parts import FREE, SUSPECTED_PART_RETRY_S
-from bamboolever.calls.placement import PendingCall
+from bamboolever.calls.placement import PendingCall, Placement
 from bamboolever.calls.regions import RegionInquiry, RegionLookup
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.config.model import Configuration
@@ -316,16 +316,36 @@
         self._exchange.crashes.on_response(upstream.key, sent_at)
         self.on_broken_response(relay, upstream, sent_at)
 
-    def acquire_retry(self, relay: CallRelay, *, is_hedge: bool = False) -> str | None:
+    def acquire_replacement(
+        self, relay: CallRelay, pending: PendingCall
+    ) -> Placement | None:
+        """Return where a call goes on whose attempt is silent; None if nowhere now."""
+        pending.allowed_regions = self.find_regions(relay)
+        dispatcher = self._fleet.dispatcher(relay.service)
+        now = self.task.now()
+        placement = dispatcher.choose_replacement(pending, now)
+        if placement is None:
+            return None
+        if self.acquire_retry(relay, is_under_way=True) is not None:
+            return None
+        assignment = dispatcher.assign_chosen(pending, placement, now)
+        self._note_limits(relay, assignment)
+        self._exchange.schedule_load_update()
+        self.log.placed(relay, placement, now)
+        return placement
+
+    def acquire_retry(
+        self, relay: CallRelay, *, is_under_way: bool = False
+    ) -> str | None:
         """Take one retry of a call from its service's budget.
 
         Returns None if the call may be sent again, else the reason why not. With
-        ``is_hedge``, the attempt under way counts as one that may have run.
+        ``is_under_way``, an attempt has not ended and counts as one that may have run.
         """
         crashes = self._exchange.crashes
         now = self.task.now()
         is_blocked = crashes.tracker.is_blocked(relay.digest, now)
-        if relay.may_have_run or is_hedge:
+        if relay.may_have_run or is_under_way:
             is_blocked = not crashes.tracker.may_retry(relay.digest, now)
         if is_blocked:
             return "crashes-upstreams"
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -11,7 +11,8 @@
   request.
 - A stream is forwarded in complete events. After a failure, or when it ends inside an
   event, it is resumed on another upstream from the last event id. If that fails too,
-  the caller's connection is cut, so that the stream does not look complete.
+  the caller's connection is cut, so that the stream does not look complete. Silence
+  alone cuts none: where no other upstream can go on at once, the silent one is awaited.
 - Any other response is buffered until it is complete, so that the caller does not
   notice a retry.
 - A request that may have run is retried only if the route allows it. The caller gets
@@ -58,6 +59,7 @@
 # The body of a rejection is not needed: reading its end only saves a connection.
 REJECTION_BODY_TIMEOUT_S = 0.1
 MAX_REJECTION_BODY_BYTES = 16 * 2**10
+SILENT_UPSTREAM = "silent upstream"
 
 
 @final
@@ -105,6 +107,7 @@
         self._tried: set[str] = set()
         self._attempts = 0
         self._sent_at = 0.0
+        self._is_silence_counted = False
         self._is_done = False
         self._upstream: UpstreamView | None = None
         self._upstream_connection: ClientConnection | None = None
@@ -142,6 +145,7 @@
         self._upstream = view
         self._attempts += 1
         self._sent_at = self._task.now()
+        self._is_silence_counted = False
         self._tried.add(view.instance_id)
         self.record.upstreams.append(view.instance_id)
         self.record.predicted_s = placement.predicted_s
@@ -485,30 +489,34 @@
 
     def _on_attempt_failed(
         self, outcome: AttemptOutcome, detail: str, *, is_fault: bool = True
+    ) -> None:
+        self._note_failed_attempt(outcome, detail, is_fault=is_fault)
+        if self._hedge is not None:
+            self._unanswered = (outcome, detail)
+            self._context.log.attempt_failed(
+                self, outcome.value, detail, "hedge-under-way"
+            )
+            self._context.on_capacity_changed(self.service)
+            return
+        self._retry_or_end(outcome, detail)
+
+    def _note_failed_attempt(
+        self, outcome: AttemptOutcome, detail: str, *, is_fault: bool = True
     ) -> None:
         self._timers.end_attempt()
         self._hedge_timer.disarm()
-        now = self._task.now()
         view = self._upstream
         if view is not None:
             view.remove_call(self.call_id)
             is_counted = is_fault and outcome is not AttemptOutcome.NOT_RUN
-            if is_counted and view.on_failure(now):
+            if is_counted and view.on_failure(self._task.now()):
                 self._context.count("upstream.ejected", service=self.service)
         if outcome is not AttemptOutcome.NOT_RUN:
             self._may_have_run = True
         self.record.attempt_failures.append(detail)
-        if self._hedge is not None:
-            self._unanswered = (outcome, detail)
-            self._context.log.attempt_failed(
-                self, outcome.value, detail, "hedge-under-way"
-            )
-            self._context.on_capacity_changed(self.service)
-            return
-        self._retry_or_end(outcome, detail)
 
-    def _retry_or_end(self, outcome: AttemptOutcome, detail: str) -> None:
-        inputs = RetryInput(
+    def _make_retry_input(self, outcome: AttemptOutcome) -> RetryInput:
+        return RetryInput(
             outcome=outcome,
             is_retry_safe=self.route.is_retry_safe,
             attempts=self._attempts,
@@ -516,6 +524,9 @@
             remaining_s=self._timeout_at - self._task.now(),
             is_position_known=self._stream.is_position_known,
         )
+
+    def _retry_or_end(self, outcome: AttemptOutcome, detail: str) -> None:
+        inputs = self._make_retry_input(outcome)
         refusal = find_retry_refusal(inputs) or self._context.acquire_retry(self)
         self._context.log.attempt_failed(
             self, outcome.value, detail, refusal or "sent-again"
@@ -640,6 +651,9 @@
     def _on_stall(self) -> None:
         if self._is_done or self._upstream_connection is None:
             return
+        if self._stream.is_begun:
+            self._replace_or_await()
+            return
         self._cancel_attempt()
         view, now = self._upstream, self._task.now()
         if view is not None and self._is_stream():
@@ -648,5 +662,29 @@
         # An upstream that stated that it is slow is not counted as failed.
         is_slow = view is not None and not self._is_stream() and view.may_be_slow(now)
         self._on_attempt_failed(
-            AttemptOutcome.UNKNOWN, "silent upstream", is_fault=not is_slow
+            AttemptOutcome.UNKNOWN, SILENT_UPSTREAM, is_fault=not is_slow
+        )
+
+    def _replace_or_await(self) -> None:
+        """Go on with a silent stream elsewhere, or wait if nothing could go on with it.
+
+        A sound upstream is silent, too, while it reads a preempted request again.
+        """
+        view = self._upstream
+        if view is not None and not self._is_silence_counted:
+            self._is_silence_counted = True
+            view.on_unreachable(self._task.now())
+        pending = self._make_pending()
+        placement = None
+        if find_retry_refusal(self._make_retry_input(AttemptOutcome.UNKNOWN)) is None:
+            placement = self._context.acquire_replacement(self, pending)
+        if placement is None:
+            self._timers.check_silence_again()
+            return
+        self._cancel_attempt()
+        self._note_failed_attempt(AttemptOutcome.UNKNOWN, SILENT_UPSTREAM)
+        self._context.log.attempt_failed(
+            self, AttemptOutcome.UNKNOWN.value, SILENT_UPSTREAM, "sent-again"
         )
+        self.on_placed(placement)
+        self._context.on_capacity_changed(self.service)
--- a/src/bamboolever/daemons/relaycontext.py
+++ b/src/bamboolever/daemons/relaycontext.py
@@ -7,7 +7,7 @@
 
 from bamboolever._task import IoTask
 from bamboolever.calls.buffers import BufferBudget
-from bamboolever.calls.placement import PendingCall
+from bamboolever.calls.placement import PendingCall, Placement
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.daemons.calllog import CallLog
 from bamboolever.daemons.hedges import Hedges
@@ -121,14 +121,23 @@
         It would look the same if the upstream had crashed.
         """
 
+    @abstractmethod
+    def acquire_replacement(
+        self, relay: "CallRelay", pending: PendingCall
+    ) -> Placement | None:
+        """Return where a call goes on whose attempt is silent; None if nowhere now.
+
+        It is counted there and taken from the retry budget.
+        """
+
     @abstractmethod
     def acquire_retry(
-        self, relay: "CallRelay", *, is_hedge: bool = False
+        self, relay: "CallRelay", *, is_under_way: bool = False
     ) -> str | None:
         """Take one retry of the call from its service's budget.
 
         Returns None if the call may be sent again, else the reason why not.
-        ``is_hedge`` is set if it is sent beside an attempt that is under way.
+        ``is_under_way`` is set while an attempt has not ended yet.
         """
 
     @abstractmethod
--- a/src/bamboolever/platform/standins/upstream.py
+++ b/src/bamboolever/platform/standins/upstream.py
@@ -21,6 +21,8 @@
 
 EVENT_GAP_S = 0.01
 EVENT_COUNT = 5
+# A sound engine pauses so long when it has to read a request again.
+PAUSE_S = 1.9
 MODEL = "model-1"
 LAYER_COUNT = 4
 
@@ -33,8 +35,9 @@
     UNSIGNED: with a success without a signature.
     OTHER_ATTEMPT: with another attempt's id. CUT: it closes the connection. MUTE: it
     does not respond. CUT_MID_STREAM: it closes the connection within the third event
-    of a stream. MUTE_MID_STREAM: it sends two events and no more. All but
-    NOT_EXECUTED and RETRY_LATER count as executed.
+    of a stream. MUTE_MID_STREAM: it sends two events and no more. PAUSE_MID_STREAM: it
+    pauses for `PAUSE_S` before the third, or before the first of a resumed stream. All
+    but NOT_EXECUTED and RETRY_LATER count as executed.
     """
 
     SOUND = "sound"
@@ -47,6 +50,7 @@
     CUT_MID_STREAM = "cut-mid-stream"
     MUTE = "mute"
     MUTE_MID_STREAM = "mute-mid-stream"
+    PAUSE_MID_STREAM = "pause-mid-stream"
 
 
 @dataclass
@@ -82,7 +86,8 @@
 
     ``behaviours`` holds the behaviours for the next calls, in order; further calls
     succeed. While ``is_leaving``, responses say so; ``limit`` is the limit that they
-    name. ``extra_headers`` are added to all of them. An order takes ``load_s`` seconds,
+    name. ``extra_headers`` are added to all of them. The events of a stream come
+    ``event_gap_s`` seconds apart. An order takes ``load_s`` seconds,
     during which no calls are executed. A request whose prompt has ``crashing_part``
     among its parts ends the upstream as soon as its response has begun.
     """
@@ -105,6 +110,7 @@
         self._load_s = load_s
         self._is_loading = False
         self.is_leaving = False
+        self.event_gap_s = EVENT_GAP_S
         self.limit: bytes | None = None
         self.extra_headers: tuple[Header, ...] = ()
         self.crashing_part: bytes | None = None
@@ -194,6 +200,11 @@
             self.task.call_later(EVENT_GAP_S, self._crash)
             return
         first = int(request.get(names.LAST_EVENT_ID.lower()) or b"0") + 1
+        if first > 1 and behaviour is Behaviour.PAUSE_MID_STREAM:
+            self.task.call_later(
+                PAUSE_S, lambda: self._send_event(connection, first, Behaviour.SOUND)
+            )
+            return
         self._send_event(connection, first, behaviour)
 
     def _is_crashed_by(self, request: Request) -> bool:
@@ -221,8 +232,11 @@
             connection.finish()
             return
         connection.send(f"id: {number}\ndata: token {number}\n\n".encode())
+        delay_s = self.event_gap_s
+        if number == 2 and behaviour is Behaviour.PAUSE_MID_STREAM:
+            delay_s = PAUSE_S
         self.task.call_later(
-            EVENT_GAP_S, lambda: self._send_event(connection, number + 1, behaviour)
+            delay_s, lambda: self._send_event(connection, number + 1, behaviour)
         )
 
     def _response_headers(self, request: Request) -> list[Header]:
--- a/testing/calls/test_hedging.py
+++ b/testing/calls/test_hedging.py
@@ -166,7 +166,7 @@
     call = make_pending(model=None, tried={"up-0"})
     placement = dispatcher.choose_hedge(call, 0.0)
     assert not views[1].calls
-    dispatcher.assign_hedge(call, placement, 0.0)
+    dispatcher.assign_chosen(call, placement, 0.0)
     assert list(views[1].calls) == [call.call_id]
 
 
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -17,6 +17,12 @@
 settings.load_profile("ci")
 
 
+def pytest_addoption(parser):
+    parser.addoption(
+        "--soak-seeds", type=int, default=10, help="seeds of each soak (default: 10)"
+    )
+
+
 def pytest_collection_modifyitems(items):
     """Run the tests that KNOWN-RED.txt lists, but report a failure as expected.
 
--- a/testing/daemons/test_entry.py
+++ b/testing/daemons/test_entry.py
@@ -193,6 +193,16 @@
     assert [response.body for response in responses] == [ALL_EVENTS] * 3
 
 
+def test_stream_that_pauses_at_sound_upstreams_is_completed(engines, start_entry):
+    """Guards against streams that are cut for the silence of sound upstreams."""
+    entry = start_entry().wait_ready(2)
+    for upstream in engines:
+        upstream.behaviours.append(Behaviour.PAUSE_MID_STREAM)
+    response = entry.call("/stream/1", **make_stream_headers())
+    assert response.is_complete
+    assert response.body == ALL_EVENTS
+
+
 def test_stream_that_cannot_be_resumed_is_aborted(engines, start_entry):
     entry = start_entry().wait_ready(2)
     for upstream in engines:
--- /dev/null
+++ b/testing/daemons/test_soak.py
@@ -0,0 +1,46 @@
+"""Entries as processes under a seeded series of signals, restarts and changes."""
+
+import pytest
+from soak import Soak, find_lost, find_mixed
+
+STEPS = 14
+
+
+def pytest_generate_tests(metafunc):
+    if "seed" in metafunc.fixturenames:
+        metafunc.parametrize("seed", range(metafunc.config.getoption("soak_seeds")))
+
+
+@pytest.fixture
+def start_soak(site, tmp_path):
+    started = []
+
+    def start(seed):
+        for number in (1, 2, 3):
+            site.add_plain_upstream(f"plain-{number}")
+            site.add_engine(f"engine-{number}", f"127.0.0.{number + 1}")
+        started.append(Soak(site, tmp_path, seed))
+        return started[-1]
+
+    yield start
+    for soak in started:
+        soak.close()
+
+
+def _list_executed(site):
+    return [
+        attempt.decode()
+        for upstream in site.upstreams.values()
+        for attempt in upstream.list_executed_attempts()
+    ]
+
+
+def test_no_request_is_lost_or_answered_twice(site, start_soak, seed):
+    soak = start_soak(seed)
+    outcomes = soak.run(STEPS)
+    executed = _list_executed(site)
+    assert sum(each.status == 200 for each in outcomes) > 0
+    assert find_lost(outcomes, soak, set(executed)) == []
+    assert find_mixed(outcomes) == []
+    orders = {each.attempt for each in outcomes if each.path.startswith("/orders/")}
+    assert [each for each in orders if executed.count(each) > 1] == []
--- a/testing/plainreplay.py
+++ b/testing/plainreplay.py
@@ -213,7 +213,7 @@
         placement = dispatcher.choose_hedge(pending, now)
         if isinstance(placement, Placement):
             hedging.take_token()
-            dispatcher.assign_hedge(pending, placement, now)
+            dispatcher.assign_chosen(pending, placement, now)
             self.hedges += 1
             self._send(now, request, placement)
 
