Responses without end share a budget in agents, too

Cause: agents bounded each response (16 MiB) and not all of them; a cancelled timer kept its callback, and with it the body, until it would have been due; a body was one growing array, which leaves holes in the memory.

Change: net.buffers keeps bodies in blocks from a budget that all exchanges of a pool share; reports and answers to orders have small limits; a cancelled timer releases its callback. The product's own agent and platform client get limits as well.

Why it works: what is buffered is bounded where it enters, whoever sends it and to how many.

--- a/src/bamboolever/_platform.py
+++ b/src/bamboolever/_platform.py
@@ -14,10 +14,12 @@
 from dataclasses import dataclass
 from typing import Any, final
 
+from bamboolever._httpbody import read_body
 from bamboolever._ratelimit import TokenBucket
 
 MAX_VALUE_BYTES = 10**6
 MAX_WRITE_ATTEMPTS = 3
+MAX_RESPONSE_BYTES = 64 * 2**20
 
 
 class PlatformError(Exception):
@@ -307,7 +309,7 @@
         try:
             connection.request(method, path, body=value or None)
             response = connection.getresponse()
-            body = json.loads(response.read() or b"null")
+            body = json.loads(read_body(response, MAX_RESPONSE_BYTES) or b"null")
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise WriteAmbiguous(f"{method} {path}: {error}") from error
         finally:
--- a/src/bamboolever/_task.py
+++ b/src/bamboolever/_task.py
@@ -36,12 +36,11 @@
 
     due_at: float
     sequence: int
-    callback: Callable[[], None] = field(compare=False)
-    is_cancelled: bool = field(default=False, compare=False)
+    callback: Callable[[], None] | None = field(compare=False)
 
     def cancel(self) -> None:
-        """Prevent the callback from being called."""
-        self.is_cancelled = True
+        """Prevent the callback from being called, and release what it holds."""
+        self.callback = None
 
 
 class IoTask:
@@ -186,7 +185,7 @@
         now = self.now()
         while self._timers and self._timers[0].due_at <= now:
             timer = heapq.heappop(self._timers)
-            if not timer.is_cancelled:
+            if timer.callback is not None:
                 self._run_callback(timer.callback)
 
     def _run_callback(self, callback: Callable[[], None]) -> None:
--- a/src/bamboolever/_upstream.py
+++ b/src/bamboolever/_upstream.py
@@ -15,6 +15,7 @@
 CONNECT_TIMEOUT_S = 2.0
 ORDER_TIMEOUT_S = 600.0
 MAX_RESPONSE_BYTES = 8 * 2**20
+MAX_EVENT_BYTES = 2**20
 TERMINAL_EVENT = b"data: [DONE]"
 
 
@@ -247,16 +248,18 @@
 
 
 def _relay_events(response: http.client.HTTPResponse, sink: ResponseSink) -> bool:
-    event = b""
-    while line := response.readline(MAX_RESPONSE_BYTES):
+    event = bytearray()
+    while line := response.readline(MAX_EVENT_BYTES):
         event += line
+        if len(event) > MAX_EVENT_BYTES:
+            raise UpstreamBroken("an event is over the size limit")
         if line.strip():
             continue
         if event.startswith(TERMINAL_EVENT):
             return True
         if event.strip():
-            sink.on_piece(event)
-        event = b""
+            sink.on_piece(bytes(event))
+        event.clear()
     return False
 
 
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -38,6 +38,7 @@
 from bamboolever.fleet.upstreams import UpstreamList
 from bamboolever.fleet.versions import VersionRollouts
 from bamboolever.net.addresses import Address
+from bamboolever.net.buffers import BufferBudget
 from bamboolever.net.client import ConnectionPool
 from bamboolever.net.datagrams import DatagramSocket
 from bamboolever.net.exchange import ExchangeFailure
@@ -62,6 +63,7 @@
 SWITCHING_REPORT_INTERVAL_S = 0.05
 # The engine is on the same machine: no response means that it does not run.
 REPORT_TIMEOUT_S = 0.5
+MAX_REPORT_BYTES = 2**20
 LIST_REFRESH_INTERVAL_S = 2.0
 # A transfer starts without the list of agents if the store has not sent it by then.
 PEER_LIST_TIMEOUT_S = 3.0
@@ -79,7 +81,10 @@
         self.task = IoTask("agent", clock=boottime_clock)
         self.telemetry = Telemetry("agent")
         self.pool = ConnectionPool(
-            self.task, connect_timeout_s=CONNECT_TIMEOUT_S, max_idle_s=MAX_IDLE_S
+            self.task,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            max_idle_s=MAX_IDLE_S,
+            buffers=BufferBudget.from_memory(settings.memory_bytes),
         )
         self._store_pool = ConnectionPool(
             self.task,
@@ -351,6 +356,7 @@
             wire.report_request(self._engine_address),
             self._on_report,
             timeout_s=REPORT_TIMEOUT_S,
+            max_bytes=MAX_REPORT_BYTES,
         )
 
     def _on_report(self, result: FetchResult) -> None:
--- a/src/bamboolever/daemons/eventstream.py
+++ b/src/bamboolever/daemons/eventstream.py
@@ -2,8 +2,8 @@
 
 from typing import final
 
-from bamboolever.calls.buffers import BufferBudget
 from bamboolever.calls.events import EventBatch, EventSplitter
+from bamboolever.net.buffers import BufferBudget
 from bamboolever.net.messages import BodyFraming, ResponseHead
 from bamboolever.net.numbers import parse_whole_number
 from bamboolever.net.server import ServerConnection
--- a/src/bamboolever/daemons/hedgedattempt.py
+++ b/src/bamboolever/daemons/hedgedattempt.py
@@ -15,8 +15,8 @@
 from bamboolever.calls.stall import find_stall_timeout_s
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.daemons.relaycontext import RelayContext
-from bamboolever.daemons.responsebuffer import ResponseBuffer
 from bamboolever.daemons.responsefacts import may_be_of_another_request, note_response
+from bamboolever.net.buffers import ResponseBuffer
 from bamboolever.net.client import ClientConnection
 from bamboolever.net.exchange import ExchangeFailure, FailureKind, ResponseHandler
 from bamboolever.net.messages import BodyFraming, Request, ResponseHead
@@ -64,7 +64,7 @@
 
     def _release(self) -> None:
         self._stall_timer.disarm()
-        self._body.take()
+        self._body.clear()
         self.view.remove_call(self._relay.call_id)
         self._context.on_capacity_changed(self._relay.service)
 
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -20,7 +20,6 @@
 from bamboolever._retry import RetryBudget
 from bamboolever._task import IoTask, Timer
 from bamboolever._telemetry import Telemetry
-from bamboolever.calls.buffers import BufferBudget
 from bamboolever.calls.dispatcher import (
     Assignment,
     Decision,
@@ -41,6 +40,7 @@
 from bamboolever.daemons.relay import CallRelay
 from bamboolever.daemons.relaycontext import RelayContext
 from bamboolever.daemons.settings import InstanceSettings
+from bamboolever.net.buffers import BufferBudget
 from bamboolever.net.client import ConnectionPool
 from bamboolever.net.server import ServerConnection
 
--- a/src/bamboolever/daemons/loader.py
+++ b/src/bamboolever/daemons/loader.py
@@ -40,6 +40,7 @@
 # The engine is on the same machine. An order without a response may have been accepted,
 # which its reports show.
 ORDER_TIMEOUT_S = 1.0
+MAX_ORDER_RESPONSE_BYTES = 64 * 2**10
 # Pause after an order that the engine refused or did not respond to.
 ORDER_RETRY_S = 0.2
 # Pause after an accepted order until it may be repeated.
@@ -361,6 +362,7 @@
             request,
             self._on_ordered,
             timeout_s=ORDER_TIMEOUT_S,
+            max_bytes=MAX_ORDER_RESPONSE_BYTES,
         )
 
     def _on_ordered(self, result: FetchResult) -> None:
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -46,8 +46,8 @@
     respond_timed_out,
 )
 from bamboolever.daemons.relaycontext import CallRecord, RelayContext
-from bamboolever.daemons.responsebuffer import ResponseBuffer
 from bamboolever.daemons.responsefacts import may_be_of_another_request, note_response
+from bamboolever.net.buffers import ResponseBuffer
 from bamboolever.net.client import ClientConnection
 from bamboolever.net.exchange import ExchangeFailure, FailureKind, ResponseHandler
 from bamboolever.net.messages import BodyFraming, Request, ResponseHead
@@ -152,7 +152,7 @@
         self._response_head = None
         self.record.body_framing = None
         self._attempt_outcome = None
-        self._response_body.take()
+        self._response_body.clear()
         self._stream.begin_attempt()
         request = wire.forward_request(
             self._request, self._build_upstream_headers(view)
@@ -278,7 +278,7 @@
         self._timers.on_progress()
         overflow = self._response_body.add(data)
         if overflow is not None:
-            self._response_body.take()
+            self._response_body.clear()
             self._fail_attempt(overflow)
 
     def on_end(self) -> None:
@@ -600,7 +600,7 @@
         self._timers.end_attempt()
         self._hedge_timer.disarm()
         self._end_hedge("lost" if outcome == "served" else "cancelled")
-        self._response_body.take()
+        self._response_body.clear()
         self._stream.release()
         if self._upstream is not None:
             self._upstream.remove_call(self.call_id)
--- a/src/bamboolever/daemons/relaycontext.py
+++ b/src/bamboolever/daemons/relaycontext.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 
 from bamboolever._task import IoTask
-from bamboolever.calls.buffers import BufferBudget
 from bamboolever.calls.placement import PendingCall, Placement
 from bamboolever.calls.upstream import UpstreamView
 from bamboolever.daemons.calllog import CallLog
 from bamboolever.daemons.hedges import Hedges
+from bamboolever.net.buffers import BufferBudget
 from bamboolever.net.client import ConnectionPool
 from bamboolever.net.messages import BodyFraming
 
--- a/src/bamboolever/net/client.py
+++ b/src/bamboolever/net/client.py
@@ -12,6 +12,7 @@
 
 from bamboolever._task import READ, WRITE, IoTask, Timer
 from bamboolever.net.addresses import Address
+from bamboolever.net.buffers import BufferBudget
 from bamboolever.net.exchange import ExchangeFailure, FailureKind, ResponseHandler
 from bamboolever.net.messages import Request, ResponseHead
 from bamboolever.net.sockets import start_connecting
@@ -298,11 +299,20 @@
 
     An idle connection is reused for up to ``max_idle_s`` seconds, or up to half the
     keep-alive timeout that its server announced if that is shorter.
-    ``opened_connections`` counts the connections opened so far.
+    ``opened_connections`` counts the connections opened so far. ``buffers`` bounds the
+    responses that are buffered together; without it, each has only its own limit.
     """
 
-    def __init__(self, task: IoTask, *, connect_timeout_s: float, max_idle_s: float):
+    def __init__(
+        self,
+        task: IoTask,
+        *,
+        connect_timeout_s: float,
+        max_idle_s: float,
+        buffers: BufferBudget | None = None,
+    ):
         self.task = task
+        self.buffers = buffers or BufferBudget()
         self.connect_timeout_s = connect_timeout_s
         self._max_idle_s = max_idle_s
         self._idle: dict[Address, list[ClientConnection]] = {}
--- a/testing/daemons/test_endless.py
+++ b/testing/daemons/test_endless.py
@@ -1,19 +1,34 @@
 """Responses whose bytes do not end, or that stop in the middle, do not hold a call."""
 
+import http.client
+import threading
+
 import pytest
+from processes import DaemonProcess
 from rawserver import Endless
 from rawupstream import RawUpstream, signed
-from sitebuilders import make_stream_headers
+from sitebuilders import (
+    WAIT_S,
+    make_headers,
+    make_stream_headers,
+    read_response,
+    wait_for,
+)
 
 from bamboolever.calls import stall
-from bamboolever.calls.buffers import BufferBudget
 from bamboolever.daemons import relay
+from bamboolever.net.buffers import BufferBudget
 
 EVENTS = [f"id: {n}\ndata: token {n}\n\n".encode() for n in range(1, 6)]
 NOT_EXECUTED = b"Bamboolever-Not-Executed: 1"
 DRIP_GAP_S = 0.02
 NEVER_S = 600.0
 MIB = 2**20
+OK_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
+AGENT_MEMORY_MB = 100
+ENTRY_MEMORY_MB = 150
+ENDLESS_CALLS = 80
+REPORTS = 12
 
 
 def _call_stream(entry):
@@ -97,3 +112,62 @@
     assert [entry.call("/orders/1").status for _ in range(3)] == [502] * 3
     assert all("budget" in detail for detail in details)
     assert budget.used_bytes == 0
+
+
+@pytest.fixture
+def start_process(tmp_path):
+    started = []
+
+    def start(document, role, memory_mb):
+        document["limits"]["memoryMb"] = memory_mb
+        started.append(DaemonProcess(document, tmp_path / "settings.json", role))
+        return started[-1]
+
+    yield start
+    for process in started:
+        process.kill()
+
+
+def test_agent_keeps_to_its_memory_while_its_engine_sends_without_end(
+    site, start_process
+):
+    """Guards against an agent that ends as it keeps what its engine sends."""
+    engine = RawUpstream(site, "endless", [OK_HEAD, Endless(b"x" * 65536)])
+    document = site.make_settings(name="agent", host="127.0.0.1", upstream=engine)
+    agent = start_process(document, "agent", AGENT_MEMORY_MB)
+    wait_for(lambda: len(engine.requests) >= REPORTS)
+    assert agent.peak_memory_bytes() < AGENT_MEMORY_MB * MIB
+
+
+def test_entry_serves_others_while_an_upstream_sends_without_end(site, start_process):
+    """Guards against an entry that ends, with the calls of all its callers."""
+    script = [signed(b""), Endless(b"x" * 65536)]
+    RawUpstream(site, "endless", script, is_engine=False)
+    site.add_engine("engine-1", "127.0.0.2")
+    document = site.make_settings(name="entry", host="127.0.0.1")
+    entry = start_process(document, "entry", ENTRY_MEMORY_MB)
+    host, _, port = document["listenAddresses"]["frontend"].rpartition(":")
+
+    def call(path, headers):
+        connection = http.client.HTTPConnection(host, int(port), timeout=WAIT_S)
+        connection.request("POST", path, b"body", headers)
+        return read_response(connection)
+
+    def stream():
+        try:
+            return call("/stream/1", make_headers(**make_stream_headers()))
+        except ConnectionRefusedError:
+            return None
+
+    wait_for(lambda: (response := stream()) and response.status == 200)
+    callers = [
+        threading.Thread(target=call, args=("/orders/1", make_headers()))
+        for _ in range(ENDLESS_CALLS)
+    ]
+    for caller in callers:
+        caller.start()
+    responses = [stream() for _ in range(20)]
+    for caller in callers:
+        caller.join()
+    assert all(each.body == b"".join(EVENTS) for each in responses)
+    assert entry.peak_memory_bytes() < ENTRY_MEMORY_MB * MIB
--- a/testing/daemons/test_slowcallers.py
+++ b/testing/daemons/test_slowcallers.py
@@ -15,7 +15,7 @@
 )
 
 from bamboolever.calls import stall
-from bamboolever.calls.buffers import BufferBudget
+from bamboolever.net.buffers import BufferBudget
 
 MIB = 2**20
 # A quarter of this is the bound for an entry.
--- a/testing/manualtask.py
+++ b/testing/manualtask.py
@@ -5,6 +5,7 @@
 import json
 from urllib.parse import parse_qs, urlsplit
 
+from bamboolever.net.buffers import BufferBudget
 from bamboolever.net.messages import ResponseHead
 
 # Size of the parts in which a `SlowStore` sends a body.
@@ -50,6 +51,7 @@
 
     def __init__(self, task):
         self.task = task
+        self.buffers = BufferBudget()
         self.requests = []
         self.sent = []
 
--- a/testing/net/test_client.py
+++ b/testing/net/test_client.py
@@ -213,3 +213,42 @@
 def test_keep_alive_timeout_is_parsed(value, expected):
     headers = () if value is None else ((b"Keep-Alive", value),)
     assert parse_keep_alive_timeout(ResponseHead(200, headers)) == expected
+
+
+OK_HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED_HEAD = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("begin", "endless"),
+    [
+        (b"", b"x" * 4096),
+        (b"", b"\r\n" * 2048),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+        (b"HTTP/1.1 200 ", b"x" * 4096),
+        (OK_HEAD + b"X-Long: ", b"x" * 4096),
+        (OK_HEAD, b"X-Many: 1\r\n" * 400),
+        (OK_HEAD + b"X-Folded: 1\r\n", b" 2\r\n" * 1000),
+        (CHUNKED_HEAD, b"0" * 4096),
+        (CHUNKED_HEAD + b"4;", b"x" * 4096),
+        (CHUNKED_HEAD + b"0\r\n", b"X-Trailer: 1\r\n" * 300),
+    ],
+    ids=[
+        "no-response",
+        "blank-lines",
+        "informational",
+        "status-line",
+        "header",
+        "headers",
+        "folded",
+        "chunk-size",
+        "chunk-extension",
+        "trailers",
+    ],
+)
+def test_head_without_end_is_a_failure(pool, begin, endless):
+    """Guards against bytes that are no response and use up the memory."""
+    server = RawServer([begin, Endless(endless)])
+    _handler, failure = _exchange(pool, server.address)
+    assert failure.kind is FailureKind.MALFORMED
+    assert server.closed_by_client.wait(TIMEOUT_S)
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -6,16 +6,13 @@
 
 import http.client
 import itertools
-import json
-import os
 import random
 import signal
-import subprocess
-import sys
 import threading
 import time
 from dataclasses import dataclass, field
 
+from processes import DaemonProcess
 from sitebuilders import make_headers, make_stream_headers, wait_for
 
 from bamboolever.platform.standins.upstream import EVENT_COUNT, Behaviour
@@ -69,27 +66,23 @@
     path: object
     spans: list[Span] = field(default_factory=list)
     stops: list[float] = field(default_factory=list)
-    popen: subprocess.Popen | None = None
+    process: DaemonProcess | None = None
 
     @property
     def name(self):
         return self.document["nodeName"]
 
+    @property
+    def is_running(self):
+        return self.process is not None and self.process.is_running
+
     def start(self):
-        self.path.write_text(json.dumps(self.document))
-        with self.path.with_suffix(".log").open("ab") as log:
-            self.popen = subprocess.Popen(
-                [sys.executable, "-m", "bamboolever.daemons", "entry"],
-                env={**os.environ, "BAMBOOLEVER_NODE_FILE": str(self.path)},
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
+        self.process = DaemonProcess(self.document, self.path, "entry")
 
     def kill(self):
         # The span begins before the signal: what ends earlier was not killed.
         self.spans.append(Span(time.monotonic()))
-        self.popen.kill()
-        self.popen.wait()
+        self.process.kill()
 
     def connect(self):
         host, _, port = self.document["listenAddresses"]["frontend"].rpartition(":")
@@ -221,16 +214,15 @@
         """End all processes."""
         self._stopped.set()
         for entry in self.entries:
-            if entry.popen is not None and entry.popen.poll() is None:
-                entry.popen.kill()
-                entry.popen.wait()
+            if entry.is_running:
+                entry.process.kill()
 
     def _note(self, text):
         self.notes.append((time.monotonic(), text))
 
     def _restart_ended(self):
         for entry in self.entries:
-            if entry.popen.poll() is not None:
+            if not entry.is_running:
                 entry.start()
 
     def _change_configuration(self):
@@ -241,15 +233,15 @@
 
     def _stop(self):
         entry = self._rng.choice(self.entries)
-        if entry.popen.poll() is None:
+        if entry.is_running:
             entry.stops.append(time.monotonic())
-            entry.popen.send_signal(signal.SIGTERM)
+            entry.process.signal(signal.SIGTERM)
             self._note(f"SIGTERM {entry.name}")
 
     def _reload(self):
         entry = self._rng.choice(self.entries)
-        if entry.popen.poll() is None and entry.is_ready():
-            entry.popen.send_signal(signal.SIGHUP)
+        if entry.is_running and entry.is_ready():
+            entry.process.signal(signal.SIGHUP)
             self._note(f"SIGHUP {entry.name}")
 
     def _kill(self):
@@ -260,13 +252,13 @@
 
     def _freeze(self):
         entry = self._rng.choice(self.entries)
-        if entry.popen.poll() is not None:
+        if not entry.is_running:
             return
         span = Span(time.monotonic())
         entry.spans.append(span)
-        entry.popen.send_signal(signal.SIGSTOP)
+        entry.process.signal(signal.SIGSTOP)
         self._never_set.wait(self._rng.uniform(0.0, MAX_PAUSE_S))
-        entry.popen.send_signal(signal.SIGCONT)
+        entry.process.signal(signal.SIGCONT)
         span.until = time.monotonic()
         self._note(f"SIGSTOP {entry.name}")
 
--- a/testing/swarmreplay.py
+++ b/testing/swarmreplay.py
@@ -5,7 +5,7 @@
 """
 
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
 from manualtask import ManualConnection, ManualTask
@@ -13,6 +13,7 @@
 from bamboolever.config.model import WeightOrigin
 from bamboolever.daemons.swarm import SwarmMember
 from bamboolever.net.addresses import Address
+from bamboolever.net.buffers import BufferBudget
 from bamboolever.net.messages import ResponseHead
 from bamboolever.platform.weights import PieceDigests
 from bamboolever.weights.groups import group_number
@@ -59,6 +60,7 @@
 
     replay: "SwarmReplay"
     own: Address
+    buffers: BufferBudget = field(default_factory=BufferBudget)
 
     @property
     def task(self):
--- a/testing/test_httpupstream.py
+++ b/testing/test_httpupstream.py
@@ -1,7 +1,7 @@
 """The agent's HTTP client of an upstream, with responses that break off."""
 
 import pytest
-from rawserver import RawServer, make_response
+from rawserver import Endless, RawServer, make_response
 
 from bamboolever._origin import HttpOrigin, OriginError
 from bamboolever._upstream import (
@@ -61,3 +61,11 @@
     server = RawServer([make_response(b"whole")[:-2], "close"])
     with pytest.raises(OriginError):
         HttpOrigin(_url(server)).read_chunk("digest", 5)
+
+
+def test_event_without_end_is_an_error():
+    """Guards against an agent that keeps all lines of an event that does not end."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+    server = RawServer([head, Endless(b"data: x\n" * 8192)])
+    with pytest.raises(UpstreamBroken, match="size limit"):
+        HttpUpstream(_url(server)).relay(CALL, RecordingSink())
