Test doubles of a connection pool have the budget of its responses

Change: the double has one. Measured: testing/config, weights, fleet, calls, net, platform and the modules of the product's own interface pass again.

--- a/testing/manualtask.py
+++ b/testing/manualtask.py
@@ -102,6 +102,7 @@
 
     def __init__(self, task, *, response_s, bytes_per_s=1e9):
         self.task = task
+        self.buffers = BufferBudget()
         self.response_s = response_s
         self.bytes_per_s = bytes_per_s
         self.is_cut = False
