--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -23,6 +23,10 @@
 from bamboolever.platform.store import StoredDocument
 
 WAIT_S = 2.0
+LONG_WAIT_S = 20.0
+# A store counts as stable so long after an outage; changes are due this much later.
+STABLE_S = 3.0
+CHANGE_BOUND_S = 2.0
 
 
 class Recorder(KindObserver):
@@ -374,7 +378,7 @@
 LINK_BYTES_PER_S = 800_000
 
 
-def _watch_at(store, kind="a", group=None):
+def _watch_at(store, kind="a", group=None, wait_s=WAIT_S):
     recorder = Recorder()
     watch = KindWatch(
         store.task,
@@ -382,7 +386,7 @@
         lambda: Address("127.0.0.1", 7000),
         kind,
         recorder,
-        WatchTiming(WAIT_S),
+        WatchTiming(wait_s),
         group=group or WatchGroup(),
     )
     recorder.watch = watch
@@ -453,6 +457,28 @@
     assert len(store.in_flight) == 1
 
 
+@pytest.mark.parametrize("lost_s", [0.0, 0.3, 1.0])
+@pytest.mark.parametrize("silent_s", [1.0, 2.1, 3.3, 4.4, 6.0, 9.0])
+def test_changes_after_a_silent_outage_are_seen_whichever_calls_it_lost(
+    task, silent_s, lost_s
+):
+    """Guards against waiting for a call that was sent as an outage began or ended."""
+    store = SlowStore(task, response_s=0.02)
+    group = WatchGroup()
+    watches = [
+        _watch_at(store, kind, group, wait_s)
+        for kind, wait_s in (("a", WAIT_S), ("b", LONG_WAIT_S))
+    ]
+    task.advance(5.4)
+    store.fall_silent()
+    task.advance(silent_s)
+    store.come_back(lost_s)
+    task.advance(STABLE_S)
+    store.put("x")
+    task.advance(CHANGE_BOUND_S)
+    assert [each.changed_names for each in watches] == [["x"], ["x"]]
+
+
 def test_store_that_is_slow_as_a_rule_is_not_called_more_often(task):
     store = SlowStore(task, response_s=3.0)
     recorder = _watch_at(store)
--- a/testing/manualtask.py
+++ b/testing/manualtask.py
@@ -110,6 +110,7 @@
         self.calls = []
         self.sent_bytes = 0
         self._link_free_at = 0.0
+        self._held = None
         self._events = []
         self._waiting = []
 
@@ -127,22 +128,38 @@
         target = request.target.decode()
         call = StoreCall(target, handler)
         self.calls.append(call)
-        if self.is_cut:
-            return call
-        query = parse_qs(urlsplit(target).query)
+        if self._held is not None:
+            self._held.append((self.task.now(), call))
+        elif not self.is_cut:
+            self._receive(call)
+        return call
+
+    def fall_silent(self):
+        """Lose the watches that wait, and hold the calls that come."""
+        self._waiting = []
+        self._held = []
+
+    def come_back(self, lost_s):
+        """Answer the calls of the silence, but lose those of its last ``lost_s``."""
+        held, self._held = self._held, None
+        for sent_at, call in held:
+            if not call.is_cancelled and sent_at < self.task.now() - lost_s:
+                self._receive(call)
+
+    def _receive(self, call):
+        query = parse_qs(urlsplit(call.target).query)
         if "watch" not in query:
             newest = {each["object"]["metadata"]["name"]: each for each in self._events}
             items = [event["object"] for event in newest.values()]
             self._answer(call, {"items": items, "at": self.revision})
-            return call
+            return
         after = int(query["watch"][0])
         if after < self.revision:
             self._answer_watch(call, after)
-            return call
+            return
         self._waiting.append((call, after))
         wait_s = int(query["waitMs"][0]) / 1000
         self.task.call_later(wait_s, lambda: self._end_wait(call, after))
-        return call
 
     @property
     def in_flight(self):
