A planned stop waits for callers that read their responses

Cause: a stop waited for calls without an outcome, and a call has one as soon as its response is in the connection's buffer; the connection then counted as idle, and its bytes were dropped.

Change: a connection with unread bytes is not idle, and a stop waits for it within the grace period; the line "stopped" says whether a response was cut.

Why it works: what ends a stop is that callers have their answers, not that they were handed on.

--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -87,6 +87,7 @@
 RESERVED_FDS = 328
 # The load balancer still sends new connections for this long after a stop request.
 LOAD_BALANCER_DELAY_S = 3.0
+STOP_CHECK_INTERVAL_S = 0.1
 # Taken off the grace period, after which the platform ends the process.
 STOP_MARGIN_S = 0.7
 
@@ -543,8 +544,8 @@
     def request_stop(self) -> None:
         """Start a graceful stop; call on the task's thread.
 
-        The entry is unready at once. It stops when no call is in flight, or when the
-        grace period ends.
+        The entry is unready at once. It stops when no call is in flight and callers
+        have read their responses, or when the grace period ends.
         """
         if self._is_stopping:
             return
@@ -560,10 +561,17 @@
 
     def _finish_stop(self) -> None:
         self._caller_server.close_idle()
-        if self.calls.in_flight and self._remaining_grace_s() > 0:
-            self.task.call_later(0.1, self._finish_stop)
+        is_busy = self.calls.in_flight > 0 or self._caller_server.is_sending
+        if is_busy and self._remaining_grace_s() > 0:
+            self.task.call_later(STOP_CHECK_INTERVAL_S, self._finish_stop)
             return
-        logger.info("stopped", extra={"cut": self.calls.in_flight})
+        logger.info(
+            "stopped",
+            extra={
+                "cut": self.calls.in_flight,
+                "is_response_cut": self._caller_server.is_sending,
+            },
+        )
         self.task.stop()
 
     def apply_settings(self, settings: InstanceSettings) -> None:
--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -414,10 +414,18 @@
         """Add ``Connection: close`` to every response from now on."""
         self.is_stopping = True
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether a caller has not read all of its complete response yet."""
+        return any(
+            connection.queued_bytes and not connection.is_response_due
+            for connection in self._connections
+        )
+
     def close_idle(self) -> None:
-        """Close every connection on which no response is due."""
+        """Close every connection on which no response is due or being read."""
         for connection in list(self._connections):
-            if not connection.is_response_due:
+            if not connection.is_response_due and not connection.queued_bytes:
                 connection.close()
 
     def stop_listening(self) -> None:
--- a/testing/daemons/test_slowcallers.py
+++ b/testing/daemons/test_slowcallers.py
@@ -15,6 +15,7 @@
 )
 
 from bamboolever.calls import stall
+from bamboolever.daemons import entry as entry_module
 from bamboolever.net.buffers import BufferBudget
 
 MIB = 2**20
@@ -220,3 +221,24 @@
     assert 0 < budget.used_bytes <= MIB
     first.close()
     wait_for(lambda: budget.used_bytes == 0)
+
+
+def test_graceful_stop_waits_for_callers_that_read_their_responses(
+    site, start_entry, make_caller, monkeypatch
+):
+    """Guards against responses that are cut at a stop with time left to read them."""
+    script = [_response_of(BODY_BYTES)]
+    RawUpstream(site, "large", script, is_engine=False)
+    entry = start_entry().wait_ready(1)
+    ended = _record_ended(entry)
+    caller = make_caller(entry)
+    caller.send("/orders/1")
+    wait_for(lambda: ended == ["served"])
+    passed = threading.Event()
+    monkeypatch.setattr(entry_module, "LOAD_BALANCER_DELAY_S", 0.0)
+    entry.entry.task.send(entry.entry.request_stop)
+    wait_for(lambda: not entry.entry.is_ready())
+    entry.entry.task.send(passed.set)
+    assert passed.wait(WAIT_S)
+    caller.read_body(BODY_BYTES)
+    wait_for(lambda: not _connections(entry))
