--- a/testing/net/test_timers.py
+++ b/testing/net/test_timers.py
@@ -1,5 +1,7 @@
 """A timer that is armed repeatedly."""
 
+import weakref
+
 import pytest
 from sitebuilders import wait_for
 
@@ -53,3 +55,20 @@
         timer.arm(0.001, rearm)
 
     assert _run(task, steps) == ["again"] * 3
+
+
+def test_cancelled_timer_releases_what_it_held():
+    """Guards against requests that stay in memory until their time limit."""
+
+    class Held:
+        def act(self):
+            pass
+
+    held = Held()
+    reference = weakref.ref(held)
+    task = IoTask("test")
+    timer = task.call_later(60.0, held.act)
+    del held
+    assert reference() is not None
+    timer.cancel()
+    assert reference() is None
