--- a/testing/daemons/test_soak.py
+++ b/testing/daemons/test_soak.py
@@ -40,7 +40,7 @@
     outcomes = soak.run(STEPS)
     executed = _list_executed(site)
     assert sum(each.status == 200 for each in outcomes) > 0
-    assert find_lost(outcomes, soak, set(executed)) == []
+    assert find_lost(outcomes, soak, set(executed)) == [], soak.notes
     assert find_mixed(outcomes) == []
     orders = {each.attempt for each in outcomes if each.path.startswith("/orders/")}
     assert [each for each in orders if executed.count(each) > 1] == []
