--- a/testing/daemons/test_storecell.py
+++ b/testing/daemons/test_storecell.py
@@ -13,6 +13,7 @@
 from bamboolever.fleet.messages import EntryLoad, StoreUpdate
 from bamboolever.fleet.peers import PeerLoads
 from bamboolever.net.addresses import Address
+from bamboolever.net.buffers import BufferBudget
 from bamboolever.net.messages import ResponseHead
 
 CONFIGURATION_TIMEOUT_S = 3.0
@@ -116,6 +117,7 @@
 
     def __init__(self, size, refused=0):
         self.task = ManualTask()
+        self.buffers = BufferBudget()
         self.store = SlowStore(self.task, response_s=0.02, bytes_per_s=LINK_BYTES_PER_S)
         self.nowhere = SlowStore(self.task, response_s=0.02)
         self.store.put("main", 1000)
