--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -66,7 +66,8 @@
 from bamboolever.net.client import ConnectionPool
 from bamboolever.net.handlers import HttpLimits, RequestHandler
 from bamboolever.net.messages import Header, Request
-from bamboolever.net.server import HttpServer, ServerConnection
+from bamboolever.net.server import HttpServer
+from bamboolever.net.serverconnection import ServerConnection
 from bamboolever.platform import calls as wire
 from bamboolever.platform import names
 from bamboolever.platform.where import MAX_QUESTION_BYTES
--- a/src/bamboolever/daemons/eventstream.py
+++ b/src/bamboolever/daemons/eventstream.py
@@ -6,7 +6,7 @@
 from bamboolever.net.buffers import BufferBudget
 from bamboolever.net.messages import BodyFraming, ResponseHead
 from bamboolever.net.numbers import parse_whole_number
-from bamboolever.net.server import ServerConnection
+from bamboolever.net.serverconnection import ServerConnection
 from bamboolever.platform import calls as wire
 
 MAX_EVENT_BYTES = 2**20
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -42,7 +42,7 @@
 from bamboolever.daemons.settings import InstanceSettings
 from bamboolever.net.buffers import BufferBudget
 from bamboolever.net.client import ConnectionPool
-from bamboolever.net.server import ServerConnection
+from bamboolever.net.serverconnection import ServerConnection
 
 logger = logging.getLogger(__name__)
 
--- a/src/bamboolever/daemons/manifestfetch.py
+++ b/src/bamboolever/daemons/manifestfetch.py
@@ -18,7 +18,7 @@
 from bamboolever.net.fetch import Fetch, FetchResult
 from bamboolever.net.messages import Request
 from bamboolever.net.numbers import parse_whole_number
-from bamboolever.net.server import ServerConnection
+from bamboolever.net.serverconnection import ServerConnection
 from bamboolever.platform import weights as wire
 from bamboolever.platform.errors import AdapterError
 from bamboolever.platform.weights import PieceDigests
--- a/src/bamboolever/daemons/ownresponses.py
+++ b/src/bamboolever/daemons/ownresponses.py
@@ -3,7 +3,7 @@
 from bamboolever.calls.dispatcher import RejectReason
 from bamboolever.calls.retryafter import FINAL_REJECT_REASONS
 from bamboolever.net.messages import Header
-from bamboolever.net.server import ServerConnection
+from bamboolever.net.serverconnection import ServerConnection
 from bamboolever.platform import calls as wire
 
 REJECTED_STATUS = 503
--- a/src/bamboolever/daemons/partshandler.py
+++ b/src/bamboolever/daemons/partshandler.py
@@ -11,7 +11,7 @@
 from bamboolever.daemons.statushandler import StatusHandler
 from bamboolever.net.handlers import RequestHandler
 from bamboolever.net.messages import Header, Request
-from bamboolever.net.server import ServerConnection
+from bamboolever.net.serverconnection import ServerConnection
 
 PARTS_PATH = b"/blocked-parts"
 
--- a/src/bamboolever/daemons/piecehandler.py
+++ b/src/bamboolever/daemons/piecehandler.py
@@ -23,7 +23,7 @@
 from bamboolever.net.handlers import RequestHandler
 from bamboolever.net.messages import Request
 from bamboolever.net.numbers import parse_whole_number
-from bamboolever.net.server import ServerConnection
+from bamboolever.net.serverconnection import ServerConnection
 
 logger = logging.getLogger(__name__)
 
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -51,7 +51,7 @@
 from bamboolever.net.client import ClientConnection
 from bamboolever.net.exchange import ExchangeFailure, FailureKind, ResponseHandler
 from bamboolever.net.messages import BodyFraming, Request, ResponseHead
-from bamboolever.net.server import ServerConnection
+from bamboolever.net.serverconnection import ServerConnection
 from bamboolever.net.timers import RearmableTimer
 from bamboolever.platform import calls as wire
 from bamboolever.platform.calls import CallMetadata, UpstreamHeaders
--- a/src/bamboolever/daemons/snapshots.py
+++ b/src/bamboolever/daemons/snapshots.py
@@ -25,7 +25,7 @@
 from bamboolever.net.handlers import RequestHandler
 from bamboolever.net.messages import Request, ResponseHead
 from bamboolever.net.numbers import parse_whole_number
-from bamboolever.net.server import ServerConnection
+from bamboolever.net.serverconnection import ServerConnection
 from bamboolever.platform.errors import AdapterError
 from bamboolever.platform.jsontext import decode_json
 from bamboolever.platform.store import StoredDocument
--- a/src/bamboolever/daemons/statushandler.py
+++ b/src/bamboolever/daemons/statushandler.py
@@ -5,7 +5,7 @@
 
 from bamboolever.net.handlers import RequestHandler
 from bamboolever.net.messages import Request
-from bamboolever.net.server import ServerConnection
+from bamboolever.net.serverconnection import ServerConnection
 
 METRICS_PATH = b"/metrics"
 
--- a/src/bamboolever/daemons/transfer.py
+++ b/src/bamboolever/daemons/transfer.py
@@ -21,7 +21,7 @@
 from bamboolever.fleet.messages import PieceMap
 from bamboolever.fleet.records import EngineReport, ModelVersion
 from bamboolever.net.addresses import Address
-from bamboolever.net.server import ServerConnection
+from bamboolever.net.serverconnection import ServerConnection
 from bamboolever.platform.weights import PieceDigests
 from bamboolever.weights.pieces import PieceSet
 from bamboolever.weights.plan import PiecePolicy
--- a/src/bamboolever/daemons/wherehandler.py
+++ b/src/bamboolever/daemons/wherehandler.py
@@ -10,7 +10,7 @@
 
 from bamboolever.net.handlers import RequestHandler
 from bamboolever.net.messages import Header, Request
-from bamboolever.net.server import ServerConnection
+from bamboolever.net.serverconnection import ServerConnection
 from bamboolever.platform import where as wire
 from bamboolever.platform.where import QuestionError, WhereAnswer, WhereQuestion
 
--- a/src/bamboolever/net/handlers.py
+++ b/src/bamboolever/net/handlers.py
@@ -8,7 +8,7 @@
 from bamboolever.net.messages import Header, Request
 
 if TYPE_CHECKING:
-    from bamboolever.net.server import ServerConnection
+    from bamboolever.net.serverconnection import ServerConnection
 
 
 @dataclass
--- a/src/bamboolever/platform/standins/store.py
+++ b/src/bamboolever/platform/standins/store.py
@@ -11,7 +11,8 @@
 from bamboolever.net.addresses import Address
 from bamboolever.net.handlers import HttpLimits, RequestHandler
 from bamboolever.net.messages import Header, Request
-from bamboolever.net.server import HttpServer, ServerConnection
+from bamboolever.net.server import HttpServer
+from bamboolever.net.serverconnection import ServerConnection
 from bamboolever.platform.names import OBJECTS_PATH, STORE_ERA
 
 _JSON = (b"Content-Type", b"application/json")
--- a/src/bamboolever/platform/standins/upstream.py
+++ b/src/bamboolever/platform/standins/upstream.py
@@ -16,7 +16,8 @@
 from bamboolever.net.addresses import Address
 from bamboolever.net.handlers import HttpLimits, RequestHandler
 from bamboolever.net.messages import Header, Request
-from bamboolever.net.server import HttpServer, ServerConnection
+from bamboolever.net.server import HttpServer
+from bamboolever.net.serverconnection import ServerConnection
 from bamboolever.platform import names
 
 EVENT_GAP_S = 0.01
--- a/testing/net/test_server.py
+++ b/testing/net/test_server.py
@@ -10,7 +10,8 @@
 from bamboolever._task import IoTask
 from bamboolever.net.addresses import Address
 from bamboolever.net.handlers import HttpLimits, RequestHandler
-from bamboolever.net.server import MAX_STREAM_BUFFER_BYTES, HttpServer
+from bamboolever.net.server import HttpServer
+from bamboolever.net.serverconnection import MAX_STREAM_BUFFER_BYTES
 
 TIMEOUT_S = 30.0
 
