A stopping entry logs what the end of its process cuts

A call in flight as the process ended was counted in "stopped" and not named; a connection on which a request was still arriving, or whose response the kernel had not delivered, left no trace.

Change: "call cut by stop" names the request, its upstreams, its events and the time that it had left; "connection cut by stop" has what was received, due, unsent and undelivered.

--- a/src/bamboolever/daemons/calllog.py
+++ b/src/bamboolever/daemons/calllog.py
@@ -146,6 +146,21 @@
             },
         )
 
+    def cut_by_stop(self, relay: "CallRelay", now: float) -> None:
+        """Count and log a call that is in flight as the process ends."""
+        self._telemetry.count("call.cut_by_stop")
+        logger.warning(
+            "call cut by stop",
+            extra={
+                "attempt": _attempt_id_text(relay),
+                "route": relay.route.name,
+                "upstreams": relay.record.upstreams,
+                "events": relay.record.events,
+                "total_s": round(now - relay.arrived_at, 3),
+                "remaining_s": round(relay.timeout_at - now, 3),
+            },
+        )
+
     def _record_prediction_error(self, error_s: float) -> None:
         # Histograms accept no negative values, so the sign becomes an attribute.
         side = "later" if error_s > 0 else "sooner"
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -45,6 +45,7 @@
 from bamboolever.daemons.clock import boottime_clock
 from bamboolever.daemons.entryexchange import EntryExchange
 from bamboolever.daemons.entryfleet import EntryFleet
+from bamboolever.daemons.gracefulstop import GracefulStop
 from bamboolever.daemons.inflightcalls import InFlightCalls
 from bamboolever.daemons.observers import (
     ConfigurationObserver,
@@ -86,11 +87,6 @@
 # File descriptors kept for other uses than calls. A call takes two: one for its
 # caller and one for its upstream.
 RESERVED_FDS = 328
-# The load balancer still sends new connections for this long after a stop request.
-LOAD_BALANCER_DELAY_S = 3.0
-STOP_CHECK_INTERVAL_S = 0.1
-# Taken off the grace period, after which the platform ends the process.
-STOP_MARGIN_S = 0.7
 
 
 @final
@@ -118,8 +114,6 @@
         self._held_bytes: HeldBytes[ServerConnection] = HeldBytes.from_memory(
             settings.memory_bytes
         )
-        self._is_stopping = False
-        self._stopped_at = 0.0
         self._created_at = self.task.now()
         self._known_rollouts = 0
         self.fleet = EntryFleet(settings, int(time.time() * 1000))
@@ -202,6 +196,9 @@
         self.calls = InFlightCalls(
             self.task, self.telemetry, self.fleet, self.exchange, settings
         )
+        self._graceful_stop = GracefulStop(
+            self.task, self._caller_server, self.calls, settings.bounds.grace_period_s
+        )
 
     def _create_watches(self) -> list[KindWatch]:
         group = WatchGroup()
@@ -381,7 +378,7 @@
         deployment has them, the evacuations.
         """
         return (
-            not self._is_stopping
+            not self._graceful_stop.is_requested
             and self._configuration is not None
             and self.fleet.upstreams.is_known
             and self._knows_evacuations()
@@ -434,8 +431,8 @@
 
         ``remaining_s`` is the time for which its caller waits; None if unknown.
         """
-        return self._is_stopping and not can_admit_while_stopping(
-            self._remaining_grace_s(), route, remaining_s
+        return self._graceful_stop.is_requested and not can_admit_while_stopping(
+            self._graceful_stop.remaining_s, route, remaining_s
         )
 
     def _find_reject_reason(
@@ -548,32 +545,7 @@
         The entry is unready at once. It stops when no call is in flight and callers
         have read their responses, or when the grace period ends.
         """
-        if self._is_stopping:
-            return
-        self._is_stopping = True
-        self._stopped_at = self.task.now()
-        self._caller_server.announce_stop()
-        logger.info("stopping", extra={"calls": self.calls.in_flight})
-        self.task.call_later(LOAD_BALANCER_DELAY_S, self._finish_stop)
-
-    def _remaining_grace_s(self) -> float:
-        limit_s = self._settings.bounds.grace_period_s - STOP_MARGIN_S
-        return limit_s - (self.task.now() - self._stopped_at)
-
-    def _finish_stop(self) -> None:
-        self._caller_server.close_idle()
-        is_busy = self.calls.in_flight > 0 or self._caller_server.is_sending
-        if is_busy and self._remaining_grace_s() > 0:
-            self.task.call_later(STOP_CHECK_INTERVAL_S, self._finish_stop)
-            return
-        logger.info(
-            "stopped",
-            extra={
-                "cut": self.calls.in_flight,
-                "is_response_cut": self._caller_server.is_sending,
-            },
-        )
-        self.task.stop()
+        self._graceful_stop.request()
 
     def apply_settings(self, settings: InstanceSettings) -> None:
         """Apply changed settings; call on the task's thread.
@@ -582,6 +554,7 @@
         """
         known_zones = self._settings.regions_by_zone
         self._settings = settings
+        self._graceful_stop.grace_period_s = settings.bounds.grace_period_s
         self._freshness.max_age_s = settings.bounds.key_max_age_s
         if settings.regions_by_zone != known_zones:
             self.fleet.apply_zones(settings.regions_by_zone)
--- a/src/bamboolever/daemons/inflightcalls.py
+++ b/src/bamboolever/daemons/inflightcalls.py
@@ -116,6 +116,11 @@
         if relay is not None:
             relay.on_caller_gone()
 
+    def log_cut_by_stop(self) -> None:
+        """Log each call that the end of the process leaves without an outcome."""
+        for relay in self._relays.values():
+            self.log.cut_by_stop(relay, self.task.now())
+
     def enqueue(self, relay: CallRelay, pending: PendingCall) -> None:
         """Submit a call to its dispatcher, which places, queues or rejects it."""
         self._awaiting_placement[relay.call_id] = relay
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -620,6 +620,11 @@
         """The upstream of the current attempt, or of the last one."""
         return self._upstream
 
+    @property
+    def timeout_at(self) -> float:
+        """Until when the call may last, in seconds of the task's clock."""
+        return self._timeout_at
+
     @property
     def may_have_run(self) -> bool:
         """Whether an upstream may have begun the request."""
--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -10,7 +10,7 @@
     RequestHandler,
     make_plain_rejection,
 )
-from bamboolever.net.serverconnection import ServerConnection
+from bamboolever.net.serverconnection import ConnectionState, ServerConnection
 from bamboolever.net.sockets import open_listener
 
 logger = logging.getLogger(__name__)
@@ -64,6 +64,11 @@
             for connection in self._connections
         )
 
+    def list_unfinished(self) -> list[ConnectionState]:
+        """Return the state of each connection whose end would lose something."""
+        states = [connection.state() for connection in self._connections]
+        return [state for state in states if not state.is_finished]
+
     def close_idle(self) -> None:
         """Close every connection on which no response is due or being read."""
         for connection in list(self._connections):
--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -7,13 +7,14 @@
 import logging
 import socket
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import h11
 
 from bamboolever._task import READ, WRITE
 from bamboolever.net.messages import Header, Request
-from bamboolever.net.sockets import set_stream_options
+from bamboolever.net.sockets import count_undelivered_bytes, set_stream_options
 from bamboolever.net.timers import RearmableTimer
 
 if TYPE_CHECKING:
@@ -28,6 +29,35 @@
 HALF_CLOSE_TIMEOUT_S = 1.0
 
 
+@dataclass(frozen=True)
+class ConnectionState:
+    """What is unfinished on a connection.
+
+    ``received_bytes`` belong to a request that is not complete or not looked at yet,
+    ``unsent_bytes`` to responses that the socket does not take yet.
+    ``undelivered_bytes`` were sent, and the caller has not acknowledged them; None if
+    that is unknown. ``caller_port`` identifies the connection in a packet capture.
+    """
+
+    caller_port: int | None
+    is_request_begun: bool
+    is_response_due: bool
+    is_head_sent: bool
+    received_bytes: int
+    unsent_bytes: int
+    undelivered_bytes: int | None
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether nothing is lost if the connection ends now."""
+        return not (
+            self.is_request_begun
+            or self.is_response_due
+            or self.unsent_bytes
+            or self.undelivered_bytes
+        )
+
+
 class ServerConnection:
     """An accepted connection that serves one request at a time.
 
@@ -71,6 +101,31 @@
         """Bytes that are buffered because the caller does not read them yet."""
         return len(self._send_buffer)
 
+    def state(self) -> ConnectionState:
+        """Return what is unfinished on this connection."""
+        try:
+            caller_port = self._sock.getpeername()[1]
+        except OSError:
+            # The caller has reset the connection.
+            caller_port = None
+        return ConnectionState(
+            caller_port,
+            self._is_request_begun,
+            self._is_response_due,
+            self._is_head_sent,
+            len(self._request_body) + len(self._http.trailing_data[0]),
+            len(self._send_buffer),
+            count_undelivered_bytes(self._sock),
+        )
+
+    @property
+    def _is_request_begun(self) -> bool:
+        """Whether some bytes of a request without a response have been received."""
+        if self._is_closing:
+            return False
+        has_head = self._request is not None and not self._is_response_due
+        return has_head or bool(self._http.trailing_data[0])
+
     def respond(
         self, status: int, headers: Sequence[Header], body: bytes = b""
     ) -> None:
--- a/src/bamboolever/net/sockets.py
+++ b/src/bamboolever/net/sockets.py
@@ -1,9 +1,15 @@
 """TCP sockets that report an unresponsive peer as an error."""
 
+import fcntl
+import logging
 import socket
+import struct
+import termios
 
 from bamboolever.net.addresses import Address
 
+logger = logging.getLogger(__name__)
+
 LISTEN_BACKLOG = 512
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
@@ -48,3 +54,13 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
     user_timeout_ms = int(user_timeout_s * 1000)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+
+
+def count_undelivered_bytes(sock: socket.socket) -> int | None:
+    """Return how many sent bytes the peer has not acknowledged; None if unknown."""
+    try:
+        count = fcntl.ioctl(sock, termios.TIOCOUTQ, struct.pack("i", 0))
+    except OSError as error:
+        logger.debug("no count of undelivered bytes: %s", error)
+        return None
+    return int(struct.unpack("i", count)[0])
--- a/testing/daemons/test_slowcallers.py
+++ b/testing/daemons/test_slowcallers.py
@@ -15,7 +15,7 @@
 )
 
 from bamboolever.calls import stall
-from bamboolever.daemons import entry as entry_module
+from bamboolever.daemons import gracefulstop
 from bamboolever.net.buffers import BufferBudget
 
 MIB = 2**20
@@ -244,7 +244,7 @@
     caller = make_caller(entry)
     caller.send("/orders/1")
     wait_for(lambda: ended == ["served"])
-    monkeypatch.setattr(entry_module, "LOAD_BALANCER_DELAY_S", 0.0)
+    monkeypatch.setattr(gracefulstop, "LOAD_BALANCER_DELAY_S", 0.0)
     entry.entry.task.send(entry.entry.request_stop)
     wait_for(lambda: not entry.entry.is_ready())
     _await_callbacks(entry)
