--- a/testing/daemons/conftest.py
+++ b/testing/daemons/conftest.py
@@ -1,4 +1,5 @@
 import pytest
+from rawcaller import RawCaller
 from sitebuilders import RunningAgent, RunningEntry
 
 from bamboolever.platform.standins.site import Site
@@ -48,3 +49,16 @@
         site.add_engine("engine-1", "127.0.0.2"),
         site.add_engine("engine-2", "127.0.0.3"),
     ]
+
+
+@pytest.fixture
+def make_caller():
+    callers = []
+
+    def make(entry, **options):
+        callers.append(RawCaller(entry.settings.caller_address, **options))
+        return callers[-1]
+
+    yield make
+    for caller in callers:
+        caller.close()
--- a/testing/daemons/test_slowcallers.py
+++ b/testing/daemons/test_slowcallers.py
@@ -1,18 +1,11 @@
 """Callers that do not read their responses hold a bounded number of bytes."""
 
-import itertools
-import socket
 import threading
 
 import pytest
 from rawserver import Endless
 from rawupstream import RawUpstream, signed
-from sitebuilders import (
-    WAIT_S,
-    make_headers,
-    make_stream_headers,
-    wait_for,
-)
+from sitebuilders import make_headers, make_stream_headers, wait_for
 
 from bamboolever.calls import stall
 from bamboolever.daemons import gracefulstop
@@ -29,57 +22,6 @@
 # Below the bound for one connection.
 STREAM_BYTES = 3600 * len(EVENT)
 CALLER_COUNT = 8
-RECEIVE_BUFFER_BYTES = 4096
-
-_numbers = itertools.count(1)
-
-
-class SlowCaller:
-    """Sends requests on one connection, and reads only when told to."""
-
-    def __init__(self, entry):
-        self._sock = socket.socket()
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        self._sock.settimeout(WAIT_S)
-        self._sock.connect(entry.settings.caller_address)
-
-    def send(self, path, *, version="1.1", **headers):
-        lines = [f"POST {path} HTTP/{version}", "Content-Length: 4"]
-        lines += [f"{k}: {v}" for k, v in make_headers(**headers).items()]
-        self._sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\nbody")
-
-    def read_all(self):
-        """Return the bytes until the connection ends, and whether it was reset."""
-        received = bytearray()
-        try:
-            while data := self._sock.recv(65536):
-                received += data
-        except ConnectionResetError:
-            return bytes(received), True
-        return bytes(received), False
-
-    def read_body(self, size_bytes):
-        received_bytes = 0
-        while received_bytes < size_bytes:
-            data = self._sock.recv(2**18)
-            assert data, "the connection ended early"
-            received_bytes += len(data)
-
-    def close(self):
-        self._sock.close()
-
-
-@pytest.fixture
-def make_caller():
-    callers = []
-
-    def make(entry):
-        callers.append(SlowCaller(entry))
-        return callers[-1]
-
-    yield make
-    for caller in callers:
-        caller.close()
 
 
 @pytest.fixture
@@ -96,19 +38,8 @@
     return site
 
 
-def _connections(entry):
-    return list(entry.entry._caller_server._connections)
-
-
 def _held_bytes(entry):
-    return [connection.queued_bytes for connection in _connections(entry)]
-
-
-def _await_callbacks(entry):
-    """Wait until the entry has run all callbacks that are under way or queued now."""
-    passed = threading.Event()
-    entry.entry.task.send(passed.set)
-    assert passed.wait(WAIT_S)
+    return [connection.queued_bytes for connection in entry.list_connections()]
 
 
 def _record_ended(entry):
@@ -131,8 +62,8 @@
     entry = start_entry().wait_ready(1)
     caller = make_caller(entry)
     caller.send("/stream/1", version="1.0", **make_stream_headers())
-    wait_for(lambda: _connections(entry))
-    wait_for(lambda: not _connections(entry))
+    wait_for(lambda: entry.list_connections())
+    wait_for(lambda: not entry.list_connections())
     _received, is_reset = caller.read_all()
     assert is_reset
 
@@ -151,8 +82,8 @@
         slow[-1].send("/orders/1")
         wait_for(lambda count=count: len(ended) >= count)
     # A call ends before its response is handed on, which may cut another one later.
-    _await_callbacks(entry)
-    _await_callbacks(entry)
+    entry.await_callbacks()
+    entry.await_callbacks()
     assert sum(_held_bytes(entry)) <= HELD_BOUND_BYTES
     assert ended == ["served"] * CALLER_COUNT
     complete = 0
@@ -170,11 +101,9 @@
 def _with_cuts(entry, callers):
     """Return each caller, and whether the entry has closed its connection."""
     open_ports = {
-        connection._sock.getpeername()[1] for connection in _connections(entry)
+        connection._sock.getpeername()[1] for connection in entry.list_connections()
     }
-    return [
-        (caller, caller._sock.getsockname()[1] not in open_ports) for caller in callers
-    ]
+    return [(caller, caller.port not in open_ports) for caller in callers]
 
 
 def test_small_holders_are_not_cut_for_the_largest(
@@ -247,6 +176,6 @@
     monkeypatch.setattr(gracefulstop, "LOAD_BALANCER_DELAY_S", 0.0)
     entry.entry.task.send(entry.entry.request_stop)
     wait_for(lambda: not entry.entry.is_ready())
-    _await_callbacks(entry)
+    entry.await_callbacks()
     caller.read_body(BODY_BYTES)
-    wait_for(lambda: not _connections(entry))
+    wait_for(lambda: not entry.list_connections())
--- a/testing/sitebuilders.py
+++ b/testing/sitebuilders.py
@@ -112,9 +112,24 @@
         document["bounds"].update(bounds)
         self.settings = decode_settings(document)
         self.entry = Entry.from_config(self.settings)
-        self._thread = threading.Thread(target=self.entry.run, daemon=True)
+        self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
+    def _run(self):
+        self.entry.run()
+        # As the end of a process does.
+        for connection in self.list_connections():
+            connection._sock.close()
+
+    def list_connections(self):
+        return list(self.entry._caller_server._connections)
+
+    def await_callbacks(self):
+        """Wait until it has run all callbacks that are under way or queued now."""
+        passed = threading.Event()
+        self.entry.task.send(passed.set)
+        wait_for(lambda: passed.is_set() or not self._thread.is_alive())
+
     def wait_ready(self, upstreams=1):
         wait_for(lambda: self.entry.is_ready())
         wait_for(lambda: len(self.entry.fleet._views) >= upstreams)
