A planned stop answers requests that are still arriving

Cause: a connection on which no response is due counted as idle. Class of fault: one side's books (no response due) taken for the state of the connection.

Change: a connection with a request that has begun is not idle, and a stop waits for it. The request is admitted or refused when it is complete, as any other. What is incomplete 0.3 s before the end gets 503 with Retry-After: it has not run.

--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -65,7 +65,7 @@
 from bamboolever.fleet.records import ModelVersion
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
-from bamboolever.net.handlers import HttpLimits, RequestHandler
+from bamboolever.net.handlers import HttpLimits, RequestHandler, make_plain_rejection
 from bamboolever.net.messages import Header, Request
 from bamboolever.net.server import HttpServer
 from bamboolever.net.serverconnection import ServerConnection
@@ -153,6 +153,7 @@
             self,
             self._limits,
             max_connections=max(64, settings.file_descriptors - RESERVED_FDS) // 2,
+            make_rejection=self._make_incomplete_rejection,
         )
         status = StatusHandler(
             names.READINESS_PATH, self.is_ready, self.telemetry.render_text
@@ -507,6 +508,14 @@
             headers += self._make_retry_after(RejectReason(reason))
         connection.respond(status, headers, reason.encode())
 
+    def _make_incomplete_rejection(
+        self, status: int, reason: str
+    ) -> tuple[list[Header], bytes]:
+        """Return headers and body for a request that is rejected while it arrives."""
+        if status != UNAVAILABLE_STATUS:
+            return make_plain_rejection(status, reason)
+        return self._make_retry_after(RejectReason(reason)), reason.encode()
+
     def _make_retry_after(self, reason: RejectReason) -> list[Header]:
         is_peer_ready = self.fleet.peers.has_ready_peer(self.task.now())
         delay_s = find_retry_after_s(reason, is_peer_ready=is_peer_ready)
--- a/src/bamboolever/daemons/gracefulstop.py
+++ b/src/bamboolever/daemons/gracefulstop.py
@@ -9,6 +9,8 @@
 from typing import final
 
 from bamboolever._task import IoTask
+from bamboolever.calls.admission import UNAVAILABLE_STATUS
+from bamboolever.calls.dispatcher import RejectReason
 from bamboolever.daemons.inflightcalls import InFlightCalls
 from bamboolever.net.server import HttpServer
 
@@ -19,13 +21,16 @@
 CHECK_INTERVAL_S = 0.1
 # Taken off the grace period, after which the platform ends the process.
 MARGIN_S = 0.7
+# Requests that are still arriving are rejected so long before the stop.
+REJECTION_S = 0.3
 
 
 @final
 class GracefulStop:
     """Stops an entry's task once its callers have their responses.
 
-    It stops at the latest when ``grace_period_s`` ends, and logs what it cuts then.
+    A request that is still arriving is awaited, too. The task stops at the latest when
+    ``grace_period_s`` ends; what that cuts is logged.
     Methods are called on the task's thread.
     """
 
@@ -66,8 +71,11 @@
 
     def _finish(self) -> None:
         self._server.close_idle()
-        is_busy = self._calls.in_flight > 0 or self._server.is_sending
-        if is_busy and self.remaining_s > 0:
+        if self.remaining_s <= REJECTION_S:
+            self._server.reject_incomplete(
+                UNAVAILABLE_STATUS, RejectReason.STOPPING.value
+            )
+        if not self._server.is_idle and self.remaining_s > 0:
             self._task.call_later(CHECK_INTERVAL_S, self._finish)
             return
         self._log_end()
--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -57,12 +57,9 @@
         self.is_stopping = True
 
     @property
-    def is_sending(self) -> bool:
-        """Whether a caller has not read all of its complete response yet."""
-        return any(
-            connection.queued_bytes and not connection.is_response_due
-            for connection in self._connections
-        )
+    def is_idle(self) -> bool:
+        """Whether no request is arriving and callers have all of their responses."""
+        return all(connection.is_idle for connection in self._connections)
 
     def list_unfinished(self) -> list[ConnectionState]:
         """Return the state of each connection whose end would lose something."""
@@ -70,11 +67,16 @@
         return [state for state in states if not state.is_finished]
 
     def close_idle(self) -> None:
-        """Close every connection on which no response is due or being read."""
+        """Close every idle connection."""
         for connection in list(self._connections):
-            if not connection.is_response_due and not connection.queued_bytes:
+            if connection.is_idle:
                 connection.close()
 
+    def reject_incomplete(self, status: int, reason: str) -> None:
+        """Reject every request that is not complete yet."""
+        for connection in list(self._connections):
+            connection.reject_incomplete(status, reason)
+
     def stop_listening(self) -> None:
         """Stop accepting connections; open ones stay open."""
         self.task.unregister(self._sock)
--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -126,6 +126,18 @@
         has_head = self._request is not None and not self._is_response_due
         return has_head or bool(self._http.trailing_data[0])
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request has begun to arrive and all responses are sent."""
+        return not (
+            self._is_request_begun or self._is_response_due or self._send_buffer
+        )
+
+    def reject_incomplete(self, status: int, reason: str) -> None:
+        """Reject the request that is arriving, if there is one."""
+        if self._is_request_begun and self._can_process:
+            self._reject(status, reason)
+
     def respond(
         self, status: int, headers: Sequence[Header], body: bytes = b""
     ) -> None:
