A connection is closed once its caller has the whole response

Cause: bytes that the kernel had taken counted as delivered. After a second, at a stop and as the process ended the socket was closed; the kernel then answers what the caller sends, or has sent, with a reset and drops the rest.

Change: the kernel is asked how much the caller has not acknowledged (TIOCOUTQ). A connection is not idle before that is nothing, so a stop waits for it; after the last response it is closed then, or when the caller has taken nothing for the idle timeout. Where the kernel doesn't say, all stays as it was.

--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -59,7 +59,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is arriving and callers have all of their responses."""
-        return all(connection.is_idle for connection in self._connections)
+        return all(connection.is_idle for connection in list(self._connections))
 
     def list_unfinished(self) -> list[ConnectionState]:
         """Return the state of each connection whose end would lose something."""
--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -26,6 +26,7 @@
 MAX_PIPELINED_BYTES = 64 * 1024
 MAX_STREAM_BUFFER_BYTES = 4 * 2**20
 TCP_USER_TIMEOUT_S = 10.0
+# How long a caller may take to close a connection whose last response it has.
 HALF_CLOSE_TIMEOUT_S = 1.0
 
 
@@ -128,10 +129,14 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request has begun to arrive and all responses are sent."""
-        return not (
-            self._is_request_begun or self._is_response_due or self._send_buffer
-        )
+        """Whether no request has begun to arrive, and callers have all responses.
+
+        A response counts once the caller has acknowledged its last byte. Before, bytes
+        that the caller sends may reset the connection as it is closed.
+        """
+        if self._is_request_begun or self._is_response_due or self._send_buffer:
+            return False
+        return not count_undelivered_bytes(self._sock)
 
     def reject_incomplete(self, status: int, reason: str) -> None:
         """Reject the request that is arriving, if there is one."""
@@ -412,8 +417,26 @@
         except OSError as error:
             logger.debug("shutdown failed: %s", error)
         self._set_events(READ)
-        self._timer.disarm()
-        self._timer.arm(HALF_CLOSE_TIMEOUT_S, self.close)
+        self._await_delivery(None, self._task.now())
+
+    def _await_delivery(
+        self, undelivered_bytes: int | None, progressed_at: float
+    ) -> None:
+        """Close once the caller has all, or has taken nothing for the idle timeout.
+
+        At ``progressed_at`` the ``undelivered_bytes`` were last seen to change.
+        """
+
+        def check() -> None:
+            now = self._task.now()
+            count = count_undelivered_bytes(self._sock)
+            since = now if count != undelivered_bytes else progressed_at
+            if not count or now - since >= self._server.limits.idle_timeout_s:
+                self.close()
+                return
+            self._await_delivery(count, since)
+
+        self._timer.arm(HALF_CLOSE_TIMEOUT_S, check)
 
     def _set_events(self, events: int) -> None:
         if events != self._events and not self._is_closed:
@@ -434,6 +457,10 @@
         if not is_unread and (self._request or self._http.trailing_data[0]):
             self._reject(408, "the request was not finished in time")
             return
+        if not is_unread and count_undelivered_bytes(self._sock):
+            self._is_closing = True
+            self._half_close()
+            return
         self.close()
 
 
--- a/testing/daemons/test_slowcallers.py
+++ b/testing/daemons/test_slowcallers.py
@@ -9,6 +9,7 @@
 
 from bamboolever.calls import stall
 from bamboolever.daemons import gracefulstop
+from bamboolever.net import serverconnection
 from bamboolever.net.buffers import BufferBudget
 
 MIB = 2**20
@@ -21,6 +22,8 @@
 BODY_BYTES = 6000 * len(EVENT)
 # Below the bound for one connection.
 STREAM_BYTES = 3600 * len(EVENT)
+# The kernel takes all of it from the entry at once.
+KERNEL_BYTES = 400 * len(EVENT)
 CALLER_COUNT = 8
 
 
@@ -42,6 +45,10 @@
     return [connection.queued_bytes for connection in entry.list_connections()]
 
 
+def _states(entry):
+    return [connection.state() for connection in entry.list_connections()]
+
+
 def _record_ended(entry):
     """Return a list that gets the outcome of each call that ends from now on."""
     outcomes = []
@@ -179,3 +186,36 @@
     entry.await_callbacks()
     caller.read_body(BODY_BYTES)
     wait_for(lambda: not entry.list_connections())
+
+
+def test_bytes_behind_a_last_request_cut_no_response(
+    site, start_entry, make_caller, monkeypatch
+):
+    """Guards against a reset while the kernel still delivers the response."""
+    monkeypatch.setattr(serverconnection, "HALF_CLOSE_TIMEOUT_S", 0.01)
+    RawUpstream(site, "large", [_response_of(KERNEL_BYTES)], is_engine=False)
+    entry = start_entry().wait_ready(1)
+    caller = make_caller(entry)
+    caller.send("/orders/1", Connection="close")
+    wait_for(lambda: any(each.undelivered_bytes for each in _states(entry)))
+    wait_for(lambda: not any(each.unsent_bytes for each in _states(entry)))
+    threading.Event().wait(0.2)
+    caller.send_bytes(b"P")
+    received, is_reset = caller.read_all()
+    assert received.count(EVENT) == KERNEL_BYTES // len(EVENT)
+    assert not is_reset
+    caller.close()
+    wait_for(lambda: not entry.list_connections())
+
+
+def test_caller_that_takes_nothing_of_its_last_response_is_closed(
+    site, start_entry, make_caller, monkeypatch
+):
+    monkeypatch.setattr(serverconnection, "HALF_CLOSE_TIMEOUT_S", 0.01)
+    site.configuration["limits"] = {"idleTimeoutMs": 200}
+    RawUpstream(site, "large", [_response_of(KERNEL_BYTES)], is_engine=False)
+    entry = start_entry().wait_ready(1)
+    caller = make_caller(entry)
+    caller.send("/orders/1", Connection="close")
+    wait_for(lambda: any(each.undelivered_bytes for each in _states(entry)))
+    wait_for(lambda: not entry.list_connections())
