A stopping entry answers the second request of one write

Cause: each response of a stopping entry says that it is the last one, whatever has arrived behind it. Class of fault: one side's books for the state of the connection.

Change: a response says "Connection: close" only if nothing has arrived behind its request.

--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -53,7 +53,10 @@
         self.task.register(self._sock, READ, self._on_ready)
 
     def announce_stop(self) -> None:
-        """Add ``Connection: close`` to every response from now on."""
+        """Add ``Connection: close`` to responses from now on.
+
+        Left out are those behind which another request has arrived already.
+        """
         self.is_stopping = True
 
     @property
--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -234,7 +234,8 @@
 
     def _send_head(self, status: int, headers: list[Header]) -> None:
         self._is_head_sent = True
-        if self._server.is_stopping:
+        # A next request that has arrived would be lost behind a last response.
+        if self._server.is_stopping and not self._http.trailing_data[0]:
             headers = [*headers, (b"Connection", b"close")]
         self._send_event(h11.Response(status_code=status, headers=headers))
 
