The soak has callers that send their bodies in parts

Two of eight callers now send chunks, or a body of a stated length, with pauses of up to 1.2 s; a new check finds requests that were closed without an answer as they arrived.

--- a/testing/daemons/test_soak.py
+++ b/testing/daemons/test_soak.py
@@ -1,7 +1,7 @@
 """Entries as processes under a seeded series of signals, restarts and changes."""
 
 import pytest
-from soak import Soak, find_lost, find_mixed
+from soak import Soak, find_dropped, find_lost, find_mixed
 
 STEPS = 14
 
@@ -41,6 +41,7 @@
     executed = _list_executed(site)
     assert sum(each.status == 200 for each in outcomes) > 0
     assert find_lost(outcomes, soak, set(executed)) == [], soak.notes
+    assert find_dropped(outcomes, soak) == [], soak.notes
     assert find_mixed(outcomes) == []
     orders = {each.attempt for each in outcomes if each.path.startswith("/orders/")}
     assert [each for each in orders if executed.count(each) > 1] == []
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -13,14 +13,13 @@
 from dataclasses import dataclass, field
 
 from processes import DaemonProcess
-from sitebuilders import make_headers, make_stream_headers, wait_for
+from sitebuilders import wait_for
+from soakcallers import CALLER_TIMEOUT_S, CALLER_TYPES
 
 from bamboolever.platform.standins.upstream import EVENT_COUNT, Behaviour
 
 ENTRY_COUNT = 3
-CALLERS_PER_ENTRY = 6
-CALLER_TIMEOUT_S = 8.0
-RECONNECT_S = 0.05
+CALLERS_PER_ENTRY = 8
 MAX_GAP_S = 0.6
 MAX_PAUSE_S = 0.4
 GRACE_S = 8.0
@@ -28,26 +27,8 @@
 STOP_ADMISSION_S = 3.0
 EVENT_GAP_S = 0.12
 PAUSED_STREAMS = 20
-PATHS = ("/stream/1", "/orders/1", "/lookup/1")
-
-
-@dataclass(frozen=True)
-class Outcome:
-    """What a caller saw of one request; ``status`` is None without a response.
-
-    Times are seconds of the monotonic clock. ``error`` names what ended a response
-    that is not complete.
-    """
-
-    entry: str
-    path: str
-    attempt: str
-    sent_at: float
-    ended_at: float
-    status: int | None
-    is_complete: bool
-    body: bytes = b""
-    error: str = ""
+# A connection that has been used for less may end as the entry closes it.
+MIN_BEGUN_S = 0.5
 
 
 @dataclass
@@ -100,61 +81,6 @@
             connection.close()
 
 
-class Caller:
-    """Sends one request after the other to its entry, on an open connection."""
-
-    def __init__(self, entry, rng, stopped):
-        self._entry = entry
-        self._rng = rng
-        self._stopped = stopped
-        self._connection = entry.connect()
-        self.outcomes = []
-        self.thread = threading.Thread(target=self._run, daemon=True)
-
-    def _run(self):
-        while not self._stopped.is_set():
-            outcome = self._send(self._rng.choice(PATHS))
-            if outcome is not None:
-                self.outcomes.append(outcome)
-            if outcome is None or not outcome.is_complete:
-                self._connection.close()
-                self._stopped.wait(RECONNECT_S)
-
-    def _send(self, path):
-        changes = make_stream_headers() if path.startswith("/stream/") else {}
-        headers = make_headers(**changes)
-        attempt, sent_at = headers["Bamboolever-Attempt-Id"], time.monotonic()
-
-        def outcome(status, is_complete, body=b"", error=""):
-            ended_at = time.monotonic()
-            return Outcome(
-                self._entry.name,
-                path,
-                attempt,
-                sent_at,
-                ended_at,
-                status,
-                is_complete,
-                body,
-                error,
-            )
-
-        try:
-            self._connection.request("POST", path, b"body", headers)
-        except OSError:
-            return None
-        status, body = None, b""
-        try:
-            response = self._connection.getresponse()
-            status = response.status
-            body = response.read()
-        except http.client.IncompleteRead as error:
-            return outcome(status, False, error.partial, "cut")
-        except (OSError, http.client.HTTPException) as error:
-            return outcome(status, False, body, type(error).__name__)
-        return outcome(status, True, body)
-
-
 class Soak:
     """One seeded run against a site with plain upstreams and engines."""
 
@@ -188,9 +114,11 @@
             entry.start()
         wait_for(lambda: all(entry.is_ready() for entry in self.entries))
         callers = [
-            Caller(entry, random.Random(self._rng.random()), self._stopped)
+            CALLER_TYPES[number % len(CALLER_TYPES)](
+                entry, random.Random(self._rng.random()), self._stopped
+            )
             for entry in self.entries
-            for _ in range(CALLERS_PER_ENTRY)
+            for number in range(CALLERS_PER_ENTRY)
         ]
         for caller in callers:
             caller.thread.start()
@@ -286,11 +214,27 @@
     ]
 
 
-def _is_excused(outcome, entry):
-    if any(
-        outcome.ended_at >= span.since and outcome.sent_at <= span.until
+def find_dropped(outcomes, soak):
+    """Return the requests that an entry closed without an answer as they arrived."""
+    by_name = {entry.name: entry for entry in soak.entries}
+    return [
+        each
+        for each in outcomes
+        if each.status is None
+        and each.ended_at - each.begun_at > MIN_BEGUN_S
+        and not _was_disturbed(each, by_name[each.entry])
+    ]
+
+
+def _was_disturbed(outcome, entry):
+    return any(
+        outcome.ended_at >= span.since and outcome.begun_at <= span.until
         for span in entry.spans
-    ):
+    )
+
+
+def _is_excused(outcome, entry):
+    if _was_disturbed(outcome, entry):
         return True
     return any(
         outcome.ended_at >= stopped_at + GRACE_S * 5 / 6
--- /dev/null
+++ b/testing/soakcallers.py
@@ -0,0 +1,133 @@
+"""Callers of a soak: some send their requests in parts, or two at once."""
+
+import http.client
+import threading
+import time
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from sitebuilders import make_headers, make_stream_headers
+
+CALLER_TIMEOUT_S = 8.0
+RECONNECT_S = 0.05
+PATHS = ("/stream/1", "/orders/1", "/lookup/1")
+BODY_PARTS = (b"bo", b"d", b"y")
+MAX_PART_GAP_S = 1.2
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What a caller saw of one request; ``status`` is None without a response.
+
+    Times are seconds of the monotonic clock: the request was sent from ``begun_at`` to
+    ``sent_at``. ``error`` names what ended a response that is not complete.
+    """
+
+    entry: str
+    path: str
+    attempt: str
+    begun_at: float
+    sent_at: float
+    ended_at: float
+    status: int | None
+    is_complete: bool
+    body: bytes = b""
+    error: str = ""
+
+
+class Caller(ABC):
+    """Sends one request after the other to its entry, on an open connection."""
+
+    def __init__(self, entry, rng, stopped):
+        self._entry = entry
+        self._rng = rng
+        self._stopped = stopped
+        self._connection = entry.connect()
+        self.outcomes = []
+        self.thread = threading.Thread(target=self._run, daemon=True)
+
+    @abstractmethod
+    def _send(self, path, headers):
+        """Send a request; raises `OSError` if the connection fails meanwhile."""
+
+    def _run(self):
+        while not self._stopped.is_set():
+            outcome = self._call(self._rng.choice(PATHS))
+            if outcome is not None:
+                self.outcomes.append(outcome)
+            if outcome is None or not outcome.is_complete:
+                self._connection.close()
+                self._stopped.wait(RECONNECT_S)
+
+    def _call(self, path):
+        """Return the outcome of one request, None if the entry can't be reached."""
+        changes = make_stream_headers() if path.startswith("/stream/") else {}
+        headers = make_headers(**changes)
+        try:
+            if self._connection.sock is None:
+                self._connection.connect()
+        except OSError:
+            return None
+        begun_at = time.monotonic()
+        sent_at = begun_at
+        status, is_complete, body, error = None, False, b"", ""
+        try:
+            self._send(path, headers)
+            sent_at = time.monotonic()
+            response = self._connection.getresponse()
+            status = response.status
+            body = response.read()
+            is_complete = True
+        except http.client.IncompleteRead as failure:
+            body, error = failure.partial, "cut"
+        except (OSError, http.client.HTTPException) as failure:
+            error = type(failure).__name__
+        return Outcome(
+            self._entry.name,
+            path,
+            headers["Bamboolever-Attempt-Id"],
+            begun_at,
+            sent_at,
+            time.monotonic(),
+            status,
+            is_complete,
+            body,
+            error,
+        )
+
+
+class PromptCaller(Caller):
+    """Sends each request at once."""
+
+    def _send(self, path, headers):
+        self._connection.request("POST", path, b"body", headers)
+
+
+class SlowCaller(Caller):
+    """Sends the body of each request in parts, with pauses."""
+
+    def _body(self):
+        for part in BODY_PARTS:
+            self._stopped.wait(self._rng.uniform(0.0, MAX_PART_GAP_S))
+            yield part
+
+
+class ChunkingCaller(SlowCaller):
+    """Sends parts as chunks."""
+
+    def _send(self, path, headers):
+        self._connection.request(
+            "POST", path, self._body(), headers, encode_chunked=True
+        )
+
+
+class PausingCaller(SlowCaller):
+    """Sends parts of a body whose length it has stated."""
+
+    def _send(self, path, headers):
+        length = str(sum(len(part) for part in BODY_PARTS))
+        headers = {**headers, "Content-Length": length}
+        self._connection.request("POST", path, self._body(), headers)
+
+
+CALLER_TYPES = (PromptCaller, PromptCaller, PromptCaller, ChunkingCaller, PausingCaller)
