--- /dev/null
+++ b/testing/daemons/test_crowds.py
@@ -0,0 +1,77 @@
+"""An entry lives within its memory while callers fill it, and serves others."""
+
+import http.client
+
+import pytest
+from crowd import (
+    MIB,
+    Crowd,
+    bodies_that_stop_short,
+    heads_that_stop_short,
+    large_chunks_that_stop_short,
+    requests_ahead,
+    small_chunks_that_stop_short,
+    whole_bodies,
+)
+from processes import DaemonProcess
+from sitebuilders import WAIT_S, make_headers, read_response, wait_for
+
+MEMORY_MB = 120
+DESCRIPTORS = 600
+CROWDS = {
+    "whole": (60, whole_bodies),
+    "short": (60, bodies_that_stop_short),
+    "large-chunks": (60, large_chunks_that_stop_short),
+    "small-chunks": (24, small_chunks_that_stop_short),
+    "ahead": (8, requests_ahead),
+    "heads": (100, heads_that_stop_short),
+    "more-than-descriptors": (400, heads_that_stop_short),
+}
+
+
+class EntryProcess:
+    """An entry with little memory, as a process."""
+
+    def __init__(self, site, folder):
+        site.configuration["limits"]["maxBodyBytes"] = 4 * MIB
+        site.apply_configuration()
+        document = site.make_settings(name="entry", host="127.0.0.1")
+        document["limits"] |= {"memoryMb": MEMORY_MB, "fileDescriptors": DESCRIPTORS}
+        host, _, port = document["listenAddresses"]["frontend"].rpartition(":")
+        self.address = (host, int(port))
+        self.process = DaemonProcess(document, folder / "entry.json", "entry")
+
+    def call(self):
+        """Return the response to an ordinary request."""
+        connection = http.client.HTTPConnection(*self.address, timeout=WAIT_S)
+        connection.request("POST", "/lookup/1", b"body", make_headers())
+        return read_response(connection)
+
+    def is_serving(self):
+        try:
+            return self.call().status == 200
+        except ConnectionError:
+            return False
+
+
+@pytest.fixture
+def entry(site, tmp_path):
+    site.add_plain_upstream("plain-1")
+    entry = EntryProcess(site, tmp_path)
+    wait_for(entry.is_serving)
+    yield entry
+    entry.process.kill()
+
+
+@pytest.mark.parametrize("kind", CROWDS)
+def test_entry_outlives_a_crowd(entry, kind):
+    """Guards against callers that end an entry by what it holds for them."""
+    count, make_data = CROWDS[kind]
+    crowd = Crowd(entry.address, count, make_data())
+    crowd.send_all()
+    response = entry.call()
+    crowd.close()
+    assert (response.status, response.is_complete) == (200, True)
+    assert entry.process.is_running
+    assert entry.process.peak_memory_bytes() < MEMORY_MB * MIB
+    assert entry.process.count_descriptors() < DESCRIPTORS
--- a/testing/processes.py
+++ b/testing/processes.py
@@ -48,3 +48,6 @@
         status = Path(f"/proc/{self._popen.pid}/status").read_text()
         (line,) = (each for each in status.splitlines() if each.startswith("VmHWM:"))
         return int(line.split()[1]) * 1024
+
+    def count_descriptors(self):
+        return len(list(Path(f"/proc/{self._popen.pid}/fd").iterdir()))
