Callers with many small chunks take turns with others

Cause: a connection parses all that it has received before the loop goes on; 64 KB of such chunks are 11,000 parts. Class of fault: work that is bounded in bytes, and not in steps.

Change: a connection parses at most 64 parts in a turn, and reads no more until the rest is parsed; of all that have more, one has its turn in each pass of the loop.

The order of two requests (a test of the server) was wrong before.

--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server: accepts connections and closes them at a stop."""
 
+import collections
 import logging
 
 from bamboolever._task import READ, IoTask
@@ -40,6 +41,7 @@
         self.is_stopping = False
         self._max_connections = max_connections
         self._connections: set[ServerConnection] = set()
+        self._turns: collections.deque[ServerConnection] = collections.deque()
         self._sock = open_listener(address)
         self.address = Address(*self._sock.getsockname())
 
@@ -91,6 +93,21 @@
         for connection in list(self._connections):
             connection.close()
 
+    def take_turn_later(self, connection: ServerConnection) -> None:
+        """Let a connection go on once others had their turn.
+
+        One such connection has its turn in each pass of the loop, however many wait.
+        """
+        self._turns.append(connection)
+        if len(self._turns) == 1:
+            self.task.send(self._run_turn)
+
+    def _run_turn(self) -> None:
+        connection = self._turns.popleft()
+        if self._turns:
+            self.task.send(self._run_turn)
+        connection.take_turn()
+
     def remove_connection(self, connection: ServerConnection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -23,6 +23,8 @@
 logger = logging.getLogger(__name__)
 
 RECEIVE_BYTES = 64 * 1024
+# Parts of a request that one connection parses before others get their turn.
+MAX_EVENTS_PER_TURN = 64
 MAX_PIPELINED_BYTES = 64 * 1024
 MAX_STREAM_BUFFER_BYTES = 4 * 2**20
 TCP_USER_TIMEOUT_S = 10.0
@@ -78,6 +80,7 @@
         self._events = READ
         self._is_closed = False
         self._is_closing = False
+        self._is_turn_due = False
         self._is_cut = False
         self._is_response_due = False
         self._is_head_sent = False
@@ -313,14 +316,27 @@
         )
 
     def _process_events(self) -> None:
+        """Process what was received, at most `MAX_EVENTS_PER_TURN`; the rest later."""
+        self._is_turn_due = False
         try:
-            while self._can_process:
-                event = self._http.next_event()
+            for _ in range(MAX_EVENTS_PER_TURN):
+                event = self._http.next_event() if self._can_process else h11.PAUSED
                 if event is h11.NEED_DATA or event is h11.PAUSED:
+                    self._update_events()
                     return
                 self._handle_event(event)
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint or 400, str(error))
+            return
+        if not self._is_closed:
+            self._is_turn_due = True
+            self._update_events()
+            self._server.take_turn_later(self)
+
+    def take_turn(self) -> None:
+        """Process more of what was received, if the connection is still open."""
+        if self._is_turn_due and not self._is_closed:
+            self._process_events()
 
     def _handle_event(self, event: object) -> None:
         if isinstance(event, h11.Request):
@@ -400,7 +416,7 @@
             self._report_queued_bytes()
             self._half_close()
             return
-        self._set_events(READ | (WRITE if self._send_buffer else 0))
+        self._update_events()
         self._report_queued_bytes()
 
     def _report_queued_bytes(self) -> None:
@@ -417,7 +433,8 @@
             self._sock.shutdown(socket.SHUT_WR)
         except OSError as error:
             logger.debug("shutdown failed: %s", error)
-        self._set_events(READ)
+        self._is_turn_due = False
+        self._update_events()
         self._await_delivery(None, self._task.now())
 
     def _await_delivery(
@@ -439,10 +456,26 @@
 
         self._timer.arm(HALF_CLOSE_TIMEOUT_S, check)
 
-    def _set_events(self, events: int) -> None:
-        if events != self._events and not self._is_closed:
-            self._events = events
+    def _update_events(self) -> None:
+        """Watch the socket for what this connection waits for.
+
+        It reads no more while a turn is due, so that it can't receive faster than the
+        requests are parsed.
+        """
+        if self._is_closed:
+            return
+        events = 0 if self._is_turn_due else READ
+        if self._send_buffer:
+            events |= WRITE
+        if events == self._events:
+            return
+        if not events:
+            self._task.unregister(self._sock)
+        elif not self._events:
+            self._task.register(self._sock, events, self._on_ready)
+        else:
             self._task.modify(self._sock, events, self._on_ready)
+        self._events = events
 
     def _arm_header_timer(self) -> None:
         if not self._http.trailing_data[0]:
--- a/testing/net/test_server.py
+++ b/testing/net/test_server.py
@@ -2,10 +2,12 @@
 
 import queue
 import socket
+import threading
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from sitebuilders import wait_for
 
 from bamboolever._task import IoTask
 from bamboolever.net.addresses import Address
@@ -138,6 +140,29 @@
     assert handler.requests.empty()
 
 
+def test_other_requests_have_their_turn_among_many_small_chunks(server):
+    """Guards against a caller whose parts keep the task busy while others wait."""
+    requests = server.handler.requests
+    while not requests.empty():
+        requests.get()
+    head = b"POST /chunks HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    body = b"1\r\nx\r\n" * 5000 + b"0\r\n\r\n"
+    both_sent = threading.Event()
+    with (
+        socket.create_connection(server.address, TIMEOUT_S) as chunking,
+        socket.create_connection(server.address, TIMEOUT_S) as other,
+    ):
+        wait_for(lambda: server.connection_count >= 2)
+        server.task.send(both_sent.wait)
+        chunking.sendall(head + body)
+        other.sendall(b"GET /other HTTP/1.1\r\nHost: h\r\n\r\n")
+        both_sent.set()
+        first = requests.get(timeout=TIMEOUT_S)
+        second = requests.get(timeout=TIMEOUT_S)
+    assert (first.target, second.target) == (b"/other", b"/chunks")
+    assert second.body == b"x" * 5000
+
+
 def test_stream_that_its_caller_does_not_read_is_closed(server):
     with socket.create_connection(server.address, TIMEOUT_S) as sock:
         sock.sendall(b"GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")
