All request bodies of an entry share a bound

Cause: one body had a limit and all together had none, before a request is whole and after, until its call ends. A body was one growing array, which leaves holes in the memory as it moves.

Change: bodies count from the first byte to the end of the response against an eighth of the memory, at least 8 MiB and one body of maxBodyBytes. Beyond it the largest incomplete request is rejected with 503, Retry-After and reason no-memory: it has not run. Complete ones are kept. The first 16 KiB of each do not count, so an ordinary request never gives way to a crowd. Bodies are kept in blocks, as responses are.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -85,6 +85,7 @@
     EVACUATED = "evacuated"
     TIMED_OUT = "timed-out"
     STOPPING = "stopping"
+    NO_MEMORY = "no-memory"
     STALE_KEYS = "stale-keys"
     NO_CONFIGURATION = "no-configuration"
     POISON = "poison"
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -114,6 +114,9 @@
         self._held_bytes: HeldBytes[ServerConnection] = HeldBytes.from_memory(
             settings.memory_bytes
         )
+        self._received_bytes: HeldBytes[ServerConnection] = HeldBytes.for_requests(
+            settings.memory_bytes
+        )
         self._created_at = self.task.now()
         self._known_rollouts = 0
         self.fleet = EntryFleet(settings, int(time.time() * 1000))
@@ -278,6 +281,7 @@
         self._limits.max_body_bytes = limits.max_body_bytes
         self._limits.header_timeout_s = limits.header_timeout_s
         self._limits.idle_timeout_s = limits.idle_timeout_s
+        self._received_bytes.allow(limits.max_body_bytes)
         self.fleet.apply_configuration(configuration)
         self._refresh_views()
         self.calls.apply_configuration(configuration, self._route_table)
@@ -403,6 +407,7 @@
 
     def on_request(self, connection: ServerConnection, request: Request) -> None:
         """Admit a complete request and start its call, or reject it at once."""
+        self._received_bytes.keep(connection)
         metadata = wire.decode_call(request)
         admission_request = AdmissionRequest(
             metadata.attempt_id, metadata.host, metadata.target, metadata.api_key
@@ -525,6 +530,11 @@
         """Cancel the call of a caller that closed before its response was complete."""
         self.calls.on_caller_gone(connection)
 
+    def on_received_bytes(self, connection: ServerConnection, size_bytes: int) -> None:
+        """Reject the largest incomplete requests if all together hold too much."""
+        for largest in self._received_bytes.resize(connection, size_bytes):
+            largest.reject_incomplete(UNAVAILABLE_STATUS, RejectReason.NO_MEMORY.value)
+
     def on_queued_bytes(self, connection: ServerConnection, size_bytes: int) -> None:
         """Cut the responses of the slowest callers if all together hold too much."""
         for slowest in self._held_bytes.resize(connection, size_bytes):
--- a/src/bamboolever/net/buffers.py
+++ b/src/bamboolever/net/buffers.py
@@ -46,16 +46,14 @@
 
 
 @final
-class ResponseBuffer:
-    """The body of one response; its memory is taken from a shared budget.
+class BlockBuffer:
+    """Bytes that arrive in parts.
 
     Full blocks are kept as they are: a single growing array would be moved again and
     again, which leaves holes in the memory of the process.
     """
 
-    def __init__(self, budget: BufferBudget, max_bytes: int = MAX_RESPONSE_BYTES):
-        self._budget = budget
-        self._max_bytes = max_bytes
+    def __init__(self) -> None:
         self._size_bytes = 0
         self._blocks: list[bytes] = []
         self._last_block = bytearray()
@@ -63,33 +61,60 @@
     def __len__(self) -> int:
         return self._size_bytes
 
-    def add(self, data: bytes) -> str | None:
-        """Append ``data``; return the reason if it does not fit, else None."""
-        new_bytes = self._size_bytes + len(data)
-        if new_bytes > self._max_bytes:
-            return "response over the limit"
-        if not self._budget.resize(self._size_bytes, new_bytes):
-            return "response over the budget of all buffered responses"
-        self._size_bytes = new_bytes
+    def add(self, data: bytes) -> None:
+        """Append ``data``."""
+        self._size_bytes += len(data)
         self._last_block += data
         if len(self._last_block) >= BLOCK_BYTES:
             self._blocks.append(bytes(self._last_block))
             self._last_block = bytearray()
-        return None
 
     def take(self) -> bytes:
-        """Return the body, and empty the buffer."""
-        body = b"".join((*self._blocks, self._last_block))
+        """Return all bytes, and empty the buffer."""
+        data = b"".join((*self._blocks, self._last_block))
         self.clear()
-        return body
+        return data
 
     def clear(self) -> None:
         """Empty the buffer."""
-        self._budget.resize(self._size_bytes, 0)
         self._size_bytes = 0
         self._blocks = []
         self._last_block = bytearray()
 
 
+@final
+class ResponseBuffer:
+    """The body of one response; its memory is taken from a shared budget."""
+
+    def __init__(self, budget: BufferBudget, max_bytes: int = MAX_RESPONSE_BYTES):
+        self._budget = budget
+        self._max_bytes = max_bytes
+        self._body = BlockBuffer()
+
+    def __len__(self) -> int:
+        return len(self._body)
+
+    def add(self, data: bytes) -> str | None:
+        """Append ``data``; return the reason if it does not fit, else None."""
+        new_bytes = len(self._body) + len(data)
+        if new_bytes > self._max_bytes:
+            return "response over the limit"
+        if not self._budget.resize(len(self._body), new_bytes):
+            return "response over the budget of all buffered responses"
+        self._body.add(data)
+        return None
+
+    def take(self) -> bytes:
+        """Return the body, and empty the buffer."""
+        body = self._body.take()
+        self._budget.resize(len(body), 0)
+        return body
+
+    def clear(self) -> None:
+        """Empty the buffer."""
+        self._budget.resize(len(self._body), 0)
+        self._body.clear()
+
+
 def _budgeted(size_bytes: int) -> int:
     return max(0, size_bytes - UNBUDGETED_BYTES)
--- a/src/bamboolever/net/handlers.py
+++ b/src/bamboolever/net/handlers.py
@@ -48,6 +48,16 @@
         ``status`` is the HTTP status and ``reason`` a short description.
         """
 
+    def on_received_bytes(  # noqa: B027 (not all handlers bound what is received)
+        self, connection: "ServerConnection", size_bytes: int
+    ) -> None:
+        """Called when the size of a request's body changed.
+
+        It grows until the request is complete, and is 0 once its response ends.
+
+        The handler may call `ServerConnection.reject_incomplete` for any connection.
+        """
+
     def on_queued_bytes(  # noqa: B027 (not all handlers bound what is queued)
         self, connection: "ServerConnection", size_bytes: int
     ) -> None:
--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -13,6 +13,7 @@
 import h11
 
 from bamboolever._task import READ, WRITE
+from bamboolever.net.buffers import BlockBuffer
 from bamboolever.net.messages import Header, Request
 from bamboolever.net.sockets import count_undelivered_bytes, set_stream_options
 from bamboolever.net.timers import RearmableTimer
@@ -74,7 +75,8 @@
         limit = server.limits.max_header_bytes
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
         self._request: h11.Request | None = None
-        self._request_body = bytearray()
+        self._request_body = BlockBuffer()
+        self._received_bytes = 0
         self._send_buffer = bytearray()
         self._reported_bytes = 0
         self._events = READ
@@ -230,6 +232,7 @@
         self._sock.close()
         self._send_buffer = bytearray()
         self._report_queued_bytes()
+        self._release_body()
         self._server.remove_connection(self)
         if self._is_response_due:
             self._is_response_due = False
@@ -252,7 +255,7 @@
         self._is_response_due = False
         self._is_head_sent = False
         self._request = None
-        self._request_body = bytearray()
+        self._release_body()
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             self._arm_timer(self._server.limits.idle_timeout_s)
@@ -368,10 +371,14 @@
             self._flush()
 
     def _append_body(self, data: bytes) -> None:
-        self._request_body += data
+        self._request_body.add(data)
         if len(self._request_body) > self._server.limits.max_body_bytes:
             self._reject(413, "the body is over the limit")
             return
+        self._report_received_bytes(len(self._request_body))
+        if self._is_closing:
+            # The handler has rejected the request.
+            return
         self._arm_timer(self._server.limits.idle_timeout_s)
 
     def _deliver_request(self, request: h11.Request) -> None:
@@ -380,7 +387,7 @@
             bytes(request.method),
             bytes(request.target),
             tuple(request.headers.raw_items()),
-            bytes(self._request_body),
+            self._request_body.take(),
         )
         self._is_response_due = True
         self._server.handler.on_request(self, complete_request)
@@ -388,6 +395,7 @@
     def _reject(self, status: int, reason: str) -> None:
         self._server.handler.on_rejected(status, reason)
         self._is_closing = True
+        self._release_body()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers, body = self._server.make_rejection(status, reason)
             length = str(len(body)).encode()
@@ -419,6 +427,15 @@
         self._update_events()
         self._report_queued_bytes()
 
+    def _release_body(self) -> None:
+        self._request_body.clear()
+        self._report_received_bytes(0)
+
+    def _report_received_bytes(self, size_bytes: int) -> None:
+        if size_bytes != self._received_bytes:
+            self._received_bytes = size_bytes
+            self._server.handler.on_received_bytes(self, size_bytes)
+
     def _report_queued_bytes(self) -> None:
         # Counts allocated memory: up to half of it may still hold bytes already sent.
         size_bytes = self._send_buffer.__alloc__() if self._send_buffer else 0
--- a/testing/net/test_buffers.py
+++ b/testing/net/test_buffers.py
@@ -79,4 +79,4 @@
     buffer = ResponseBuffer(BufferBudget())
     for _ in range(3 * BLOCK_BYTES):
         buffer.add(b"x")
-    assert len(buffer._blocks) == 3
+    assert len(buffer._body._blocks) == 3
