Requests that are sent ahead wait in the kernel

Cause: the bound on what is received ahead closed the connection. 1,886 connections of an entry could hold 64 to 128 KB each, too.

Change: beyond 16 KiB the connection reads no more until the response is sent. A caller that leaves meanwhile is noticed only then.

--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -26,7 +26,8 @@
 RECEIVE_BYTES = 64 * 1024
 # Parts of a request that one connection parses before others get their turn.
 MAX_EVENTS_PER_TURN = 64
-MAX_PIPELINED_BYTES = 64 * 1024
+# Received while another response is due; more stays with the kernel.
+MAX_PIPELINED_BYTES = 16 * 1024
 MAX_STREAM_BUFFER_BYTES = 4 * 2**20
 TCP_USER_TIMEOUT_S = 10.0
 # How long a caller may take to close a connection whose last response it has.
@@ -83,6 +84,7 @@
         self._is_closed = False
         self._is_closing = False
         self._is_turn_due = False
+        self._pipelined_bytes = 0
         self._is_cut = False
         self._is_response_due = False
         self._is_head_sent = False
@@ -286,7 +288,7 @@
 
     def _receive(self) -> None:
         try:
-            data = self._sock.recv(RECEIVE_BYTES)
+            data = self._sock.recv(self._find_receive_bytes())
         except BlockingIOError:
             return
         except OSError as error:
@@ -304,8 +306,12 @@
         if self._can_process:
             self._process_events()
             return
-        if len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES:
-            self.close()
+        self._pipelined_bytes += len(data)
+        self._update_events()
+
+    def _find_receive_bytes(self) -> int:
+        is_body_arriving = self._request is not None and self._can_process
+        return RECEIVE_BYTES if is_body_arriving else MAX_PIPELINED_BYTES
 
     @property
     def _can_process(self) -> bool:
@@ -321,6 +327,8 @@
     def _process_events(self) -> None:
         """Process what was received, at most `MAX_EVENTS_PER_TURN`; the rest later."""
         self._is_turn_due = False
+        if self._can_process:
+            self._pipelined_bytes = 0
         try:
             for _ in range(MAX_EVENTS_PER_TURN):
                 event = self._http.next_event() if self._can_process else h11.PAUSED
@@ -451,6 +459,7 @@
         except OSError as error:
             logger.debug("shutdown failed: %s", error)
         self._is_turn_due = False
+        self._pipelined_bytes = 0
         self._update_events()
         self._await_delivery(None, self._task.now())
 
@@ -477,11 +486,12 @@
         """Watch the socket for what this connection waits for.
 
         It reads no more while a turn is due, so that it can't receive faster than the
-        requests are parsed.
+        requests are parsed, nor many requests ahead of the response that is due.
         """
         if self._is_closed:
             return
-        events = 0 if self._is_turn_due else READ
+        is_ahead = self._pipelined_bytes >= MAX_PIPELINED_BYTES
+        events = 0 if self._is_turn_due or is_ahead else READ
         if self._send_buffer:
             events |= WRITE
         if events == self._events:
--- a/testing/net/test_server.py
+++ b/testing/net/test_server.py
@@ -13,9 +13,15 @@
 from bamboolever.net.addresses import Address
 from bamboolever.net.handlers import HttpLimits, RequestHandler
 from bamboolever.net.server import HttpServer
-from bamboolever.net.serverconnection import MAX_STREAM_BUFFER_BYTES
+from bamboolever.net.serverconnection import (
+    MAX_PIPELINED_BYTES,
+    MAX_STREAM_BUFFER_BYTES,
+    RECEIVE_BYTES,
+)
 
 TIMEOUT_S = 30.0
+MIB = 2**20
+BODY = b"x" * MIB
 
 
 class EchoHandler(RequestHandler):
@@ -23,6 +29,7 @@
         self.task = task
         self.requests = queue.Queue()
         self.rejected = queue.Queue()
+        self.held = queue.Queue()
         self.is_closed = queue.Queue()
 
     def on_request(self, connection, request):
@@ -33,6 +40,9 @@
             # Runs after what the connection has sent to the task.
             self.task.send(lambda: self.is_closed.put(connection._is_closed))
             return
+        if request.target == b"/held":
+            self.held.put(connection)
+            return
         connection.respond(200, [], b"path " + request.target)
 
     def on_caller_gone(self, connection):
@@ -128,6 +138,26 @@
     assert received.index(b"path /1") < received.index(b"path /2")
 
 
+def test_request_that_is_sent_ahead_ends_no_response_before_it(server):
+    """Guards against a connection that is closed as its caller sends ahead."""
+    first = b"GET /held HTTP/1.1\r\nHost: h\r\n\r\n"
+    second = b"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % MIB
+    with socket.create_connection(server.address, TIMEOUT_S) as sock:
+        sender = threading.Thread(target=sock.sendall, args=(first + second + BODY,))
+        sender.start()
+        connection = server.handler.held.get(timeout=TIMEOUT_S)
+        wait_for(lambda: connection._pipelined_bytes >= MAX_PIPELINED_BYTES)
+        assert connection.state().received_bytes <= 2 * RECEIVE_BYTES
+        server.task.send(lambda: connection.respond(200, [], b"held"))
+        sender.join()
+        received = b""
+        while b"path /2" not in received:
+            data = sock.recv(65536)
+            assert data, "the connection ended early"
+            received += data
+    assert received.index(b"held") < received.index(b"path /2")
+
+
 def test_chunked_body_with_a_content_length_is_rejected(server):
     handler = server.handler
     while not handler.requests.empty():
