A new caller takes the place of one that sends no request

Cause: at the limit of connections the newest is closed, whatever the others do.

Change: the oldest connection without a response so far gives way, its incomplete request with 503; then the oldest idle one. One with a response due, or with bytes that its caller hasn't acknowledged, stays. If all are in use, the newest is closed, as before.

Asking a closed socket for its undelivered bytes is no error.

--- a/src/bamboolever/calls/dispatcher.py
+++ b/src/bamboolever/calls/dispatcher.py
@@ -86,6 +86,7 @@
     TIMED_OUT = "timed-out"
     STOPPING = "stopping"
     NO_MEMORY = "no-memory"
+    TOO_MANY_CONNECTIONS = "too many connections"
     STALE_KEYS = "stale-keys"
     NO_CONFIGURATION = "no-configuration"
     POISON = "poison"
--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -2,6 +2,7 @@
 
 import collections
 import logging
+from collections.abc import Iterable
 
 from bamboolever._task import READ, IoTask
 from bamboolever.net.addresses import Address
@@ -16,6 +17,8 @@
 
 logger = logging.getLogger(__name__)
 
+TOO_MANY_CONNECTIONS = "too many connections"
+
 
 class HttpServer:
     """Listens on one address and serves the connections that it accepts.
@@ -40,7 +43,8 @@
         self.limits = limits
         self.is_stopping = False
         self._max_connections = max_connections
-        self._connections: set[ServerConnection] = set()
+        # Oldest first.
+        self._connections: dict[ServerConnection, None] = {}
         self._turns: collections.deque[ServerConnection] = collections.deque()
         self._sock = open_listener(address)
         self.address = Address(*self._sock.getsockname())
@@ -110,7 +114,7 @@
 
     def remove_connection(self, connection: ServerConnection) -> None:
         """Remove a closed connection."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
 
     def _on_ready(self, _events: int) -> None:
         while True:
@@ -121,8 +125,31 @@
             except OSError as error:
                 logger.warning("accept failed", extra={"error": str(error)})
                 return
-            if len(self._connections) >= self._max_connections:
-                self.handler.on_rejected(503, "too many connections")
+            if not self._make_room():
+                self.handler.on_rejected(503, TOO_MANY_CONNECTIONS)
                 sock.close()
                 continue
-            self._connections.add(ServerConnection(self, sock))
+            self._connections[ServerConnection(self, sock)] = None
+
+    def _make_room(self) -> bool:
+        """Return whether another connection may be open, after closing one if needed.
+
+        The oldest without a request that was served goes first, then the oldest idle
+        one. A connection on which a response is due stays.
+        """
+        if len(self._connections) < self._max_connections:
+            return True
+        connections = self._connections
+        victim = _find_unused(each for each in connections if not each.has_served)
+        victim = victim or _find_unused(connections)
+        if victim is None:
+            return False
+        victim.reject_incomplete(503, TOO_MANY_CONNECTIONS)
+        victim.close()
+        return True
+
+
+def _find_unused(
+    connections: Iterable[ServerConnection],
+) -> ServerConnection | None:
+    return next((each for each in connections if not each.is_in_use), None)
--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -83,6 +83,7 @@
         self._events = READ
         self._is_closed = False
         self._is_closing = False
+        self._has_served = False
         self._is_turn_due = False
         self._pipelined_bytes = 0
         self._is_cut = False
@@ -141,9 +142,22 @@
         A response counts once the caller has acknowledged its last byte. Before, bytes
         that the caller sends may reset the connection as it is closed.
         """
-        if self._is_request_begun or self._is_response_due or self._send_buffer:
-            return False
-        return not count_undelivered_bytes(self._sock)
+        return not self._is_request_begun and not self.is_in_use
+
+    @property
+    def is_in_use(self) -> bool:
+        """Whether a response is due, or the caller does not have all of its responses.
+
+        False while a request arrives: nothing has been accepted yet.
+        """
+        if self._is_response_due or self._send_buffer:
+            return True
+        return bool(count_undelivered_bytes(self._sock))
+
+    @property
+    def has_served(self) -> bool:
+        """Whether a response has been sent on this connection."""
+        return self._has_served
 
     def reject_incomplete(self, status: int, reason: str) -> None:
         """Reject the request that is arriving, if there is one."""
@@ -256,6 +270,7 @@
         self._send_event(h11.EndOfMessage())
         self._is_response_due = False
         self._is_head_sent = False
+        self._has_served = True
         self._request = None
         self._release_body()
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
--- a/src/bamboolever/net/sockets.py
+++ b/src/bamboolever/net/sockets.py
@@ -57,10 +57,13 @@
 
 
 def count_undelivered_bytes(sock: socket.socket) -> int | None:
-    """Return how many sent bytes the peer has not acknowledged; None if unknown."""
+    """Return how many sent bytes the peer has not acknowledged.
+
+    None if that is unknown, as for a closed socket.
+    """
     try:
         count = fcntl.ioctl(sock, termios.TIOCOUTQ, struct.pack("i", 0))
-    except OSError as error:
+    except (OSError, ValueError) as error:
         logger.debug("no count of undelivered bytes: %s", error)
         return None
     return int(struct.unpack("i", count)[0])
--- a/testing/net/test_server.py
+++ b/testing/net/test_server.py
@@ -52,19 +52,39 @@
         self.rejected.put(status)
 
 
-@pytest.fixture(scope="module")
-def server():
+def _start_server(**options):
     task = IoTask("test server")
-    handler = EchoHandler(task)
     limits = HttpLimits(header_timeout_s=0.3, idle_timeout_s=1.0)
-    server = HttpServer(
-        task, Address("127.0.0.1", 0), handler, limits, max_connections=500
-    )
+    address = Address("127.0.0.1", 0)
+    server = HttpServer(task, address, EchoHandler(task), limits, **options)
     server.start()
     task.start()
+    return server
+
+
+def _stop_server(server):
+    server.task.send(server.close)
+    server.task.stop()
+
+
+@pytest.fixture(scope="module")
+def server():
+    server = _start_server(max_connections=500)
     yield server
-    task.send(server.close)
-    task.stop()
+    _stop_server(server)
+
+
+@pytest.fixture
+def make_server():
+    servers = []
+
+    def make(**options):
+        servers.append(_start_server(**options))
+        return servers[-1]
+
+    yield make
+    for server in servers:
+        _stop_server(server)
 
 
 def _exchange(server, data):
@@ -158,6 +178,49 @@
     assert received.index(b"held") < received.index(b"path /2")
 
 
+def test_new_caller_takes_the_place_of_one_that_sends_no_request(make_server):
+    """Guards against callers that are kept out by others that only stay connected."""
+    server = make_server(max_connections=2)
+    with (
+        _connect_and_get(server, b"/first") as served,
+        socket.create_connection(server.address, TIMEOUT_S) as silent,
+        socket.create_connection(server.address, TIMEOUT_S) as partial,
+    ):
+        assert silent.recv(4096) == b""
+        partial.sendall(b"GET /partial HTTP/1.1\r\n")
+        wait_for(lambda: any(each.is_request_begun for each in _states(server)))
+        with socket.create_connection(server.address, TIMEOUT_S) as newest:
+            assert b" 503 " in partial.recv(4096)
+            assert _get(newest, b"/newest")
+            assert _get(served, b"/again")
+
+
+def test_connection_with_a_response_due_keeps_its_place(make_server):
+    server = make_server(max_connections=1)
+    with socket.create_connection(server.address, TIMEOUT_S) as held:
+        held.sendall(b"GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+        connection = server.handler.held.get(timeout=TIMEOUT_S)
+        with socket.create_connection(server.address, TIMEOUT_S) as newest:
+            assert newest.recv(4096) == b""
+        server.task.send(lambda: connection.respond(200, [], b"held"))
+        assert b"held" in held.recv(4096)
+
+
+def _connect_and_get(server, target):
+    sock = socket.create_connection(server.address, TIMEOUT_S)
+    assert _get(sock, target)
+    return sock
+
+
+def _get(sock, target):
+    sock.sendall(b"GET %s HTTP/1.1\r\nHost: h\r\n\r\n" % target)
+    return b"path " + target in sock.recv(4096)
+
+
+def _states(server):
+    return [connection.state() for connection in list(server._connections)]
+
+
 def test_chunked_body_with_a_content_length_is_rejected(server):
     handler = server.handler
     while not handler.requests.empty():
