A listener without descriptors doesn't keep the loop busy

A process that is out of descriptors fails to accept, while its listener stays readable.

Cause: the loop tried again in each pass, with a log line each.

Change: after a failed accept the listener is left alone for 0.1 s.

Evidence: one attempt in 100 passes of the loop (test); the caller is served as soon as there are descriptors. On the sources before, each pass was an attempt, by reading.

--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -17,6 +17,7 @@
 
 logger = logging.getLogger(__name__)
 
+ACCEPT_RETRY_S = 0.1
 TOO_MANY_CONNECTIONS = "too many connections"
 
 
@@ -42,6 +43,7 @@
         self.handler = handler
         self.limits = limits
         self.is_stopping = False
+        self._is_closed = False
         self._max_connections = max_connections
         # Oldest first.
         self._connections: dict[ServerConnection, None] = {}
@@ -88,6 +90,7 @@
 
     def stop_listening(self) -> None:
         """Stop accepting connections; open ones stay open."""
+        self._is_closed = True
         self.task.unregister(self._sock)
         self._sock.close()
 
@@ -124,6 +127,7 @@
                 return
             except OSError as error:
                 logger.warning("accept failed", extra={"error": str(error)})
+                self._pause_accepting()
                 return
             if not self._make_room():
                 self.handler.on_rejected(503, TOO_MANY_CONNECTIONS)
@@ -131,6 +135,15 @@
                 continue
             self._connections[ServerConnection(self, sock)] = None
 
+    def _pause_accepting(self) -> None:
+        """Look again later: without descriptors, the listener stays readable."""
+        self.task.unregister(self._sock)
+        self.task.call_later(ACCEPT_RETRY_S, self._resume_accepting)
+
+    def _resume_accepting(self) -> None:
+        if not self._is_closed:
+            self.start()
+
     def _make_room(self) -> bool:
         """Return whether another connection may be open, after closing one if needed.
 
--- a/testing/net/test_server.py
+++ b/testing/net/test_server.py
@@ -1,5 +1,6 @@
 """The HTTP server with malformed, slow and hostile input."""
 
+import errno
 import queue
 import socket
 import threading
@@ -10,6 +11,7 @@
 from sitebuilders import wait_for
 
 from bamboolever._task import IoTask
+from bamboolever.net import server as server_module
 from bamboolever.net.addresses import Address
 from bamboolever.net.handlers import HttpLimits, RequestHandler
 from bamboolever.net.server import HttpServer
@@ -178,6 +180,56 @@
     assert received.index(b"held") < received.index(b"path /2")
 
 
+class FullListener:
+    """A listener whose process has no descriptors left."""
+
+    def __init__(self, sock):
+        self._sock = sock
+        self.attempts = 0
+        self.is_full = True
+
+    def fileno(self):
+        return self._sock.fileno()
+
+    def close(self):
+        self._sock.close()
+
+    def accept(self):
+        self.attempts += 1
+        if self.is_full:
+            raise OSError(errno.EMFILE, "too many open files")
+        return self._sock.accept()
+
+
+def _await_passes(task, count):
+    for _ in range(count):
+        passed = threading.Event()
+        task.send(passed.set)
+        assert passed.wait(TIMEOUT_S)
+
+
+def test_server_without_descriptors_does_not_spin(make_server, monkeypatch):
+    """Guards against a loop that only tries to accept, as its listener is readable."""
+    monkeypatch.setattr(server_module, "ACCEPT_RETRY_S", 1.0)
+    server = make_server(max_connections=9)
+    listener = FullListener(server._sock)
+    server.task.send(lambda: _replace_listener(server, listener))
+    _await_passes(server.task, 1)
+    with socket.create_connection(server.address, TIMEOUT_S) as sock:
+        wait_for(lambda: listener.attempts)
+        _await_passes(server.task, 100)
+        assert listener.attempts == 1
+        listener.is_full = False
+        sock.sendall(b"GET /alive HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert b"path /alive" in sock.recv(4096)
+
+
+def _replace_listener(server, listener):
+    server.task.unregister(server._sock)
+    server._sock = listener
+    server.start()
+
+
 def test_new_caller_takes_the_place_of_one_that_sends_no_request(make_server):
     """Guards against callers that are kept out by others that only stay connected."""
     server = make_server(max_connections=2)
