A request's body is sent to its upstream without a copy

Change: a body over 64 KiB is queued as it is, behind its head, and not joined with it; smaller ones go in one system call, as before.

--- a/src/bamboolever/net/client.py
+++ b/src/bamboolever/net/client.py
@@ -4,6 +4,7 @@
 the request were sent, so that the caller can decide whether a retry is safe.
 """
 
+import collections
 import errno
 import os
 import socket
@@ -22,6 +23,8 @@
 # A server that sends more than this besides the response is faulty and may never stop.
 MAX_SKIPPED_RESPONSES = 64
 MAX_SKIPPED_BYTES = 2**20
+# A body of up to this size is sent in one system call with its head.
+MAX_JOINED_BYTES = 64 * 2**10
 
 
 class ClientConnection:
@@ -43,7 +46,7 @@
         self._events = READ | WRITE
         self._task.register(self._sock, self._events, self._on_ready)
         self._http = h11.Connection(h11.CLIENT)
-        self._send_buffer = bytearray()
+        self._send_queue: collections.deque[memoryview] = collections.deque()
         self._handler: ResponseHandler | None = None
         self._request: Request | None = None
         self._is_connecting = True
@@ -77,7 +80,7 @@
         self._is_close_pending = False
         self._skipped_responses = 0
         self._skipped_bytes = 0
-        self._send_buffer += self._encode(request)
+        self._send_queue.extend(map(memoryview, self._encode(request)))
         if self._is_connecting:
             timeout_s = self._pool.connect_timeout_s
             self._connect_timer = self._task.call_later(
@@ -99,20 +102,25 @@
         self._cancel_connect_timer()
         self._task.unregister(self._sock)
         self._sock.close()
+        self._send_queue.clear()
         self._pool.remove_connection(self)
 
-    def _encode(self, request: Request) -> bytes:
+    def _encode(self, request: Request) -> list[bytes]:
+        """Return the parts of a request; a large body is one of them, not copied."""
         headers = list(request.headers)
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
             headers.append((b"Content-Length", str(len(request.body)).encode()))
         event = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
-        encoded = self._http.send(event) or b""
+        parts = [self._http.send(event) or b""]
         if request.body:
-            encoded += self._http.send(h11.Data(data=request.body)) or b""
-        encoded += self._http.send(h11.EndOfMessage()) or b""
-        return encoded
+            data = h11.Data(data=request.body)
+            parts += self._http.send_with_data_passthrough(data) or []
+        parts.append(self._http.send(h11.EndOfMessage()) or b"")
+        if len(request.body) <= MAX_JOINED_BYTES:
+            return [b"".join(parts)]
+        return [part for part in parts if part]
 
     def _on_ready(self, events: int) -> None:
         if self._is_closed:
@@ -142,18 +150,21 @@
 
     def _flush(self) -> None:
         try:
-            while self._send_buffer:
-                with memoryview(self._send_buffer) as view:
-                    sent = self._sock.send(view)
+            while self._send_queue:
+                part = self._send_queue[0]
+                sent = self._sock.send(part)
                 self._is_request_sent = True
-                del self._send_buffer[:sent]
+                if sent < len(part):
+                    self._send_queue[0] = part[sent:]
+                else:
+                    self._send_queue.popleft()
         except BlockingIOError:
             pass
         except OSError as error:
             failure = self._send_error = error
             self._task.send(lambda: self._fail_with_os_error(failure))
             return
-        self._set_events(READ | (WRITE if self._send_buffer else 0))
+        self._set_events(READ | (WRITE if self._send_queue else 0))
 
     def _receive(self) -> None:
         try:
@@ -207,7 +218,7 @@
             return
         if not self._handler.may_reuse_after(head):
             self._is_close_pending = True
-        if self._send_buffer:
+        if self._send_queue:
             # The server responded before it had received the complete request. It
             # could take the rest for a new request, so the connection is not reused.
             self._is_close_pending = True
@@ -242,7 +253,7 @@
             not is_done
             or has_trailing_data
             or self._is_close_pending
-            or self._send_buffer
+            or self._send_queue
         ):
             self.close()
             return
