--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -43,7 +43,7 @@
 from bamboolever.net.datagrams import DatagramSocket
 from bamboolever.net.exchange import ExchangeFailure
 from bamboolever.net.fetch import Fetch, FetchResult, Response
-from bamboolever.net.handlers import HttpLimits
+from bamboolever.net.handlers import MAX_INTERNAL_BODY_BYTES, HttpLimits
 from bamboolever.net.server import HttpServer
 from bamboolever.platform import names
 from bamboolever.platform import weights as wire
@@ -144,7 +144,7 @@
         logger.info("settings reloaded", extra={"store": str(settings.store_address)})
 
     def _open_ports(self) -> None:
-        limits = HttpLimits()
+        limits = HttpLimits(max_body_bytes=MAX_INTERNAL_BODY_BYTES)
         self._piece_handler = PieceHandler(
             self.task,
             self._loader.transfer,
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -65,7 +65,12 @@
 from bamboolever.fleet.records import ModelVersion
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
-from bamboolever.net.handlers import HttpLimits, RequestHandler, make_plain_rejection
+from bamboolever.net.handlers import (
+    MAX_INTERNAL_BODY_BYTES,
+    HttpLimits,
+    RequestHandler,
+    make_plain_rejection,
+)
 from bamboolever.net.messages import Header, Request
 from bamboolever.net.server import HttpServer
 from bamboolever.net.serverconnection import ServerConnection
@@ -161,7 +166,7 @@
         status = StatusHandler(
             names.READINESS_PATH, self.is_ready, self.telemetry.render_text
         )
-        limits = HttpLimits()
+        limits = HttpLimits(max_body_bytes=MAX_INTERNAL_BODY_BYTES)
         self._readiness_server = HttpServer(
             self.task, settings.readiness_address, status, limits, max_connections=32
         )
--- a/src/bamboolever/net/handlers.py
+++ b/src/bamboolever/net/handlers.py
@@ -11,6 +11,10 @@
     from bamboolever.net.serverconnection import ServerConnection
 
 
+# For requests between instances and of operators, which have no bodies.
+MAX_INTERNAL_BODY_BYTES = 4 * 1024
+
+
 @dataclass
 class HttpLimits:
     """Size limits in bytes and timeouts in seconds for a server's connections.
--- a/testing/daemons/test_crowds.py
+++ b/testing/daemons/test_crowds.py
@@ -16,6 +16,8 @@
 from processes import DaemonProcess
 from sitebuilders import WAIT_S, make_headers, read_response, wait_for
 
+from bamboolever.net.handlers import MAX_INTERNAL_BODY_BYTES
+
 MEMORY_MB = 120
 DESCRIPTORS = 600
 CROWDS = {
@@ -75,3 +77,22 @@
     assert entry.process.is_running
     assert entry.process.peak_memory_bytes() < MEMORY_MB * MIB
     assert entry.process.count_descriptors() < DESCRIPTORS
+
+
+@pytest.mark.parametrize("server", ["_readiness_server", "_snapshot_server"])
+def test_internal_ports_of_an_entry_take_no_large_bodies(start_entry, server):
+    """Guards against memory that is filled on a port without a bound for all."""
+    entry = start_entry().wait_ready(0)
+    assert _post_large(getattr(entry.entry, server).address) == 413
+
+
+@pytest.mark.parametrize("server", ["_piece_server", "_metrics_server"])
+def test_internal_ports_of_an_agent_take_no_large_bodies(site, start_agent, server):
+    agent = start_agent(site.add_engine("engine-1", "127.0.0.2"))
+    assert _post_large(getattr(agent.agent, server).address) == 413
+
+
+def _post_large(address):
+    connection = http.client.HTTPConnection(*address, timeout=WAIT_S)
+    connection.request("POST", "/", b"x" * (MAX_INTERNAL_BODY_BYTES + 1))
+    return connection.getresponse().status
