--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -6,13 +6,14 @@
 
 from bamboolever._task import READ, IoTask
 from bamboolever.net.addresses import Address
+from bamboolever.net.connectionstate import ConnectionState
 from bamboolever.net.handlers import (
     HttpLimits,
     MakeRejection,
     RequestHandler,
     make_plain_rejection,
 )
-from bamboolever.net.serverconnection import ConnectionState, ServerConnection
+from bamboolever.net.serverconnection import ServerConnection
 from bamboolever.net.sockets import open_listener
 
 logger = logging.getLogger(__name__)
--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -7,14 +7,16 @@
 import logging
 import socket
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import h11
 
 from bamboolever._task import READ, WRITE
 from bamboolever.net.buffers import BlockBuffer
+from bamboolever.net.connectionstate import ConnectionState
+from bamboolever.net.delivery import DeliveryWait
 from bamboolever.net.messages import Header, Request
+from bamboolever.net.requestheads import expects_continue, find_head_fault
 from bamboolever.net.sockets import count_undelivered_bytes, set_stream_options
 from bamboolever.net.timers import RearmableTimer
 
@@ -30,37 +32,6 @@
 MAX_PIPELINED_BYTES = 16 * 1024
 MAX_STREAM_BUFFER_BYTES = 4 * 2**20
 TCP_USER_TIMEOUT_S = 10.0
-# How long a caller may take to close a connection whose last response it has.
-HALF_CLOSE_TIMEOUT_S = 1.0
-
-
-@dataclass(frozen=True)
-class ConnectionState:
-    """What is unfinished on a connection.
-
-    ``received_bytes`` belong to a request that is not complete or not looked at yet,
-    ``unsent_bytes`` to responses that the socket does not take yet.
-    ``undelivered_bytes`` were sent, and the caller has not acknowledged them; None if
-    that is unknown. ``caller_port`` identifies the connection in a packet capture.
-    """
-
-    caller_port: int | None
-    is_request_begun: bool
-    is_response_due: bool
-    is_head_sent: bool
-    received_bytes: int
-    unsent_bytes: int
-    undelivered_bytes: int | None
-
-    @property
-    def is_finished(self) -> bool:
-        """Whether nothing is lost if the connection ends now."""
-        return not (
-            self.is_request_begun
-            or self.is_response_due
-            or self.unsent_bytes
-            or self.undelivered_bytes
-        )
 
 
 class ServerConnection:
@@ -90,6 +61,7 @@
         self._is_response_due = False
         self._is_head_sent = False
         self._timer = RearmableTimer(self._task)
+        self._delivery = DeliveryWait(self._task, sock, self.close)
         sock.setblocking(False)
         set_stream_options(sock, TCP_USER_TIMEOUT_S)
         self._task.register(sock, READ, self._on_ready)
@@ -244,6 +216,7 @@
             return
         self._is_closed = True
         self._timer.disarm()
+        self._delivery.cancel()
         self._task.unregister(self._sock)
         self._sock.close()
         self._send_buffer = bytearray()
@@ -377,19 +350,11 @@
     def _begin_request(self, request: h11.Request) -> None:
         self._request = request
         self._arm_timer(self._server.limits.idle_timeout_s)
-        if _header_size_bytes(request) > self._server.limits.max_header_bytes:
-            self._reject(431, "the headers are over the limit")
+        fault = find_head_fault(request, self._server.limits)
+        if fault is not None:
+            self._reject(fault.status, fault.reason)
             return
-        names = {name for name, _ in request.headers}
-        if b"content-length" in names and b"transfer-encoding" in names:
-            self._reject(400, "both Content-Length and Transfer-Encoding")
-            return
-        headers = dict(request.headers)
-        length = headers.get(b"content-length", b"0")
-        if int(length) > self._server.limits.max_body_bytes:
-            self._reject(413, "the body is over the limit")
-            return
-        if headers.get(b"expect", b"").lower() == b"100-continue":
+        if expects_continue(request):
             self._send_event(h11.InformationalResponse(status_code=100, headers=[]))
             self._flush()
 
@@ -476,26 +441,8 @@
         self._is_turn_due = False
         self._pipelined_bytes = 0
         self._update_events()
-        self._await_delivery(None, self._task.now())
-
-    def _await_delivery(
-        self, undelivered_bytes: int | None, progressed_at: float
-    ) -> None:
-        """Close once the caller has all, or has taken nothing for the idle timeout.
-
-        At ``progressed_at`` the ``undelivered_bytes`` were last seen to change.
-        """
-
-        def check() -> None:
-            now = self._task.now()
-            count = count_undelivered_bytes(self._sock)
-            since = now if count != undelivered_bytes else progressed_at
-            if not count or now - since >= self._server.limits.idle_timeout_s:
-                self.close()
-                return
-            self._await_delivery(count, since)
-
-        self._timer.arm(HALF_CLOSE_TIMEOUT_S, check)
+        self._timer.disarm()
+        self._delivery.start(self._server.limits.idle_timeout_s)
 
     def _update_events(self) -> None:
         """Watch the socket for what this connection waits for.
@@ -538,8 +485,3 @@
             self._half_close()
             return
         self.close()
-
-
-def _header_size_bytes(request: h11.Request) -> int:
-    sizes = (len(name) + len(value) + 4 for name, value in request.headers)
-    return len(request.target) + sum(sizes)
--- a/testing/daemons/test_slowcallers.py
+++ b/testing/daemons/test_slowcallers.py
@@ -9,7 +9,7 @@
 
 from bamboolever.calls import stall
 from bamboolever.daemons import gracefulstop
-from bamboolever.net import serverconnection
+from bamboolever.net import delivery
 from bamboolever.net.buffers import BufferBudget
 
 MIB = 2**20
@@ -192,7 +192,7 @@
     site, start_entry, make_caller, monkeypatch
 ):
     """Guards against a reset while the kernel still delivers the response."""
-    monkeypatch.setattr(serverconnection, "HALF_CLOSE_TIMEOUT_S", 0.01)
+    monkeypatch.setattr(delivery, "HALF_CLOSE_TIMEOUT_S", 0.01)
     RawUpstream(site, "large", [_response_of(KERNEL_BYTES)], is_engine=False)
     entry = start_entry().wait_ready(1)
     caller = make_caller(entry)
@@ -211,7 +211,7 @@
 def test_caller_that_takes_nothing_of_its_last_response_is_closed(
     site, start_entry, make_caller, monkeypatch
 ):
-    monkeypatch.setattr(serverconnection, "HALF_CLOSE_TIMEOUT_S", 0.01)
+    monkeypatch.setattr(delivery, "HALF_CLOSE_TIMEOUT_S", 0.01)
     site.configuration["limits"] = {"idleTimeoutMs": 200}
     RawUpstream(site, "large", [_response_of(KERNEL_BYTES)], is_engine=False)
     entry = start_entry().wait_ready(1)
