The drain of the product's own entry waits for its callers, too

Change: it also waits, within drain_timeout, until the callers' port is idle, as the platform's entry does.

--- a/src/bamboolever/_callerhttp.py
+++ b/src/bamboolever/_callerhttp.py
@@ -137,6 +137,14 @@
         """Whether new connections are no longer accepted."""
         return self._server.is_stopping
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is arriving and callers have all of their responses.
+
+        May be read from any thread.
+        """
+        return self._server.is_idle
+
     def start(self) -> None:
         """Start to accept connections; call it on the task's thread."""
         self._server.start()
--- a/src/bamboolever/_entry.py
+++ b/src/bamboolever/_entry.py
@@ -235,19 +235,24 @@
         """Stop accepting callers and wait for the open calls.
 
         Readiness fails at once. The callers' port closes ``balancer_delay`` later,
-        when the balancer has noticed. Returns whether every call and claim ended
-        within ``drain_timeout``; blocks for up to the sum of the two.
+        when the balancer has noticed. Returns whether every call and claim ended, and
+        callers had their responses, within ``drain_timeout``; blocks for up to the sum
+        of the two.
         """
         self._is_stopping = True
         time.sleep(self._settings.balancer_delay)
         self._task.send(self._caller_server.stop_accepting)
         deadline = time.monotonic() + self._settings.drain_timeout
         while time.monotonic() < deadline:
-            if self._coordinator.open_calls == 0 and self._claim_writer.pending == 0:
+            if self._is_drained_of_calls():
                 return True
             time.sleep(0.02)
         return False
 
+    def _is_drained_of_calls(self) -> bool:
+        has_calls = self._coordinator.open_calls or self._claim_writer.pending
+        return not has_calls and self._caller_server.is_idle
+
     def stop(self) -> None:
         """See `Service.stop`."""
         self._is_stopping = True
