--- a/testing/daemons/test_where.py
+++ b/testing/daemons/test_where.py
@@ -100,7 +100,7 @@
     """Guards against an answer that ignores what admission checks beside the key."""
     entry = start_entry(gracePeriodS=2).wait_ready(len(engines))
     entry.entry.task.send(entry.entry.request_stop)
-    wait_for(lambda: entry.entry._graceful_stop.is_requested)
+    wait_for(lambda: entry.entry.caller_port.graceful_stop.is_requested)
     answer = _ask(entry)[1]
     assert (answer["decision"], answer["reason"]) == ("refused", "stopping")
 
--- a/testing/sitebuilders.py
+++ b/testing/sitebuilders.py
@@ -122,7 +122,7 @@
             connection._sock.close()
 
     def list_connections(self):
-        return list(self.entry._caller_server._connections)
+        return list(self.entry.caller_port.server._connections)
 
     def await_callbacks(self):
         """Wait until it has run all callbacks that are under way or queued now."""
