--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -298,6 +298,7 @@
         self._update_events()
 
     def _find_receive_bytes(self) -> int:
+        """Return how much to read: little while it may be the next requests."""
         is_body_arriving = self._request is not None and self._can_process
         return RECEIVE_BYTES if is_body_arriving else MAX_PIPELINED_BYTES
 
