--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -25,8 +25,9 @@
 class HttpServer:
     """Listens on one address and serves the connections that it accepts.
 
-    Connections over ``max_connections`` are closed at once. ``make_rejection``
-    builds the responses to requests that the server itself rejects.
+    A connection over ``max_connections`` takes the place of one that is not in use, or
+    is closed at once. ``make_rejection`` builds the responses to requests that the
+    server itself rejects.
     """
 
     def __init__(
@@ -44,7 +45,7 @@
         self.handler = handler
         self.limits = limits
         self.is_stopping = False
-        self._is_closed = False
+        self._is_listening = True
         self._max_connections = max_connections
         # Oldest first.
         self._connections: dict[ServerConnection, None] = {}
@@ -91,7 +92,7 @@
 
     def stop_listening(self) -> None:
         """Stop accepting connections; open ones stay open."""
-        self._is_closed = True
+        self._is_listening = False
         self.task.unregister(self._sock)
         self._sock.close()
 
@@ -142,7 +143,7 @@
         self.task.call_later(ACCEPT_RETRY_S, self._resume_accepting)
 
     def _resume_accepting(self) -> None:
-        if not self._is_closed:
+        if self._is_listening:
             self.start()
 
     def _make_room(self) -> bool:
