The soak knows the connections of a killed process

Cause, traced from what that run printed: entry-3 was killed at 5741.02324, which the soak notes once the process is gone. A caller that sends its body in parts began its next request 0.06 ms later on the connection that it had to that process, and met the end of it with its first part, 1.13 s later (BrokenPipeError; pauses are up to 1.2 s). The check compared the kill with the begin of the request, so that the request counted as one that was sent after it. Nothing was there to receive it: the case is allowed, and no entry has a part in it.

Change: an outcome has the time at which its connection was opened. A kill excuses the requests of connections from before it; a freeze, as before, those that were on their way meanwhile.

Measured: the new test has a caller begin 0.03 ms after the kill, on a connection that had served it; it fails with the check as it was (the outcome above, to the error) and passes now.

--- a/testing/daemons/test_soak.py
+++ b/testing/daemons/test_soak.py
@@ -1,7 +1,12 @@
 """Entries as processes under a seeded series of signals, restarts and changes."""
 
+import dataclasses
+import threading
+
 import pytest
-from soak import Soak, find_dropped, find_lost, find_mixed
+from sitebuilders import wait_for
+from soak import MIN_BEGUN_S, Soak, find_dropped, find_lost, find_mixed
+from soakcallers import PausingCaller, ScriptedPauses
 
 STEPS = 14
 
@@ -45,3 +50,20 @@
     assert find_mixed(outcomes) == []
     orders = {each.attempt for each in outcomes if each.path.startswith("/orders/")}
     assert [each for each in orders if executed.count(each) > 1] == []
+
+
+def test_request_on_a_connection_of_a_killed_entry_is_not_dropped(start_soak):
+    soak = start_soak(0)
+    entry = soak.entries[0]
+    entry.start()
+    wait_for(entry.is_ready)
+    pauses = ScriptedPauses(0.0, 0.0, 0.0, 2 * MIN_BEGUN_S)
+    caller = PausingCaller(entry, pauses, threading.Event())
+    assert caller.call("/lookup/1").status == 200
+    soak.kill(entry)
+    outcome = caller.call("/lookup/1")
+    assert outcome.begun_at > entry.spans[-1].until
+    assert outcome.ended_at - outcome.begun_at > MIN_BEGUN_S
+    assert find_dropped([outcome], soak) == []
+    on_next_process = dataclasses.replace(outcome, connected_at=outcome.begun_at)
+    assert find_dropped([on_next_process], soak) == [on_next_process]
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -33,10 +33,18 @@
 
 @dataclass
 class Span:
-    """Since when, and until when, an entry's requests may be interrupted."""
+    """Since when, and until when, an entry's requests may be interrupted.
+
+    A kill interrupts also those that are sent later, on a connection from before.
+    """
 
     since: float
     until: float = float("inf")
+    is_kill: bool = False
+
+    def interrupts(self, outcome):
+        started_at = outcome.connected_at if self.is_kill else outcome.begun_at
+        return outcome.ended_at >= self.since and started_at <= self.until
 
 
 @dataclass
@@ -62,7 +70,7 @@
 
     def kill(self):
         # The span begins before the signal: what ends earlier was not killed.
-        self.spans.append(Span(time.monotonic()))
+        self.spans.append(Span(time.monotonic(), is_kill=True))
         self.process.kill()
 
     def connect(self):
@@ -173,7 +181,10 @@
             self._note(f"SIGHUP {entry.name}")
 
     def _kill(self):
-        entry = self._rng.choice(self.entries)
+        self.kill(self._rng.choice(self.entries))
+
+    def kill(self, entry):
+        """Kill an entry, which stays down until it is started again."""
         entry.kill()
         entry.spans[-1].until = time.monotonic()
         self._note(f"SIGKILL {entry.name}")
@@ -227,10 +238,7 @@
 
 
 def _was_disturbed(outcome, entry):
-    return any(
-        outcome.ended_at >= span.since and outcome.begun_at <= span.until
-        for span in entry.spans
-    )
+    return any(span.interrupts(outcome) for span in entry.spans)
 
 
 def _is_excused(outcome, entry):
--- a/testing/soakcallers.py
+++ b/testing/soakcallers.py
@@ -1,4 +1,4 @@
-"""Callers of a soak: some send their requests in parts, or two at once."""
+"""Callers of a soak: some send their requests in parts."""
 
 import http.client
 import threading
@@ -20,12 +20,14 @@
     """What a caller saw of one request; ``status`` is None without a response.
 
     Times are seconds of the monotonic clock: the request was sent from ``begun_at`` to
-    ``sent_at``. ``error`` names what ended a response that is not complete.
+    ``sent_at``; its connection was opened before that, at ``connected_at``. ``error``
+    names what ended a response that is not complete.
     """
 
     entry: str
     path: str
     attempt: str
+    connected_at: float
     begun_at: float
     sent_at: float
     ended_at: float
@@ -35,6 +37,16 @@
     error: str = ""
 
 
+class ScriptedPauses:
+    """Stands in for a random source: gives the next of ``pauses_s`` each time."""
+
+    def __init__(self, *pauses_s):
+        self._pauses_s = iter(pauses_s)
+
+    def uniform(self, _a, _b):
+        return next(self._pauses_s)
+
+
 class Caller(ABC):
     """Sends one request after the other to its entry, on an open connection."""
 
@@ -43,6 +55,7 @@
         self._rng = rng
         self._stopped = stopped
         self._connection = entry.connect()
+        self._connected_at = 0.0
         self.outcomes = []
         self.thread = threading.Thread(target=self._run, daemon=True)
 
@@ -52,20 +65,25 @@
 
     def _run(self):
         while not self._stopped.is_set():
-            outcome = self._call(self._rng.choice(PATHS))
+            outcome = self.call(self._rng.choice(PATHS))
             if outcome is not None:
                 self.outcomes.append(outcome)
             if outcome is None or not outcome.is_complete:
                 self._connection.close()
                 self._stopped.wait(RECONNECT_S)
 
-    def _call(self, path):
+    def connect(self):
+        """Open a connection; raises `OSError` if the entry can't be reached."""
+        self._connected_at = time.monotonic()
+        self._connection.connect()
+
+    def call(self, path):
         """Return the outcome of one request, None if the entry can't be reached."""
         changes = make_stream_headers() if path.startswith("/stream/") else {}
         headers = make_headers(**changes)
         try:
             if self._connection.sock is None:
-                self._connection.connect()
+                self.connect()
         except OSError:
             return None
         begun_at = time.monotonic()
@@ -86,6 +104,7 @@
             self._entry.name,
             path,
             headers["Bamboolever-Attempt-Id"],
+            self._connected_at,
             begun_at,
             sent_at,
             time.monotonic(),
