--- a/testing/crowd.py
+++ b/testing/crowd.py
@@ -11,15 +11,21 @@
 # Longer than the timeouts of an entry, so that a caller gives up sending last.
 SEND_TIMEOUT_S = 20.0
 SMALL_CHUNKS = 200_000
+SMALL_HEADER = b"ab:cd\r\n"
+SMALL_HEADERS = 1850
 AHEAD_REQUESTS = 400
 AHEAD_BODY = b"x" * 8192
 
 
 class Crowd:
-    """``count`` callers; each sends ``data`` on its own connection at the same time."""
+    """``count`` callers; each sends ``data`` on its own connection at the same time.
 
-    def __init__(self, address, count, data):
+    If ``is_answered``, each waits for the first bytes of a response to it, too.
+    """
+
+    def __init__(self, address, count, data, *, is_answered=False):
         self._data = data
+        self._is_answered = is_answered
         self._socks = []
         self._address = address
         self._threads = [
@@ -38,6 +44,8 @@
             sock = socket.create_connection(self._address, SEND_TIMEOUT_S)
             self._socks.append(sock)
             sock.sendall(self._data)
+            if self._is_answered:
+                sock.recv(1)
         except OSError:
             # The entry has refused this caller, or reads no more of what it sends.
             return
@@ -73,6 +81,12 @@
     return _length_head(4)[:-1]
 
 
+def many_headers_that_stop_short():
+    """Return a head that is answered with a 100, and no body."""
+    head = make_head("/orders/1", "Content-Length: 4", "Expect: 100-continue")
+    return head[:-2] + SMALL_HEADER * SMALL_HEADERS + head[-2:]
+
+
 def _length_head(size_bytes):
     return make_head("/orders/1", f"Content-Length: {size_bytes}")
 
--- a/testing/daemons/test_crowds.py
+++ b/testing/daemons/test_crowds.py
@@ -1,6 +1,8 @@
 """An entry lives within its memory while callers fill it, and serves others."""
 
 import http.client
+from collections.abc import Callable
+from dataclasses import dataclass
 
 import pytest
 from crowd import (
@@ -9,6 +11,7 @@
     bodies_that_stop_short,
     heads_that_stop_short,
     large_chunks_that_stop_short,
+    many_headers_that_stop_short,
     requests_ahead,
     small_chunks_that_stop_short,
     whole_bodies,
@@ -19,26 +22,38 @@
 from bamboolever.net.handlers import MAX_INTERNAL_BODY_BYTES
 
 MEMORY_MB = 120
-DESCRIPTORS = 600
+
+
+@dataclass(frozen=True)
+class CrowdKind:
+    """Callers of one kind, and the descriptors of the entry that they fill."""
+
+    count: int
+    make_data: Callable[[], bytes]
+    descriptors: int = 600
+    is_answered: bool = False
+
+
 CROWDS = {
-    "whole": (60, whole_bodies),
-    "short": (60, bodies_that_stop_short),
-    "large-chunks": (60, large_chunks_that_stop_short),
-    "small-chunks": (24, small_chunks_that_stop_short),
-    "ahead": (8, requests_ahead),
-    "heads": (100, heads_that_stop_short),
-    "more-than-descriptors": (400, heads_that_stop_short),
+    "whole": CrowdKind(60, whole_bodies),
+    "short": CrowdKind(60, bodies_that_stop_short),
+    "large-chunks": CrowdKind(60, large_chunks_that_stop_short),
+    "small-chunks": CrowdKind(24, small_chunks_that_stop_short),
+    "ahead": CrowdKind(8, requests_ahead),
+    "heads": CrowdKind(100, heads_that_stop_short),
+    "more-than-descriptors": CrowdKind(400, heads_that_stop_short),
+    "many-headers": CrowdKind(400, many_headers_that_stop_short, 1200, True),
 }
 
 
 class EntryProcess:
     """An entry with little memory, as a process."""
 
-    def __init__(self, site, folder):
+    def __init__(self, site, folder, descriptors):
         site.configuration["limits"]["maxBodyBytes"] = 4 * MIB
         site.apply_configuration()
         document = site.make_settings(name="entry", host="127.0.0.1")
-        document["limits"] |= {"memoryMb": MEMORY_MB, "fileDescriptors": DESCRIPTORS}
+        document["limits"] |= {"memoryMb": MEMORY_MB, "fileDescriptors": descriptors}
         host, _, port = document["listenAddresses"]["frontend"].rpartition(":")
         self.address = (host, int(port))
         self.process = DaemonProcess(document, folder / "entry.json", "entry")
@@ -57,26 +72,34 @@
 
 
 @pytest.fixture
-def entry(site, tmp_path):
-    site.add_plain_upstream("plain-1")
-    entry = EntryProcess(site, tmp_path)
-    wait_for(entry.is_serving)
-    yield entry
-    entry.process.kill()
+def start_process(site, tmp_path):
+    started = []
+
+    def start(descriptors):
+        site.add_plain_upstream("plain-1")
+        started.append(EntryProcess(site, tmp_path, descriptors))
+        wait_for(started[-1].is_serving)
+        return started[-1]
+
+    yield start
+    for entry in started:
+        entry.process.kill()
 
 
-@pytest.mark.parametrize("kind", CROWDS)
-def test_entry_outlives_a_crowd(entry, kind):
+@pytest.mark.parametrize("kind", CROWDS.values(), ids=CROWDS)
+def test_entry_outlives_a_crowd(start_process, kind):
     """Guards against callers that end an entry by what it holds for them."""
-    count, make_data = CROWDS[kind]
-    crowd = Crowd(entry.address, count, make_data())
+    entry = start_process(kind.descriptors)
+    crowd = Crowd(
+        entry.address, kind.count, kind.make_data(), is_answered=kind.is_answered
+    )
     crowd.send_all()
     response = entry.call()
     crowd.close()
     assert (response.status, response.is_complete) == (200, True)
     assert entry.process.is_running
     assert entry.process.peak_memory_bytes() < MEMORY_MB * MIB
-    assert entry.process.count_descriptors() < DESCRIPTORS
+    assert entry.process.count_descriptors() < kind.descriptors
 
 
 @pytest.mark.parametrize("server", ["_readiness_server", "_snapshot_server"])
