Heads of many short headers count by their memory

What callers would see: an entry that runs out of memory, if enough of them send heads of many short headers and no body.

Cause: only the body of a request counted towards the bound of all requests. A header is an object of its own, four with its strings: 1,850 headers of 7 bytes take 0.37 MB of memory where they arrive in 13 KB, from the head to the response. At 4,100 descriptors 1,886 connections have room for 0.7 GB of it, where the machine has 200 MB. Class of fault: bounded in bytes of the wire, not in what they become.

Change: net.requestbuffer holds a request that arrives and counts head and body; the connection reports both. The parsed head is released once the request is handed over or rejected. A single request within maxHeaderBytes and maxBodyBytes always fits.

The test of the largest request fails (503 for 404) if only the body is allowed.

--- a/src/bamboolever/daemons/callerport.py
+++ b/src/bamboolever/daemons/callerport.py
@@ -42,6 +42,7 @@
 from bamboolever.net.addresses import Address
 from bamboolever.net.handlers import HttpLimits, RequestHandler, make_plain_rejection
 from bamboolever.net.messages import Header, Request
+from bamboolever.net.requestbuffer import max_memory_bytes
 from bamboolever.net.server import HttpServer
 from bamboolever.net.serverconnection import ServerConnection
 from bamboolever.platform import calls as wire
@@ -85,7 +86,7 @@
         self._held_bytes: HeldBytes[ServerConnection] = HeldBytes.from_memory(
             settings.memory_bytes
         )
-        self._received_bytes: HeldBytes[ServerConnection] = HeldBytes.for_requests(
+        self._request_bytes: HeldBytes[ServerConnection] = HeldBytes.for_requests(
             settings.memory_bytes
         )
         self.server = HttpServer(
@@ -100,13 +101,15 @@
             self._task, self.server, calls, settings.bounds.grace_period_s
         )
 
-    def allow_body(self, size_bytes: int) -> None:
-        """Make room for at least one body of this size."""
-        self._received_bytes.allow(size_bytes)
+    def allow_request(self, limits: HttpLimits) -> None:
+        """Make room for at least one request within these limits."""
+        self._request_bytes.allow(
+            max_memory_bytes(limits.max_header_bytes, limits.max_body_bytes)
+        )
 
     def on_request(self, connection: ServerConnection, request: Request) -> None:
         """Admit a complete request and start its call, or reject it at once."""
-        self._received_bytes.keep(connection)
+        self._request_bytes.keep(connection)
         metadata = wire.decode_call(request)
         admission_request = AdmissionRequest(
             metadata.attempt_id, metadata.host, metadata.target, metadata.api_key
@@ -229,9 +232,9 @@
         """Cancel the call of a caller that closed before its response was complete."""
         self._calls.on_caller_gone(connection)
 
-    def on_received_bytes(self, connection: ServerConnection, size_bytes: int) -> None:
+    def on_request_bytes(self, connection: ServerConnection, size_bytes: int) -> None:
         """Reject the largest incomplete requests if all together hold too much."""
-        for largest in self._received_bytes.resize(connection, size_bytes):
+        for largest in self._request_bytes.resize(connection, size_bytes):
             largest.reject_incomplete(UNAVAILABLE_STATUS, RejectReason.NO_MEMORY.value)
 
     def on_queued_bytes(self, connection: ServerConnection, size_bytes: int) -> None:
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -255,7 +255,7 @@
         self._limits.max_body_bytes = limits.max_body_bytes
         self._limits.header_timeout_s = limits.header_timeout_s
         self._limits.idle_timeout_s = limits.idle_timeout_s
-        self.caller_port.allow_body(limits.max_body_bytes)
+        self.caller_port.allow_request(self._limits)
         self.fleet.apply_configuration(configuration)
         self._refresh_views()
         self.calls.apply_configuration(configuration, self._route_table)
--- a/src/bamboolever/net/handlers.py
+++ b/src/bamboolever/net/handlers.py
@@ -52,10 +52,10 @@
         ``status`` is the HTTP status and ``reason`` a short description.
         """
 
-    def on_received_bytes(  # noqa: B027 (not all handlers bound what is received)
+    def on_request_bytes(  # noqa: B027 (not all handlers bound what is received)
         self, connection: "ServerConnection", size_bytes: int
     ) -> None:
-        """Called when the size of a request's body changed.
+        """Called when the memory of a request changed, that of its head and its body.
 
         It grows until the request is complete, and is 0 once its response ends.
 
--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -12,10 +12,10 @@
 import h11
 
 from bamboolever._task import READ, WRITE
-from bamboolever.net.buffers import BlockBuffer
 from bamboolever.net.connectionstate import ConnectionState
 from bamboolever.net.delivery import DeliveryWait
-from bamboolever.net.messages import Header, Request
+from bamboolever.net.messages import Header
+from bamboolever.net.requestbuffer import RequestBuffer
 from bamboolever.net.requestheads import expects_continue, find_head_fault
 from bamboolever.net.sockets import count_undelivered_bytes, set_stream_options
 from bamboolever.net.timers import RearmableTimer
@@ -46,9 +46,8 @@
         self._sock = sock
         limit = server.limits.max_header_bytes
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
-        self._request: h11.Request | None = None
-        self._request_body = BlockBuffer()
-        self._received_bytes = 0
+        self._request: RequestBuffer | None = None
+        self._request_bytes = 0
         self._send_buffer = bytearray()
         self._reported_bytes = 0
         self._events = READ
@@ -94,18 +93,21 @@
             self._is_request_begun,
             self._is_response_due,
             self._is_head_sent,
-            len(self._request_body) + len(self._http.trailing_data[0]),
+            self._arriving_body_bytes + len(self._http.trailing_data[0]),
             len(self._send_buffer),
             count_undelivered_bytes(self._sock),
         )
 
+    @property
+    def _arriving_body_bytes(self) -> int:
+        return 0 if self._request is None else self._request.body_bytes
+
     @property
     def _is_request_begun(self) -> bool:
         """Whether some bytes of a request without a response have been received."""
         if self._is_closing:
             return False
-        has_head = self._request is not None and not self._is_response_due
-        return has_head or bool(self._http.trailing_data[0])
+        return self._request is not None or bool(self._http.trailing_data[0])
 
     @property
     def is_idle(self) -> bool:
@@ -221,7 +223,7 @@
         self._sock.close()
         self._send_buffer = bytearray()
         self._report_queued_bytes()
-        self._release_body()
+        self._release_request()
         self._server.remove_connection(self)
         if self._is_response_due:
             self._is_response_due = False
@@ -244,8 +246,7 @@
         self._is_response_due = False
         self._is_head_sent = False
         self._has_served = True
-        self._request = None
-        self._release_body()
+        self._release_request()
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             self._arm_timer(self._server.limits.idle_timeout_s)
@@ -341,50 +342,49 @@
     def _handle_event(self, event: object) -> None:
         if isinstance(event, h11.Request):
             self._begin_request(event)
-        elif isinstance(event, h11.Data):
-            self._append_body(event.data)
+        elif isinstance(event, h11.Data) and self._request is not None:
+            self._append_body(self._request, event.data)
         elif isinstance(event, h11.EndOfMessage) and self._request is not None:
             self._deliver_request(self._request)
         elif isinstance(event, h11.ConnectionClosed):
             self.close()
 
-    def _begin_request(self, request: h11.Request) -> None:
-        self._request = request
+    def _begin_request(self, head: h11.Request) -> None:
+        self._request = RequestBuffer(head)
         self._arm_timer(self._server.limits.idle_timeout_s)
-        fault = find_head_fault(request, self._server.limits)
+        fault = find_head_fault(head, self._server.limits)
         if fault is not None:
             self._reject(fault.status, fault.reason)
             return
-        if expects_continue(request):
+        self._report_request_bytes(self._request.memory_bytes)
+        if self._is_closing:
+            # The handler has rejected the request.
+            return
+        if expects_continue(head):
             self._send_event(h11.InformationalResponse(status_code=100, headers=[]))
             self._flush()
 
-    def _append_body(self, data: bytes) -> None:
-        self._request_body.add(data)
-        if len(self._request_body) > self._server.limits.max_body_bytes:
+    def _append_body(self, request: RequestBuffer, data: bytes) -> None:
+        request.add(data)
+        if request.body_bytes > self._server.limits.max_body_bytes:
             self._reject(413, "the body is over the limit")
             return
-        self._report_received_bytes(len(self._request_body))
+        self._report_request_bytes(request.memory_bytes)
         if self._is_closing:
-            # The handler has rejected the request.
             return
         self._arm_timer(self._server.limits.idle_timeout_s)
 
-    def _deliver_request(self, request: h11.Request) -> None:
+    def _deliver_request(self, request: RequestBuffer) -> None:
+        """Hand the request over; its memory counts until its response ends."""
         self._timer.disarm()
-        complete_request = Request(
-            bytes(request.method),
-            bytes(request.target),
-            tuple(request.headers.raw_items()),
-            self._request_body.take(),
-        )
+        self._request = None
         self._is_response_due = True
-        self._server.handler.on_request(self, complete_request)
+        self._server.handler.on_request(self, request.take())
 
     def _reject(self, status: int, reason: str) -> None:
         self._server.handler.on_rejected(status, reason)
         self._is_closing = True
-        self._release_body()
+        self._release_request()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers, body = self._server.make_rejection(status, reason)
             length = str(len(body)).encode()
@@ -416,14 +416,14 @@
         self._update_events()
         self._report_queued_bytes()
 
-    def _release_body(self) -> None:
-        self._request_body.clear()
-        self._report_received_bytes(0)
+    def _release_request(self) -> None:
+        self._request = None
+        self._report_request_bytes(0)
 
-    def _report_received_bytes(self, size_bytes: int) -> None:
-        if size_bytes != self._received_bytes:
-            self._received_bytes = size_bytes
-            self._server.handler.on_received_bytes(self, size_bytes)
+    def _report_request_bytes(self, size_bytes: int) -> None:
+        if size_bytes != self._request_bytes:
+            self._request_bytes = size_bytes
+            self._server.handler.on_request_bytes(self, size_bytes)
 
     def _report_queued_bytes(self) -> None:
         # Counts allocated memory: up to half of it may still hold bytes already sent.
--- a/testing/daemons/test_crowds.py
+++ b/testing/daemons/test_crowds.py
@@ -22,6 +22,9 @@
 from bamboolever.net.handlers import MAX_INTERNAL_BODY_BYTES
 
 MEMORY_MB = 120
+DESCRIPTORS = 600
+# More than requests may take together, unless a single one does.
+LARGEST_BODY_BYTES = 16 * MIB
 
 
 @dataclass(frozen=True)
@@ -30,7 +33,7 @@
 
     count: int
     make_data: Callable[[], bytes]
-    descriptors: int = 600
+    descriptors: int = DESCRIPTORS
     is_answered: bool = False
 
 
@@ -49,8 +52,8 @@
 class EntryProcess:
     """An entry with little memory, as a process."""
 
-    def __init__(self, site, folder, descriptors):
-        site.configuration["limits"]["maxBodyBytes"] = 4 * MIB
+    def __init__(self, site, folder, descriptors, max_body_bytes):
+        site.configuration["limits"]["maxBodyBytes"] = max_body_bytes
         site.apply_configuration()
         document = site.make_settings(name="entry", host="127.0.0.1")
         document["limits"] |= {"memoryMb": MEMORY_MB, "fileDescriptors": descriptors}
@@ -75,9 +78,9 @@
 def start_process(site, tmp_path):
     started = []
 
-    def start(descriptors):
+    def start(*, descriptors=DESCRIPTORS, max_body_bytes=4 * MIB):
         site.add_plain_upstream("plain-1")
-        started.append(EntryProcess(site, tmp_path, descriptors))
+        started.append(EntryProcess(site, tmp_path, descriptors, max_body_bytes))
         wait_for(started[-1].is_serving)
         return started[-1]
 
@@ -89,7 +92,7 @@
 @pytest.mark.parametrize("kind", CROWDS.values(), ids=CROWDS)
 def test_entry_outlives_a_crowd(start_process, kind):
     """Guards against callers that end an entry by what it holds for them."""
-    entry = start_process(kind.descriptors)
+    entry = start_process(descriptors=kind.descriptors)
     crowd = Crowd(
         entry.address, kind.count, kind.make_data(), is_answered=kind.is_answered
     )
@@ -102,6 +105,15 @@
     assert entry.process.count_descriptors() < kind.descriptors
 
 
+def test_largest_request_within_the_limits_is_read(start_process):
+    """Guards against a bound of all requests that a single one can't meet."""
+    entry = start_process(max_body_bytes=LARGEST_BODY_BYTES)
+    connection = http.client.HTTPConnection(*entry.address, timeout=WAIT_S)
+    headers = make_headers(**{f"name-{number}": "" for number in range(1000)})
+    connection.request("POST", "/no-route", b"x" * LARGEST_BODY_BYTES, headers)
+    assert connection.getresponse().status == 404
+
+
 @pytest.mark.parametrize("server", ["_readiness_server", "_snapshot_server"])
 def test_internal_ports_of_an_entry_take_no_large_bodies(start_entry, server):
     """Guards against memory that is filled on a port without a bound for all."""
