Slow callers of the soak read a response that comes early

The soak's callers that send their bodies in parts met the end of a connection, or a response, only with their next part, up to 1.2 s later: the times of its check of dropped requests were those of the caller's pauses, and a 503 that came early was not read. They watch the connection while they pause now, as a caller does that wants its response.

As the times are true now, what may have crossed the close is narrower: a request that was begun less than 0.1 s before the end of its connection, where it was 0.5 s. The test of a killed entry sets the late time itself, in place of pauses; its checks are the same.

The test of an early response fails (no status) if the caller only pauses.

--- a/testing/daemons/test_soak.py
+++ b/testing/daemons/test_soak.py
@@ -1,14 +1,24 @@
 """Entries as processes under a seeded series of signals, restarts and changes."""
 
 import dataclasses
+import random
 import threading
 
 import pytest
 from sitebuilders import wait_for
 from soak import MIN_BEGUN_S, Soak, find_dropped, find_lost, find_mixed
-from soakcallers import PausingCaller, ScriptedPauses
+from soakcallers import PromptCaller, SlowCaller
 
 STEPS = 14
+OVERLONG_BYTES = 2**30
+
+
+class OverlongCaller(SlowCaller):
+    """States a body over the limit, which is refused by its head."""
+
+    def _send(self, path, headers):
+        headers = {**headers, "Content-Length": str(OVERLONG_BYTES)}
+        self._connection.request("POST", path, self._body(), headers)
 
 
 def pytest_generate_tests(metafunc):
@@ -40,6 +50,13 @@
     ]
 
 
+def _start_first(soak):
+    entry = soak.entries[0]
+    entry.start()
+    wait_for(entry.is_ready)
+    return entry
+
+
 def test_no_request_is_lost_or_answered_twice(site, start_soak, seed):
     soak = start_soak(seed)
     outcomes = soak.run(STEPS)
@@ -54,16 +71,23 @@
 
 def test_request_on_a_connection_of_a_killed_entry_is_not_dropped(start_soak):
     soak = start_soak(0)
-    entry = soak.entries[0]
-    entry.start()
-    wait_for(entry.is_ready)
-    pauses = ScriptedPauses(0.0, 0.0, 0.0, 2 * MIN_BEGUN_S)
-    caller = PausingCaller(entry, pauses, threading.Event())
+    entry = _start_first(soak)
+    caller = PromptCaller(entry, random.Random(0), threading.Event())
     assert caller.call("/lookup/1").status == 200
     soak.kill(entry)
     outcome = caller.call("/lookup/1")
     assert outcome.begun_at > entry.spans[-1].until
-    assert outcome.ended_at - outcome.begun_at > MIN_BEGUN_S
-    assert find_dropped([outcome], soak) == []
-    on_next_process = dataclasses.replace(outcome, connected_at=outcome.begun_at)
+    # A caller that is slow to notice the end of its connection.
+    late = dataclasses.replace(outcome, ended_at=outcome.begun_at + 2 * MIN_BEGUN_S)
+    assert find_dropped([late], soak) == []
+    on_next_process = dataclasses.replace(late, connected_at=late.begun_at)
     assert find_dropped([on_next_process], soak) == [on_next_process]
+
+
+def test_slow_caller_reads_a_response_to_a_part_of_its_request(start_soak):
+    soak = start_soak(0)
+    entry = _start_first(soak)
+    caller = OverlongCaller(entry, random.Random(0), threading.Event())
+    outcome = caller.call("/lookup/1")
+    assert (outcome.status, outcome.is_complete) == (413, True)
+    assert find_dropped([outcome], soak) == []
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -27,8 +27,9 @@
 STOP_ADMISSION_S = 3.0
 EVENT_GAP_S = 0.12
 PAUSED_STREAMS = 20
-# A connection that has been used for less may end as the entry closes it.
-MIN_BEGUN_S = 0.5
+# A request that was begun later than this before the end of its connection may have
+# crossed the close.
+MIN_BEGUN_S = 0.1
 
 
 @dataclass
--- a/testing/soakcallers.py
+++ b/testing/soakcallers.py
@@ -1,6 +1,8 @@
 """Callers of a soak: some send their requests in parts."""
 
+import contextlib
 import http.client
+import select
 import threading
 import time
 from abc import ABC, abstractmethod
@@ -37,14 +39,8 @@
     error: str = ""
 
 
-class ScriptedPauses:
-    """Stands in for a random source: gives the next of ``pauses_s`` each time."""
-
-    def __init__(self, *pauses_s):
-        self._pauses_s = iter(pauses_s)
-
-    def uniform(self, _a, _b):
-        return next(self._pauses_s)
+class EarlyResponse(Exception):
+    """The entry has answered, or ended the connection, before it had all parts."""
 
 
 class Caller(ABC):
@@ -61,7 +57,11 @@
 
     @abstractmethod
     def _send(self, path, headers):
-        """Send a request; raises `OSError` if the connection fails meanwhile."""
+        """Send a request.
+
+        Raises `OSError` if the connection fails meanwhile, and `EarlyResponse` if
+        nothing more is to be sent.
+        """
 
     def _run(self):
         while not self._stopped.is_set():
@@ -90,7 +90,8 @@
         sent_at = begun_at
         status, is_complete, body, error = None, False, b"", ""
         try:
-            self._send(path, headers)
+            with contextlib.suppress(EarlyResponse):
+                self._send(path, headers)
             sent_at = time.monotonic()
             response = self._connection.getresponse()
             status = response.status
@@ -123,11 +124,17 @@
 
 
 class SlowCaller(Caller):
-    """Sends the body of each request in parts, with pauses."""
+    """Sends the body of each request in parts, with pauses.
+
+    It reads a response that comes in a pause, and sends no more.
+    """
 
     def _body(self):
         for part in BODY_PARTS:
-            self._stopped.wait(self._rng.uniform(0.0, MAX_PART_GAP_S))
+            pause_s = self._rng.uniform(0.0, MAX_PART_GAP_S)
+            readable, _, _ = select.select([self._connection.sock], [], [], pause_s)
+            if readable:
+                raise EarlyResponse
             yield part
 
 
