A stopping entry answers what the kernel has received

Callers saw: around a planned stop about one request in a hundred was reset without an answer, if they went on connecting after the load balancer's 3 s.

Cause: idle connections are closed ten times a second from 3 s after SIGTERM on, and idle was what the entry had read nothing from. Requests that lay in the kernel, read one pass of the loop later otherwise, were reset with their connection, as were connections that waited to be accepted when the process ended.

Change: unread bytes of the kernel count as a request that is arriving. The listener closes once nothing is in use, 0.3 s before the end at the latest, after it has accepted what waits; the process ends when those are answered.

Evidence: three tests, which failed before (two resets, one end without a response).

--- a/src/bamboolever/daemons/gracefulstop.py
+++ b/src/bamboolever/daemons/gracefulstop.py
@@ -29,8 +29,9 @@
 class GracefulStop:
     """Stops an entry's task once its callers have their responses.
 
-    A request that is still arriving is awaited, too. The task stops at the latest when
-    ``grace_period_s`` ends; what that cuts is logged.
+    A request that is still arriving is awaited, too. New connections are accepted while
+    others are in use. The task stops at the latest when ``grace_period_s`` ends; what
+    that cuts is logged.
     Methods are called on the task's thread.
     """
 
@@ -71,10 +72,14 @@
 
     def _finish(self) -> None:
         self._server.close_idle()
-        if self.remaining_s <= REJECTION_S:
+        is_ending = self.remaining_s <= REJECTION_S
+        if is_ending:
             self._server.reject_incomplete(
                 UNAVAILABLE_STATUS, RejectReason.STOPPING.value
             )
+        if is_ending or not self._server.is_in_use:
+            # A connection that is made as the process ends would be reset.
+            self._server.stop_listening()
         if not self._server.is_idle and self.remaining_s > 0:
             self._task.call_later(CHECK_INTERVAL_S, self._finish)
             return
--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -79,6 +79,11 @@
         states = [connection.state() for connection in self._connections]
         return [state for state in states if not state.is_finished]
 
+    @property
+    def is_in_use(self) -> bool:
+        """Whether a response is due, or a caller does not have all of its own."""
+        return any(connection.is_in_use for connection in list(self._connections))
+
     def close_idle(self) -> None:
         """Close every idle connection."""
         for connection in list(self._connections):
@@ -91,8 +96,14 @@
             connection.reject_incomplete(status, reason)
 
     def stop_listening(self) -> None:
-        """Stop accepting connections; open ones stay open."""
+        """Stop accepting connections; open ones stay open.
+
+        Those that the kernel has accepted already are served, too.
+        """
+        if not self._is_listening:
+            return
         self._is_listening = False
+        self._accept_waiting()
         self.task.unregister(self._sock)
         self._sock.close()
 
@@ -122,6 +133,9 @@
         self._connections.pop(connection, None)
 
     def _on_ready(self, _events: int) -> None:
+        self._accept_waiting()
+
+    def _accept_waiting(self) -> None:
         while True:
             try:
                 sock, _ = self._sock.accept()
--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -17,7 +17,11 @@
 from bamboolever.net.messages import Header
 from bamboolever.net.requestbuffer import RequestBuffer
 from bamboolever.net.requestheads import expects_continue, find_head_fault
-from bamboolever.net.sockets import count_undelivered_bytes, set_stream_options
+from bamboolever.net.sockets import (
+    count_undelivered_bytes,
+    count_unread_bytes,
+    set_stream_options,
+)
 from bamboolever.net.timers import RearmableTimer
 
 if TYPE_CHECKING:
@@ -104,10 +108,15 @@
 
     @property
     def _is_request_begun(self) -> bool:
-        """Whether some bytes of a request without a response have been received."""
+        """Whether some bytes of a request without a response have been received.
+
+        They count from when the kernel has them.
+        """
         if self._is_closing:
             return False
-        return self._request is not None or bool(self._http.trailing_data[0])
+        if self._request is not None or self._http.trailing_data[0]:
+            return True
+        return bool(count_unread_bytes(self._sock))
 
     @property
     def is_idle(self) -> bool:
--- a/src/bamboolever/net/sockets.py
+++ b/src/bamboolever/net/sockets.py
@@ -61,9 +61,21 @@
 
     None if that is unknown, as for a closed socket.
     """
+    return _count_bytes(sock, termios.TIOCOUTQ)
+
+
+def count_unread_bytes(sock: socket.socket) -> int | None:
+    """Return how many bytes the kernel has received that were not read yet.
+
+    None if that is unknown, as for a closed socket.
+    """
+    return _count_bytes(sock, termios.FIONREAD)
+
+
+def _count_bytes(sock: socket.socket, request: int) -> int | None:
     try:
-        count = fcntl.ioctl(sock, termios.TIOCOUTQ, struct.pack("i", 0))
+        count = fcntl.ioctl(sock, request, struct.pack("i", 0))
     except (OSError, ValueError) as error:
-        logger.debug("no count of undelivered bytes: %s", error)
+        logger.debug("the kernel's bytes are unknown: %s", error)
         return None
     return int(struct.unpack("i", count)[0])
--- a/testing/daemons/test_gracefulstop.py
+++ b/testing/daemons/test_gracefulstop.py
@@ -98,6 +98,26 @@
     assert not is_reset
 
 
+def test_request_that_arrives_as_an_idle_entry_ends_is_answered(
+    plain_upstreams, start_entry, make_caller, no_delay
+):
+    """Guards against callers that connect just before the process ends."""
+    entry = start_entry().wait_ready(2)
+    callers = []
+
+    def send_and_stop():
+        callers.append(make_caller(entry))
+        callers[0].send("/lookup/1")
+        entry.entry.request_stop()
+        entry.entry.caller_port.graceful_stop._finish()
+
+    entry.entry.task.send(send_and_stop)
+    wait_for(lambda: callers)
+    received, is_reset = callers[0].read_all()
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert not is_reset
+
+
 def test_bytes_that_a_caller_sends_ahead_cut_no_response_at_a_stop(
     site, start_entry, make_caller, no_delay
 ):
--- a/testing/net/test_server.py
+++ b/testing/net/test_server.py
@@ -180,6 +180,35 @@
     assert received.index(b"held") < received.index(b"path /2")
 
 
+def test_request_in_the_kernel_keeps_its_connection_open(server):
+    """Guards against a close that resets a request which arrives just before it."""
+
+    def send_and_close_idle():
+        sock.sendall(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+        server.close_idle()
+
+    with _connect_and_get(server, b"/0") as sock:
+        server.task.send(send_and_close_idle)
+        assert b"path /1" in sock.recv(4096)
+
+
+def test_connection_that_waits_to_be_accepted_is_served_as_listening_ends(make_server):
+    server = make_server(max_connections=9)
+
+    def connect_and_stop_listening():
+        socks.append(socket.create_connection(server.address, TIMEOUT_S))
+        socks[0].sendall(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+        server.stop_listening()
+
+    socks = []
+    server.task.send(connect_and_stop_listening)
+    wait_for(lambda: socks)
+    with socks[0] as sock:
+        assert b"path /1" in sock.recv(4096)
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(server.address, TIMEOUT_S)
+
+
 class FullListener:
     """A listener whose process has no descriptors left."""
 
