A connection keeps its place until its request was read

Cause: all connections that wait are accepted in a row, and each beyond the limit takes the place of the oldest that has got no response so far. In a burst that is one which was accepted just before, and whose request has arrived but not been read.

Change: connections are accepted 16 at a time, after the requests on others were read.

--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -14,11 +14,13 @@
     make_plain_rejection,
 )
 from bamboolever.net.serverconnection import ServerConnection
-from bamboolever.net.sockets import open_listener
+from bamboolever.net.sockets import LISTEN_BACKLOG, open_listener
 
 logger = logging.getLogger(__name__)
 
 ACCEPT_RETRY_S = 0.1
+# Connections that are accepted before the requests on others are read.
+MAX_ACCEPTS_PER_TURN = 16
 TOO_MANY_CONNECTIONS = "too many connections"
 
 
@@ -103,7 +105,9 @@
         if not self._is_listening:
             return
         self._is_listening = False
-        self._accept_waiting()
+        for _ in range(LISTEN_BACKLOG):
+            if not self._accept():
+                break
         self.task.unregister(self._sock)
         self._sock.close()
 
@@ -133,23 +137,31 @@
         self._connections.pop(connection, None)
 
     def _on_ready(self, _events: int) -> None:
-        self._accept_waiting()
+        # After the sockets that are ready: a connection must not give its place away
+        # before its request was read.
+        self.task.send(self._accept_batch)
 
-    def _accept_waiting(self) -> None:
-        while True:
-            try:
-                sock, _ = self._sock.accept()
-            except BlockingIOError:
+    def _accept_batch(self) -> None:
+        for _ in range(MAX_ACCEPTS_PER_TURN):
+            if not self._is_listening or not self._accept():
                 return
-            except OSError as error:
-                logger.warning("accept failed", extra={"error": str(error)})
-                self._pause_accepting()
-                return
-            if not self._make_room():
-                self.handler.on_rejected(503, TOO_MANY_CONNECTIONS)
-                sock.close()
-                continue
+
+    def _accept(self) -> bool:
+        """Accept a connection; return whether there was one."""
+        try:
+            sock, _ = self._sock.accept()
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            logger.warning("accept failed", extra={"error": str(error)})
+            self._pause_accepting()
+            return False
+        if self._make_room():
             self._connections[ServerConnection(self, sock)] = None
+        else:
+            self.handler.on_rejected(503, TOO_MANY_CONNECTIONS)
+            sock.close()
+        return True
 
     def _pause_accepting(self) -> None:
         """Look again later: without descriptors, the listener stays readable."""
--- a/testing/net/test_server.py
+++ b/testing/net/test_server.py
@@ -14,7 +14,7 @@
 from bamboolever.net import server as server_module
 from bamboolever.net.addresses import Address
 from bamboolever.net.handlers import HttpLimits, RequestHandler
-from bamboolever.net.server import HttpServer
+from bamboolever.net.server import MAX_ACCEPTS_PER_TURN, HttpServer
 from bamboolever.net.serverconnection import (
     MAX_PIPELINED_BYTES,
     MAX_STREAM_BUFFER_BYTES,
@@ -276,6 +276,25 @@
             assert _get(served, b"/again")
 
 
+def test_caller_among_many_that_connect_at_once_is_served(make_server):
+    """Guards against a place that is given away before its request was read."""
+    server = make_server(max_connections=MAX_ACCEPTS_PER_TURN)
+    socks = []
+
+    def connect_many():
+        for _ in range(3 * MAX_ACCEPTS_PER_TURN):
+            socks.append(socket.create_connection(server.address, TIMEOUT_S))
+        socks[0].sendall(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+
+    server.task.send(connect_many)
+    wait_for(lambda: len(socks) == 3 * MAX_ACCEPTS_PER_TURN)
+    try:
+        assert b"path /1" in socks[0].recv(4096)
+    finally:
+        for sock in socks:
+            sock.close()
+
+
 def test_connection_with_a_response_due_keeps_its_place(make_server):
     server = make_server(max_connections=1)
     with socket.create_connection(server.address, TIMEOUT_S) as held:
