A last response looks for a request in the kernel, too

Cause: the same as of the second request of one write, one layer further out: only what the entry had read counted as arrived when a response said "Connection: close".

Change: unread bytes of the kernel count there, too.

Evidence: a test that failed before (the first response only) and passes now. 35 tests of the server, stops and slow callers pass.

--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -114,9 +114,11 @@
         """
         if self._is_closing:
             return False
-        if self._request is not None or self._http.trailing_data[0]:
-            return True
-        return bool(count_unread_bytes(self._sock))
+        return self._request is not None or self._has_unparsed_bytes
+
+    @property
+    def _has_unparsed_bytes(self) -> bool:
+        return bool(self._http.trailing_data[0] or count_unread_bytes(self._sock))
 
     @property
     def is_idle(self) -> bool:
@@ -241,7 +243,7 @@
     def _send_head(self, status: int, headers: list[Header]) -> None:
         self._is_head_sent = True
         # A next request that has arrived would be lost behind a last response.
-        if self._server.is_stopping and not self._http.trailing_data[0]:
+        if self._server.is_stopping and not self._has_unparsed_bytes:
             headers = [*headers, (b"Connection", b"close")]
         self._send_event(h11.Response(status_code=status, headers=headers))
 
--- a/testing/net/test_server.py
+++ b/testing/net/test_server.py
@@ -192,6 +192,27 @@
         assert b"path /1" in sock.recv(4096)
 
 
+def test_request_in_the_kernel_is_answered_by_a_stopping_server(make_server):
+    """Guards against a last response before a request that has arrived."""
+    server = make_server(max_connections=9)
+    server.announce_stop()
+
+    def send_and_respond():
+        sock.sendall(b"GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+        connection.respond(200, [], b"held")
+
+    with socket.create_connection(server.address, TIMEOUT_S) as sock:
+        sock.sendall(b"GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+        connection = server.handler.held.get(timeout=TIMEOUT_S)
+        server.task.send(send_and_respond)
+        received = b""
+        while data := sock.recv(65536):
+            received += data
+    assert b"held" in received
+    assert b"path /2" in received
+    assert received.count(b"Connection: close") == 1
+
+
 def test_connection_that_waits_to_be_accepted_is_served_as_listening_ends(make_server):
     server = make_server(max_connections=9)
 
