A kept connection with unread input is not used again

Callers would see: a request that may not be repeated gets 502, as its upstream had just closed the connection on which it was sent; and a call to the store, an agent or an engine's orders takes a second copy of a response for its own (upstreams' responses to calls are told apart by their id).

Cause: the pool took an idle connection by its own books. Its end or bytes of the server that had arrived were read only in a later pass of the loop, after the request was sent. Class of fault: one side's books in place of what the kernel has received.

Change: the pool looks at the socket (one read that takes nothing) before it uses it again, and closes a connection with input.

--- a/src/bamboolever/net/client.py
+++ b/src/bamboolever/net/client.py
@@ -16,7 +16,7 @@
 from bamboolever.net.buffers import BufferBudget
 from bamboolever.net.exchange import ExchangeFailure, FailureKind, ResponseHandler
 from bamboolever.net.messages import Request, ResponseHead
-from bamboolever.net.sockets import start_connecting
+from bamboolever.net.sockets import has_input, start_connecting
 
 RECEIVE_BYTES = 64 * 1024
 TCP_USER_TIMEOUT_S = 2.0
@@ -67,6 +67,11 @@
         """Whether the socket is closed."""
         return self._is_closed
 
+    @property
+    def has_input(self) -> bool:
+        """Whether the server has sent something, or closed, that was not read yet."""
+        return has_input(self._sock)
+
     def send(self, request: Request, handler: ResponseHandler) -> None:
         """Send one request and pass its response to ``handler``.
 
@@ -309,7 +314,8 @@
     """Opens connections and keeps idle ones by server address.
 
     An idle connection is reused for up to ``max_idle_s`` seconds, or up to half the
-    keep-alive timeout that its server announced if that is shorter.
+    keep-alive timeout that its server announced if that is shorter; not if its server
+    has ended it or sent more, even if that lies in the kernel yet.
     ``opened_connections`` counts the connections opened so far. ``buffers`` bounds the
     responses that are buffered together; without it, each has only its own limit.
     """
@@ -372,7 +378,7 @@
                 # Half the timeout: the server must not close the connection while
                 # the request is on its way.
                 limit_s = min(limit_s, connection.keep_alive_timeout_s / 2)
-            if age_s <= limit_s:
+            if age_s <= limit_s and not connection.has_input:
                 return connection
             connection.close()
         return None
--- a/src/bamboolever/net/sockets.py
+++ b/src/bamboolever/net/sockets.py
@@ -72,6 +72,17 @@
     return _count_bytes(sock, termios.FIONREAD)
 
 
+def has_input(sock: socket.socket) -> bool:
+    """Return whether a non-blocking socket has bytes, its end or an error to read."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError as error:
+        logger.debug("idle connection failed: %s", error)
+    return True
+
+
 def _count_bytes(sock: socket.socket, request: int) -> int | None:
     try:
         count = fcntl.ioctl(sock, request, struct.pack("i", 0))
--- a/testing/net/test_client.py
+++ b/testing/net/test_client.py
@@ -1,6 +1,7 @@
 """The HTTP client with complete, broken, late and unexpected responses."""
 
 import queue
+import select
 import socket
 import threading
 
@@ -70,6 +71,27 @@
     assert server.accepted_connections == 1
 
 
+@pytest.mark.parametrize("late", ["close", Endless(make_response(b"one"))])
+def test_connection_is_not_reused_with_input_in_the_kernel(pool, late):
+    """Guards against a request on a connection that has ended, or brings a copy."""
+    is_late_due = threading.Event()
+    first = [make_response(b"one"), is_late_due, late]
+    server = RawServer(first, [make_response(b"two")])
+    _exchange(pool, server.address)
+    handler = RecordingHandler()
+
+    def send_behind_input():
+        (connection,) = pool._idle[server.address]
+        is_late_due.set()
+        select.select([connection._sock], [], [], TIMEOUT_S)
+        pool.send(server.address, REQUEST, handler)
+
+    pool.task.send(send_behind_input)
+    assert handler.outcome.get(timeout=TIMEOUT_S) == "end"
+    assert handler.body == b"two"
+    assert server.accepted_connections == 2
+
+
 def test_event_of_a_connection_that_was_just_closed_is_ignored():
     """Guards against a callback that fails on a socket closed in the same pass."""
     task = IoTask("test")
