A request in the kernel is no timeout of its caller

Callers saw: a connection is reset, or a request answered with 408, although all of it was sent in time, if the entry is behind with reading when the timeout is due.

Cause: the timeouts of heads, bodies and idle connections compare the time with what the loop has read, and a pass of the loop can be long when many callers send at once.

Change: a timeout that is due while the kernel holds unread bytes is armed again.

--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -488,6 +488,10 @@
     def _on_timeout(self) -> None:
         if self._is_response_due or self._is_closed:
             return
+        if self._can_process and count_unread_bytes(self._sock):
+            # The caller has sent in time what was not read yet.
+            self._arm_timer(self._server.limits.header_timeout_s)
+            return
         is_unread = bool(self._send_buffer)
         if not is_unread and (self._request or self._http.trailing_data[0]):
             self._reject(408, "the request was not finished in time")
--- a/testing/net/test_server.py
+++ b/testing/net/test_server.py
@@ -24,6 +24,7 @@
 TIMEOUT_S = 30.0
 MIB = 2**20
 BODY = b"x" * MIB
+POST = b"POST /post HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
 
 
 class EchoHandler(RequestHandler):
@@ -192,6 +193,24 @@
         assert b"path /1" in sock.recv(4096)
 
 
+@pytest.mark.parametrize("first_bytes", [0, 3, len(POST) - 1])
+def test_request_in_the_kernel_is_no_timeout(make_server, first_bytes):
+    """Guards against an entry that is behind and blames its caller."""
+    server = make_server(max_connections=9)
+
+    def send_and_time_out():
+        sock.sendall(POST[first_bytes:])
+        (connection,) = server._connections
+        connection._on_timeout()
+
+    with socket.create_connection(server.address, TIMEOUT_S) as sock:
+        sock.sendall(POST[:first_bytes])
+        wait_for(lambda: server.connection_count == 1)
+        wait_for(lambda: _states(server)[0].is_request_begun == (first_bytes > 0))
+        server.task.send(send_and_time_out)
+        assert b"path /post" in sock.recv(4096)
+
+
 def test_request_in_the_kernel_is_answered_by_a_stopping_server(make_server):
     """Guards against a last response before a request that has arrived."""
     server = make_server(max_connections=9)
