--- a/src/bamboolever/daemons/callerport.py
+++ b/src/bamboolever/daemons/callerport.py
@@ -42,7 +42,7 @@
 from bamboolever.net.addresses import Address
 from bamboolever.net.handlers import HttpLimits, RequestHandler, make_plain_rejection
 from bamboolever.net.messages import Header, Request
-from bamboolever.net.requestbuffer import max_memory_bytes
+from bamboolever.net.requestbuffer import max_request_memory_bytes
 from bamboolever.net.server import HttpServer
 from bamboolever.net.serverconnection import ServerConnection
 from bamboolever.platform import calls as wire
@@ -104,7 +104,7 @@
     def allow_request(self, limits: HttpLimits) -> None:
         """Make room for at least one request within these limits."""
         self._request_bytes.allow(
-            max_memory_bytes(limits.max_header_bytes, limits.max_body_bytes)
+            max_request_memory_bytes(limits.max_header_bytes, limits.max_body_bytes)
         )
 
     def on_request(self, connection: ServerConnection, request: Request) -> None:
--- a/src/bamboolever/daemons/gracefulstop.py
+++ b/src/bamboolever/daemons/gracefulstop.py
@@ -21,7 +21,8 @@
 CHECK_INTERVAL_S = 0.1
 # Taken off the grace period, after which the platform ends the process.
 MARGIN_S = 0.7
-# Requests that are still arriving are rejected so long before the stop.
+# Requests that are still arriving are rejected, and new connections refused, so long
+# before the stop.
 REJECTION_S = 0.3
 
 
--- a/src/bamboolever/net/requestbuffer.py
+++ b/src/bamboolever/net/requestbuffer.py
@@ -36,7 +36,7 @@
 
     @property
     def memory_bytes(self) -> int:
-        """Memory that the head and the body take so far, about."""
+        """Estimate of the memory that the head and the body take so far."""
         return self._head_memory_bytes + len(self._body)
 
     def add(self, data: bytes) -> None:
@@ -53,7 +53,7 @@
         )
 
 
-def max_memory_bytes(max_header_bytes: int, max_body_bytes: int) -> int:
-    """Return the most that a request within these limits takes."""
+def max_request_memory_bytes(max_header_bytes: int, max_body_bytes: int) -> int:
+    """Return the largest `RequestBuffer.memory_bytes` within these limits."""
     max_headers = max_header_bytes // MIN_HEADER_LINE_BYTES
     return max_headers * HEADER_OVERHEAD_BYTES + max_header_bytes + max_body_bytes
--- a/src/bamboolever/net/server.py
+++ b/src/bamboolever/net/server.py
@@ -83,7 +83,7 @@
 
     @property
     def is_in_use(self) -> bool:
-        """Whether a response is due, or a caller does not have all of its own."""
+        """Whether a response is due, or a caller has not received all of one."""
         return any(connection.is_in_use for connection in list(self._connections))
 
     def close_idle(self) -> None:
--- a/testing/net/test_requestbuffer.py
+++ b/testing/net/test_requestbuffer.py
@@ -5,7 +5,7 @@
 from bamboolever.net.requestbuffer import (
     HEADER_OVERHEAD_BYTES,
     RequestBuffer,
-    max_memory_bytes,
+    max_request_memory_bytes,
 )
 
 # The end of a header line, and the colon behind its name.
@@ -44,4 +44,4 @@
     buffer = _make_buffer(*((name, "") for name in names))
     buffer.add(body)
     line_bytes = sum(len(name) + LINE_BYTES for name in ["Host", "h", *names])
-    assert buffer.memory_bytes <= max_memory_bytes(line_bytes, len(body))
+    assert buffer.memory_bytes <= max_request_memory_bytes(line_bytes, len(body))
