--- a/testing/net/test_server.py
+++ b/testing/net/test_server.py
@@ -1,96 +1,26 @@
 """The HTTP server with malformed, slow and hostile input."""
 
-import errno
-import queue
 import socket
 import threading
 
 import pytest
+from echoserver import TIMEOUT_S, connect_and_get, list_states
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from sitebuilders import wait_for
 
-from bamboolever._task import IoTask
-from bamboolever.net import server as server_module
-from bamboolever.net.addresses import Address
-from bamboolever.net.handlers import HttpLimits, RequestHandler
-from bamboolever.net.server import MAX_ACCEPTS_PER_TURN, HttpServer
+from bamboolever.net.handlers import HttpLimits
 from bamboolever.net.serverconnection import (
     MAX_PIPELINED_BYTES,
-    MAX_STREAM_BUFFER_BYTES,
     RECEIVE_BYTES,
 )
 
-TIMEOUT_S = 30.0
 PATIENT_LIMITS = HttpLimits(header_timeout_s=TIMEOUT_S, idle_timeout_s=TIMEOUT_S)
 MIB = 2**20
 BODY = b"x" * MIB
 POST = b"POST /post HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
 
 
-class EchoHandler(RequestHandler):
-    def __init__(self, task):
-        self.task = task
-        self.requests = queue.Queue()
-        self.rejected = queue.Queue()
-        self.held = queue.Queue()
-        self.is_closed = queue.Queue()
-
-    def on_request(self, connection, request):
-        self.requests.put(request)
-        if request.target == b"/stream":
-            connection.start(200, [])
-            connection.send(b"x" * 4 * MAX_STREAM_BUFFER_BYTES)
-            # Runs after what the connection has sent to the task.
-            self.task.send(lambda: self.is_closed.put(connection._is_closed))
-            return
-        if request.target == b"/held":
-            self.held.put(connection)
-            return
-        connection.respond(200, [], b"path " + request.target)
-
-    def on_caller_gone(self, connection):
-        pass
-
-    def on_rejected(self, status, reason):
-        self.rejected.put(status)
-
-
-def _start_server(*, limits=None, **options):
-    task = IoTask("test server")
-    limits = limits or HttpLimits(header_timeout_s=0.3, idle_timeout_s=1.0)
-    address = Address("127.0.0.1", 0)
-    server = HttpServer(task, address, EchoHandler(task), limits, **options)
-    server.start()
-    task.start()
-    return server
-
-
-def _stop_server(server):
-    server.task.send(server.close)
-    server.task.stop()
-
-
-@pytest.fixture(scope="module")
-def server():
-    server = _start_server(max_connections=500)
-    yield server
-    _stop_server(server)
-
-
-@pytest.fixture
-def make_server():
-    servers = []
-
-    def make(**options):
-        servers.append(_start_server(**options))
-        return servers[-1]
-
-    yield make
-    for server in servers:
-        _stop_server(server)
-
-
 def _exchange(server, data):
     with socket.create_connection(server.address, TIMEOUT_S) as sock:
         sock.sendall(data)
@@ -190,7 +120,7 @@
         sock.sendall(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
         server.close_idle()
 
-    with _connect_and_get(server, b"/0") as sock:
+    with connect_and_get(server, b"/0") as sock:
         server.task.send(send_and_close_idle)
         assert b"path /1" in sock.recv(4096)
 
@@ -208,7 +138,7 @@
     with socket.create_connection(server.address, TIMEOUT_S) as sock:
         sock.sendall(POST[:first_bytes])
         wait_for(lambda: server.connection_count == 1)
-        wait_for(lambda: _states(server)[0].is_request_begun == (first_bytes > 0))
+        wait_for(lambda: list_states(server)[0].is_request_begun == (first_bytes > 0))
         server.task.send(send_and_time_out)
         assert b"path /post" in sock.recv(4096)
 
@@ -234,135 +164,6 @@
     assert received.count(b"Connection: close") == 1
 
 
-def test_connection_that_waits_to_be_accepted_is_served_as_listening_ends(make_server):
-    server = make_server(max_connections=9)
-
-    def connect_and_stop_listening():
-        socks.append(socket.create_connection(server.address, TIMEOUT_S))
-        socks[0].sendall(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
-        server.stop_listening()
-
-    socks = []
-    server.task.send(connect_and_stop_listening)
-    wait_for(lambda: socks)
-    with socks[0] as sock:
-        assert b"path /1" in sock.recv(4096)
-    with pytest.raises(ConnectionRefusedError):
-        socket.create_connection(server.address, TIMEOUT_S)
-
-
-class FullListener:
-    """A listener whose process has no descriptors left."""
-
-    def __init__(self, sock):
-        self._sock = sock
-        self.attempts = 0
-        self.is_full = True
-
-    def fileno(self):
-        return self._sock.fileno()
-
-    def close(self):
-        self._sock.close()
-
-    def accept(self):
-        self.attempts += 1
-        if self.is_full:
-            raise OSError(errno.EMFILE, "too many open files")
-        return self._sock.accept()
-
-
-def _await_passes(task, count):
-    for _ in range(count):
-        passed = threading.Event()
-        task.send(passed.set)
-        assert passed.wait(TIMEOUT_S)
-
-
-def test_server_without_descriptors_does_not_spin(make_server, monkeypatch):
-    """Guards against a loop that only tries to accept, as its listener is readable."""
-    monkeypatch.setattr(server_module, "ACCEPT_RETRY_S", 1.0)
-    server = make_server(max_connections=9)
-    listener = FullListener(server._sock)
-    server.task.send(lambda: _replace_listener(server, listener))
-    _await_passes(server.task, 1)
-    with socket.create_connection(server.address, TIMEOUT_S) as sock:
-        wait_for(lambda: listener.attempts)
-        _await_passes(server.task, 100)
-        assert listener.attempts == 1
-        listener.is_full = False
-        sock.sendall(b"GET /alive HTTP/1.1\r\nHost: h\r\n\r\n")
-        assert b"path /alive" in sock.recv(4096)
-
-
-def _replace_listener(server, listener):
-    server.task.unregister(server._sock)
-    server._sock = listener
-    server.start()
-
-
-def test_new_caller_takes_the_place_of_one_that_sends_no_request(make_server):
-    """Guards against callers that are kept out by others that only stay connected."""
-    server = make_server(max_connections=2)
-    with (
-        _connect_and_get(server, b"/first") as served,
-        socket.create_connection(server.address, TIMEOUT_S) as silent,
-        socket.create_connection(server.address, TIMEOUT_S) as partial,
-    ):
-        assert silent.recv(4096) == b""
-        partial.sendall(b"GET /partial HTTP/1.1\r\n")
-        wait_for(lambda: any(each.is_request_begun for each in _states(server)))
-        with socket.create_connection(server.address, TIMEOUT_S) as newest:
-            assert b" 503 " in partial.recv(4096)
-            assert _get(newest, b"/newest")
-            assert _get(served, b"/again")
-
-
-def test_caller_among_many_that_connect_at_once_is_served(make_server):
-    """Guards against a place that is given away before its request was read."""
-    server = make_server(max_connections=MAX_ACCEPTS_PER_TURN)
-    socks = []
-
-    def connect_many():
-        for _ in range(3 * MAX_ACCEPTS_PER_TURN):
-            socks.append(socket.create_connection(server.address, TIMEOUT_S))
-        socks[0].sendall(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
-
-    server.task.send(connect_many)
-    wait_for(lambda: len(socks) == 3 * MAX_ACCEPTS_PER_TURN)
-    try:
-        assert b"path /1" in socks[0].recv(4096)
-    finally:
-        for sock in socks:
-            sock.close()
-
-
-def test_connection_with_a_response_due_keeps_its_place(make_server):
-    server = make_server(max_connections=1)
-    with socket.create_connection(server.address, TIMEOUT_S) as held:
-        held.sendall(b"GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
-        connection = server.handler.held.get(timeout=TIMEOUT_S)
-        with socket.create_connection(server.address, TIMEOUT_S) as newest:
-            assert newest.recv(4096) == b""
-        server.task.send(lambda: connection.respond(200, [], b"held"))
-        assert b"held" in held.recv(4096)
-
-
-def _connect_and_get(server, target):
-    sock = socket.create_connection(server.address, TIMEOUT_S)
-    assert _get(sock, target)
-    return sock
-
-
-def _get(sock, target):
-    sock.sendall(b"GET %s HTTP/1.1\r\nHost: h\r\n\r\n" % target)
-    return b"path " + target in sock.recv(4096)
-
-
-def _states(server):
-    return [connection.state() for connection in list(server._connections)]
-
-
 def test_chunked_body_with_a_content_length_is_rejected(server):
     handler = server.handler
     while not handler.requests.empty():
