The test of crashes that agents see waits until the entry knows the end

Cause, traced: the test waited until the entry knew that an engine serves nothing. An agent whose call is broken off as its engine ends reports that first; only its next call is refused, and its next report says that the engine has ended, which is what counts a crash. A request between the two is refused for the part, or not at all.

Change: the test waits for the end, too.

--- a/testing/daemons/test_inflightcalls.py
+++ b/testing/daemons/test_inflightcalls.py
@@ -44,15 +44,18 @@
     entry = start_entry().wait_ready(len(engines))
     views = views_of(entry)
     now = entry.entry.task.now
+    tracker = entry.entry.exchange.crashes.tracker
     wait_for(lambda: all(view._reported_version for view in views.values()))
     crashed = []
     while len(crashed) < 3:
         reached = _send_poison(entry, engines)
         crashed += reached
         for engine in reached:
-            # Its agent has told the entry that the engine serves nothing.
+            # Its agent has told the entry that the engine serves nothing, and then,
+            # maybe in a later report, that it has ended.
             view = views[engine.instance_id]
             wait_for(lambda view=view: view.served_version(MODEL, now()) is None)
+            wait_for(lambda view=view: tracker.has_ended(view.key))
     response = entry.call("/stream/bad", **make_stream_headers())
     assert response.status == 503
     assert response.body == b"poison"
