--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,17 +14,21 @@
 
 ENTRIES = 3
 DRAIN_S = 2.0
-SERVES_ON_S = 8.0
+# The worker serves for `drainTimeoutMs` "and a little longer".
+SERVES_ON_S = 2.27
 GRACE_S = 8.0
 RESTART_DELAY_S = 0.2
 DRAINS_AFTER_S = 0.1
-PER_S = 40
+# No requester sends an order for this long after the worker's report.
+PAUSE_S = 2.2
+# Then requesters come at once.
+ORDERS = 24
 
 
 async def answer(worker, head, body, writer):
-    """Answer like a sound worker after 60 ms of work."""
+    """Answer like a sound worker after 90 ms of work; say so while it leaves."""
     fields = harness.parse_head(head)
-    await asyncio.sleep(0.06)
+    await asyncio.sleep(0.09)
     content = b"booked"
     lines = [
         "HTTP/1.1 200 OK",
@@ -32,6 +36,8 @@
         "Bamboolever-Response-Signature: signed",
         f"Content-Length: {len(content)}",
     ]
+    if worker.is_leaving:
+        lines.append("Server-Leaving: 1")
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + content)
     await writer.drain()
 
@@ -42,6 +48,7 @@
     workers = []
     for n in (1, 2, 3):
         worker = harness.RawWorker(f"orders-{n}", answer)
+        worker.is_leaving = False
         await worker.serve()
         workers.append(
             deployment.add_raw_worker(worker, harness.PLAIN_SERVICE, slots=6)
@@ -87,6 +94,7 @@
     workers, entries, proxies = await start(deployment)
     await asyncio.sleep(3.0)
     added = harness.RawWorker("orders-4", answer)
+    added.is_leaving = False
     await added.serve()
     deployment.add_raw_worker(added, harness.PLAIN_SERVICE, slots=6)
     record.write("orders-4 is added")
@@ -120,18 +128,23 @@
     if harness.TROUBLE:
         starting = await restart(deployment, watcher, record)
     await asyncio.sleep(DRAINS_AFTER_S)
+    leaving.is_leaving = True
     site.put_upstream(
         leaving, harness.PLAIN_SERVICE, slots=6, state="draining", sequence=2
     )
     acknowledged_at = time.monotonic()
     record.write("acknowledged: orders-1 is draining")
-    number = 0
-    while time.monotonic() - acknowledged_at < SERVES_ON_S:
+
+    async def leave():
+        await asyncio.sleep(acknowledged_at + SERVES_ON_S - time.monotonic())
+        leaving.crash()
+        record.write("orders-1 exits")
+
+    exiting = asyncio.create_task(leave())
+    await asyncio.sleep(PAUSE_S)
+    for number in range(ORDERS):
         tasks.append(asyncio.create_task(order(number)))
-        number += 1
-        await asyncio.sleep(1 / PER_S)
-    leaving.crash()
-    record.write("orders-1 exits")
+    await exiting
     await asyncio.gather(*tasks)
     if starting is not None:
         await starting
--- a/review/standins_2/storeproxy.py
+++ b/review/standins_2/storeproxy.py
@@ -13,7 +13,8 @@
     It loses the answers to calls of the kinds that ``loses`` names.
     ``answers`` counts the answers that were begun while ``is_counting`` is set, and
     ``lost`` has the targets of those that were lost. With ``cuts_after_s``, it closes
-    the connection of a watch that has waited for so many seconds; ``cuts`` counts them.
+    the connection of a watch that has waited for so many seconds; ``cuts`` counts those
+    of the workers' entries.
     """
 
     def __init__(self, store, host="127.0.0.1"):
@@ -82,7 +83,7 @@
                 continue
             waited_s = asyncio.get_running_loop().time() - state["sent_at"]
             if "watch=" in state["target"] and waited_s >= self.cuts_after_s:
-                self.cuts += 1
+                self.cuts += "/objects/servers?" in state["target"]
                 return
 
     async def _forward_answers(self, store_reader, writer, state):
