--- a/src/bamboolever/config/storecalls.py
+++ b/src/bamboolever/config/storecalls.py
@@ -150,6 +150,17 @@
             for call in self._calls
         )
 
+    @property
+    def are_silent(self) -> bool:
+        """Whether no call was sent, or brought anything, for as long as they take."""
+        now = self._task.now()
+        return all(now - call.progressed_at >= self.hung_s for call in self._calls)
+
+    @property
+    def hung_s(self) -> float:
+        """After how many seconds of silence a call that has a response may be lost."""
+        return max(HUNG_CALL_S, self._response_times.longest_s)
+
     @property
     def sent_at(self) -> float:
         """When the last call was sent; minus infinity before the first."""
@@ -192,12 +203,28 @@
         Called when the store responded to another watch. Those of which something
         arrives, or which have not waited for as long as responses take, are left.
         """
-        usual_s = max(HUNG_CALL_S, self._response_times.longest_s)
         now = self._task.now()
         for call in self._calls:
-            if now - call.progressed_at >= usual_s:
+            if now - call.progressed_at >= self.hung_s:
                 call.is_overdue = True
 
+    def drop_waiting_before(self, revision: int) -> int:
+        """Cancel the calls that wait for changes up to ``revision``; return how many.
+
+        The changes are known, so their responses were lost or can tell nothing new.
+        Those that have begun to arrive are left.
+        """
+        outdated = [
+            call
+            for call in self._calls
+            if call.listing is None
+            and call.revision < revision
+            and (call.fetch is None or not call.fetch.received_bytes)
+        ]
+        for call in outdated:
+            self._drop(call)
+        return len(outdated)
+
     def cancel_all(self) -> None:
         """Give all calls up."""
         for call in list(self._calls):
--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -18,6 +18,7 @@
 from bamboolever._task import IoTask, Timer
 from bamboolever.config.kindstate import Snapshot
 from bamboolever.config.kindview import KindView
+from bamboolever.config.missedchanges import MissedChangeCheck
 from bamboolever.config.observer import KindObserver
 from bamboolever.config.sharing import (
     NoSharing,
@@ -110,6 +111,13 @@
             self._on_result,
             self._on_failure,
         )
+        self._missed_changes = MissedChangeCheck(
+            task,
+            self._calls,
+            group.seen_changes,
+            lambda: self._revision if self._listing is None else None,
+            self._ask_beside,
+        )
         self._timer: Timer | None = None
         self._random = random.Random()
 
@@ -169,6 +177,7 @@
     def stop(self) -> None:
         """Cancel the calls in flight and send no more."""
         self._is_stopped = True
+        self._missed_changes.cancel()
         self._calls.cancel_all()
         if self._timer is not None:
             self._timer.cancel()
@@ -251,9 +260,23 @@
         if self._is_stopped or not self._view.follow_era(era):
             return
         self._listing = ListingProgress()
+        self._missed_changes.cancel()
         self._calls.cancel_all()
         self._send_next()
 
+    def expect_changes_until(self, revision: int) -> None:
+        """Ask again for changes up to ``revision`` that a call in flight doesn't bring.
+
+        The store has reached that revision, as its response to another watch says.
+        """
+        if not self._is_stopped:
+            self._missed_changes.expect(revision)
+
+    def _ask_beside(self) -> None:
+        """Ask for changes beside a call that waits for them."""
+        if self._revision is not None:
+            self._send_watch(self._revision, 0.0, is_shared=True)
+
     def retry_if_hung(self, *, is_after_outage: bool = False) -> None:
         """Send a further call if those in flight may have been lost.
 
@@ -383,6 +406,7 @@
             tuple(listing.documents), listing.revision, changed_revision
         )
         self._view.confirm(listing.sent_at)
+        self._group.on_revision(self, listing.revision, listing.documents)
 
     def _on_changes(self, call: StoreCall, response: Response) -> None:
         if response.head.status == store.HISTORY_GONE_STATUS:
@@ -417,12 +441,29 @@
                 self._sharing.publish(part)
         if is_new:
             self._view.apply_changes(changes.documents, changes.revision)
+            self._drop_lost_calls(changes)
         self._view.confirm(as_of)
+        self._group.on_revision(self, changes.revision, changes.documents)
         if changes.documents and self._batch_delay_s:
             self._call_later(self._batch_delay_s)
             return
         self._send_next()
 
+    def _drop_lost_calls(self, changes: StoreListing) -> None:
+        """Give up calls that should have brought these changes already."""
+        if not changes.documents:
+            return
+        dropped = self._calls.drop_waiting_before(changes.revision)
+        if dropped:
+            logger.info(
+                "store response lost",
+                extra={
+                    "kind": self._kind,
+                    "revision": changes.revision,
+                    "calls": dropped,
+                },
+            )
+
     def _on_reachable(self, call: StoreCall) -> bool:
         """Record a response; return whether the store was unreachable before."""
         self._retry_delay_s = MIN_RETRY_DELAY_S
--- a/src/bamboolever/config/watchgroup.py
+++ b/src/bamboolever/config/watchgroup.py
@@ -1,8 +1,11 @@
 """What the watches of one process tell each other about the store."""
 
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
+from bamboolever.config.missedchanges import SeenChanges
 from bamboolever.net.responsetimes import ResponseTimes
+from bamboolever.platform.store import StoredDocument
 
 if TYPE_CHECKING:
     from bamboolever.config.watch import KindWatch
@@ -16,11 +19,13 @@
     began. A response to one watch therefore makes the others send further calls beside
     theirs at once: those whose calls are overdue, and after an outage all.
 
-    ``response_times`` are those of the store, as all watches of the process see them.
+    ``response_times`` are those of the store, as all watches of the process see them,
+    and ``seen_changes`` are the changes of all kinds.
     """
 
     def __init__(self) -> None:
         self.response_times = ResponseTimes()
+        self.seen_changes = SeenChanges()
         self._watches: list[KindWatch] = []
 
     def add(self, watch: "KindWatch") -> None:
@@ -29,6 +34,7 @@
 
     def on_restored(self, era: int) -> None:
         """Tell all watches the era of a store that was restored from a copy."""
+        self.seen_changes.clear()
         for watch in self._watches:
             watch.follow_era(era)
 
@@ -40,3 +46,15 @@
         for watch in self._watches:
             if watch is not answered:
                 watch.retry_if_hung(is_after_outage=is_after_outage)
+
+    def on_revision(
+        self,
+        answered: "KindWatch",
+        revision: int,
+        documents: Iterable[StoredDocument],
+    ) -> None:
+        """Tell the other watches which revision a response named, and its objects."""
+        self.seen_changes.add(documents)
+        for watch in self._watches:
+            if watch is not answered:
+                watch.expect_changes_until(revision)
--- a/src/bamboolever/platform/standins/store.py
+++ b/src/bamboolever/platform/standins/store.py
@@ -62,7 +62,8 @@
 
     `put`, `delete` and `compact_history` may be called from any thread. ``fault``
     makes requests fail; ``request_count`` counts all requests.
-    Listings of ``silent_kinds`` get no response.
+    Listings of ``silent_kinds`` get no response, nor do watches of ``lost_kinds``: what
+    ends them is lost, though the store goes on. ``lost_count`` counts these.
     """
 
     def __init__(self, address: Address):
@@ -78,6 +79,8 @@
         self._watches: list[_Watch] = []
         self.fault = StoreFault.NONE
         self.silent_kinds: frozenset[str] = frozenset()
+        self.lost_kinds: frozenset[str] = frozenset()
+        self.lost_count = 0
         self.request_count = 0
         self._era = 1
         self._copy: tuple[int, dict[str, dict[str, tuple[int, Any]]]] = (1, {})
@@ -224,6 +227,9 @@
         watch.is_open = False
         if watch in self._watches:
             self._watches.remove(watch)
+        if watch.kind in self.lost_kinds:
+            self.lost_count += 1
+            return
         if self.fault is StoreFault.NONE:
             watch.connection.respond(status, self._headers(), body)
 
