--- a/src/bamboolever/config/kindstate.py
+++ b/src/bamboolever/config/kindstate.py
@@ -19,8 +19,8 @@
 
     ``documents`` is None if the asking process knows them already. At ``as_of`` they
     were the newest, in seconds of the clock of the process that has the snapshot; None
-    if that is unknown. ``changed_revision`` is the store's at the last change that was
-    watched, 0 before the first.
+    if that is unknown. ``changed_revision`` is the store's at the last change, or that
+    of the listing if none was watched since.
     """
 
     era: int
@@ -40,7 +40,8 @@
     def __init__(self) -> None:
         self.era: int | None = None
         self.revision: int | None = None
-        # The store's revision at the last change that was watched, not listed.
+        # The store's revision at the last change that was watched or may have been
+        # listed: a process that knows less may lack a change.
         self.changed_revision = 0
         # Counts the changes of the objects.
         self.change_count = 0
--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -132,7 +132,7 @@
 
     @property
     def changed_revision(self) -> int:
-        """Revision of the store at the last change that was watched."""
+        """Revision of the store up to which changes may be known here only."""
         return self._view.state.changed_revision
 
     @property
@@ -399,11 +399,10 @@
             return
         self._listing = None
         self._listed_bytes = listing.size_bytes
-        # A later listing may hold changes that others missed too.
-        changed_revision = listing.revision if self.changed_revision else 0
         self._set_reachable()
+        # A listing may hold changes that no peer knows: they are told up to where.
         self._view.apply_listing(
-            tuple(listing.documents), listing.revision, changed_revision
+            tuple(listing.documents), listing.revision, listing.revision
         )
         self._view.confirm(listing.sent_at)
         self._group.on_revision(self, listing.revision, listing.documents)
--- a/src/bamboolever/daemons/observers.py
+++ b/src/bamboolever/daemons/observers.py
@@ -115,6 +115,8 @@
             del self._ignored[name]
         decoded = [self._decode(document) for document in documents_]
         records = [record for record in decoded if record is not None]
+        for record in records:
+            self._log_draining(record)
         self._upstreams.apply_listing(records, self._now())
         self._on_changed()
 
@@ -123,6 +125,7 @@
         for document in documents_:
             record = self._decode(document)
             if record is not None:
+                self._log_draining(record)
                 self._upstreams.put(record)
             else:
                 self._upstreams.remove(document.name, self._now())
@@ -150,6 +153,14 @@
         self._ignored.pop(name, None)
         return record
 
+    def _log_draining(self, record: UpstreamRecord) -> None:
+        """Log once that an upstream drains, before the list takes its record."""
+        if not record.is_draining:
+            return
+        known = self._upstreams.get(record.instance_id, self._now())
+        if known is None or not known.is_draining:
+            logger.info("upstream drains", extra={"upstream": record.instance_id})
+
     def _log_ignored(self, name: str, reason: str) -> None:
         """Log a record that does not decode once, not at each of its heartbeats."""
         if self._ignored.get(name) == reason:
--- a/src/bamboolever/daemons/storerelay.py
+++ b/src/bamboolever/daemons/storerelay.py
@@ -95,7 +95,11 @@
         return any(not watch.is_reachable for watch in self._watches.values())
 
     def changed_revisions(self) -> tuple[int, ...]:
-        """Return the store's revision at the last known change of each kind."""
+        """Return the store's revision at the last known change of each kind.
+
+        That of its listing counts, too. Peers that hear from an entry don't call the
+        store, and nobody else tells them what had changed before it started.
+        """
         return tuple(watch.changed_revision for watch in self._watches.values())
 
     def snapshot_of(self, kind: str) -> tuple[Snapshot, int] | None:
--- a/src/bamboolever/fleet/messages.py
+++ b/src/bamboolever/fleet/messages.py
@@ -52,9 +52,9 @@
     ``summary_cell`` is set by an entry of another cell: it asks the receiver for the
     summary of this cell, and ``loads`` are those at the cell's upstreams.
     ``store_revisions`` are the store's revisions, within ``store_era``, at the last
-    change that the entry knows of each kind that it watches: a peer with a lower
-    revision has missed an update. ``has_lost_store`` means that the entry cannot watch
-    the store for others now.
+    change that the entry knows of each kind that it watches, or at its listing: a peer
+    with a lower revision may lack a change. ``has_lost_store`` means that the entry
+    cannot watch the store for others now.
     """
 
     instance_id: str
--- a/testing/config/test_watchsharing.py
+++ b/testing/config/test_watchsharing.py
@@ -8,6 +8,7 @@
     FollowingShare,
     advance_to_probe,
     make_event,
+    make_item,
     make_result,
     start_watch,
 )
@@ -99,6 +100,16 @@
     assert len(pool.sent) == 2
 
 
+@pytest.mark.parametrize("is_first", [True, False])
+def test_listing_counts_as_a_change_that_peers_may_lack(task, pool, is_first):
+    """Guards against peers that wait for an update on what a listing had brought."""
+    recorder = start_watch(pool, "a", WAIT_S, WatchGroup())
+    if not is_first:
+        pool.respond(-1, status=410)
+        pool.respond(-1, items=[make_item("x", 4)], at=5)
+    assert recorder.watch.changed_revision == recorder.watch.revision
+
+
 def test_older_response_after_a_newer_one_changes_nothing(task, pool):
     recorder = start_watch(pool, "a", WAIT_S, WatchGroup())
     late = pool.sent[-1][1]
--- a/testing/daemons/test_observers.py
+++ b/testing/daemons/test_observers.py
@@ -1,5 +1,7 @@
 """What follows from the store's objects, with a manual clock and without sockets."""
 
+import logging
+
 from manualtask import ManualPool, ManualTask
 
 from bamboolever.config.watch import KindWatch, WatchTiming
@@ -26,6 +28,17 @@
     }
 
 
+def _upstream(state):
+    document = {
+        "service": "plain",
+        "address": "127.0.0.9:9",
+        "zone": "zone-a",
+        "slots": 4,
+        "state": state,
+    }
+    return StoredDocument("upstream", document)
+
+
 def test_version_named_during_a_suspension_expires_the_older_one_in_time():
     """Guards against an entry that stands still while a version is named."""
     task, versions = ManualTask(), VersionRollouts(8.0)
@@ -76,3 +89,21 @@
     observer.on_listing(())
     observer.on_listing(malformed)
     assert count_lines() == 1
+
+
+def test_draining_upstream_is_logged_once(caplog):
+    caplog.set_level(logging.INFO)
+    observer = UpstreamObserver(UpstreamList(), lambda: 0.0, lambda: None)
+
+    def count_lines():
+        lines = [each for each in caplog.records if each.message == "upstream drains"]
+        caplog.clear()
+        return len(lines)
+
+    observer.on_listing((_upstream("ready"),))
+    assert count_lines() == 0
+    observer.on_changes((_upstream("draining"),))
+    assert count_lines() == 1
+    observer.on_changes((_upstream("draining"),))
+    observer.on_listing((_upstream("draining"),))
+    assert count_lines() == 0
--- a/testing/daemons/test_storecell.py
+++ b/testing/daemons/test_storecell.py
@@ -1,166 +1,10 @@
 """The entries of a cell follow one store over a narrow link, on a manual clock."""
 
-from types import SimpleNamespace
-
 import pytest
-from manualtask import ManualTask, SlowStore, StoreCall
-
-from bamboolever.config.observer import KindObserver
-from bamboolever.config.watch import KindWatch, WatchTiming
-from bamboolever.config.watchgroup import WatchGroup
-from bamboolever.daemons.snapshots import SnapshotHandler
-from bamboolever.daemons.storerelay import WATCH_WAIT_SHARE, StoreRelay
-from bamboolever.fleet.messages import EntryLoad, StoreUpdate
-from bamboolever.fleet.peers import PeerLoads
-from bamboolever.net.addresses import Address
-from bamboolever.net.buffers import BufferBudget
-from bamboolever.net.messages import ResponseHead
-
-CONFIGURATION_TIMEOUT_S = 3.0
-LARGE_BYTES = 310_000
-# A quarter of what five entries would need to read each version by themselves.
-LINK_BYTES_PER_S = 300_000
-CHANGE_INTERVAL_S = 1.3
-HEARTBEAT_S = 0.5
-DELAY_S = 0.001
-
-
-class Recorder(KindObserver):
-    def __init__(self):
-        self.revision = 0
-        self.confirmed_at = 0.0
-
-    def on_listing(self, documents):
-        self.on_changes(documents)
-
-    def on_changes(self, documents):
-        self.revision = max([self.revision, *(each.revision for each in documents)])
-
-    def on_confirmed(self, as_of):
-        self.confirmed_at = max(self.confirmed_at, as_of)
-
-    def on_store_restored(self):
-        pass
-
-    def on_reachability_changed(self, is_reachable, reason):
-        pass
-
-
-class Entry:
-    """One entry of the cell; ``store`` is how it reaches the store."""
-
-    def __init__(self, cell, address, store):
-        self.cell = cell
-        self.address = address
-        self.is_alive = True
-        self.recorder = Recorder()
-        self.fleet = SimpleNamespace(
-            peers=PeerLoads(address), own_cell="zone/0", started_ms=7
-        )
-        task = cell.task
-        self.relay = StoreRelay(
-            task.now,
-            address,
-            self.fleet,
-            "config",
-            self._send,
-            CONFIGURATION_TIMEOUT_S,
-            cell,
-        )
-        self.watch = KindWatch(
-            task,
-            store,
-            lambda: Address("10.0.0.9", 80),
-            "config",
-            self.recorder,
-            WatchTiming(WATCH_WAIT_SHARE * CONFIGURATION_TIMEOUT_S),
-            group=WatchGroup(),
-            sharing=self.relay,
-        )
-        self.relay.add_watch(self.watch)
-        self.handler = SnapshotHandler(task.now, self.relay.snapshot_of)
-        self.sequence = 0
-
-    def send_load(self):
-        self.sequence += 1
-        load = EntryLoad(
-            str(self.address),
-            7,
-            self.sequence,
-            {},
-            cell="zone/0",
-            store_era=self.relay.era,
-            store_revisions=self.relay.changed_revisions(),
-            has_lost_store=self.relay.has_lost_store,
-        )
-        self.relay.on_load_sent(self.sequence, self.cell.task.now())
-        for other in self.cell.entries:
-            if other is not self:
-                self._send(load, other.address)
-        self.cell.task.call_later(HEARTBEAT_S, self.send_load)
+from storecell import CONFIGURATION_TIMEOUT_S, LARGE_BYTES, Cell
 
-    def _send(self, message, address):
-        receiver = self.cell.entry_at(address)
-        self.cell.task.call_later(DELAY_S, lambda: receiver.take(self.address, message))
-
-    def take(self, sender, message):
-        now = self.cell.task.now()
-        if isinstance(message, StoreUpdate):
-            self.relay.on_update(message, sender, now)
-            return
-        self.fleet.peers.apply(sender, message, now)
-        self.relay.on_peer_revisions(sender, message.store_era, message.store_revisions)
-
-
-class Cell:
-    """Entries that share a link to the store; also the pool for their snapshots."""
-
-    def __init__(self, size, refused=0):
-        self.task = ManualTask()
-        self.buffers = BufferBudget()
-        self.store = SlowStore(self.task, response_s=0.02, bytes_per_s=LINK_BYTES_PER_S)
-        self.nowhere = SlowStore(self.task, response_s=0.02)
-        self.store.put("main", 1000)
-        self.nowhere.put("main", 1000)
-        self.entries = [
-            Entry(self, Address(f"10.0.0.{number}", 7700), self.store)
-            for number in range(1, size - refused + 1)
-        ]
-        self.refused = [
-            Entry(self, Address(f"10.0.1.{number}", 7700), self.nowhere)
-            for number in range(1, refused + 1)
-        ]
-        self.entries += self.refused
-        for entry in self.entries:
-            entry.send_load()
-            entry.watch.start()
-        self.task.advance(3.0)
-        self.nowhere.is_cut = True
-
-    def entry_at(self, address):
-        return next(each for each in self.entries if each.address == address)
-
-    def send(self, address, request, handler):
-        call = StoreCall(request.target.decode(), handler)
-        entry = self.entry_at(address)
-
-        def respond(status, headers, body=b""):
-            handler.on_head(ResponseHead(status, tuple(headers)))
-            if body:
-                handler.on_data(body)
-            handler.on_end()
-
-        if entry.is_alive:
-            connection = SimpleNamespace(respond=respond)
-            self.task.call_later(
-                DELAY_S, lambda: entry.handler.on_request(connection, request)
-            )
-        return call
-
-    def change(self, times):
-        for _ in range(times):
-            self.store.put("main", LARGE_BYTES)
-            self.task.advance(CHANGE_INTERVAL_S)
+# From the store's answer that an upstream drains until it gets no request any more.
+DRAIN_TIMEOUT_S = 2.0
 
 
 def test_one_entry_of_a_cell_reads_each_version_of_a_large_configuration():
@@ -181,3 +25,49 @@
     for entry in cell.refused:
         assert entry.recorder.revision == cell.store.revision
         assert now - entry.recorder.confirmed_at < CONFIGURATION_TIMEOUT_S
+
+
+def _make_cell_with_list():
+    """Return a cell of which one entry watches the list of upstreams for all."""
+    cell = Cell(3, kinds=("config", "servers"))
+    # Ends the calls that each entry sent before it knew of the others.
+    cell.store.put("earlier")
+    cell.task.advance(CONFIGURATION_TIMEOUT_S)
+    return cell
+
+
+@pytest.mark.parametrize("down_s", [0.2, 0.5, 0.9, 1.4])
+def test_peers_hear_of_a_change_that_a_restarted_entry_learnt_by_its_listing(down_s):
+    """Guards against requests to an upstream that has left.
+
+    The entry that watched for the others started again before they took over, and told
+    them nothing of what had changed meanwhile.
+    """
+    cell = _make_cell_with_list()
+    watching = cell.watching_entry("servers")
+    watching.kill()
+    cell.task.advance(0.1)
+    cell.store.put("upstream")
+    cell.task.advance(down_s)
+    cell.restart(watching)
+    cell.task.advance(DRAIN_TIMEOUT_S - down_s)
+    for entry in cell.entries:
+        assert entry.recorders["servers"].revision == cell.store.revision
+
+
+def test_peers_ask_an_entry_that_started_for_its_listing_once():
+    """Guards against copies of all objects for as long as an entry runs."""
+    cell = _make_cell_with_list()
+    watching = cell.watching_entry("servers")
+    starting = next(each for each in cell.entries if each is not watching)
+    starting.kill()
+    # A change of an object of another kind.
+    cell.store.revision += 1
+    asked = cell.snapshot_count
+    cell.restart(starting)
+    cell.task.advance(CONFIGURATION_TIMEOUT_S)
+    peers = len(cell.entries) - 1
+    assert cell.snapshot_count - asked <= peers * len(cell.kinds)
+    asked = cell.snapshot_count
+    cell.task.advance(10.0)
+    assert cell.snapshot_count == asked
