--- a/src/bamboolever/_upstream.py
+++ b/src/bamboolever/_upstream.py
@@ -11,6 +11,7 @@
 
 from bamboolever._activation import ServedModel
 from bamboolever._httpbody import read_body
+from bamboolever.net.messages import is_valid_status
 
 CONNECT_TIMEOUT_S = 2.0
 ORDER_TIMEOUT_S = 600.0
@@ -236,6 +237,8 @@
 
 
 def _read_head(response: http.client.HTTPResponse) -> ResponseHead:
+    if not is_valid_status(response.status):
+        raise UpstreamBroken(f"invalid status {response.status}")
     return ResponseHead(
         status=response.status,
         content_type=response.headers.get("Content-Type", ""),
--- a/src/bamboolever/net/client.py
+++ b/src/bamboolever/net/client.py
@@ -15,7 +15,7 @@
 from bamboolever.net.addresses import Address
 from bamboolever.net.buffers import BufferBudget
 from bamboolever.net.exchange import ExchangeFailure, FailureKind, ResponseHandler
-from bamboolever.net.messages import Request, ResponseHead
+from bamboolever.net.messages import Request, ResponseHead, is_valid_status
 from bamboolever.net.sockets import has_input, start_connecting
 
 RECEIVE_BYTES = 64 * 1024
@@ -216,6 +216,9 @@
 
     def _on_response(self, event: h11.Response) -> None:
         assert self._handler is not None
+        if not is_valid_status(event.status_code):
+            self._fail(FailureKind.MALFORMED, f"invalid status {event.status_code}")
+            return
         head = ResponseHead(event.status_code, tuple(event.headers.raw_items()))
         self._is_discarding = not self._handler.accepts(head)
         if self._is_discarding:
--- a/src/bamboolever/net/messages.py
+++ b/src/bamboolever/net/messages.py
@@ -22,6 +22,10 @@
     }
 )
 
+# The statuses of responses that HTTP knows (RFC 9110, section 15).
+MIN_STATUS = 100
+MAX_STATUS = 599
+
 
 @dataclass(frozen=True)
 class Request:
@@ -79,6 +83,11 @@
         return BodyFraming.CONNECTION_CLOSE
 
 
+def is_valid_status(status: int) -> bool:
+    """Return whether HTTP knows a status; the sender of another one is in trouble."""
+    return MIN_STATUS <= status <= MAX_STATUS
+
+
 def find_header(headers: tuple[Header, ...], name: bytes) -> bytes | None:
     """Return the first value of the header ``name`` (lower case), or None."""
     for key, value in headers:
--- a/testing/test_httpupstream.py
+++ b/testing/test_httpupstream.py
@@ -57,6 +57,16 @@
     assert sink.body == b""
 
 
+@pytest.mark.parametrize("status", ["000", "600 Odd", "999 Odd"])
+def test_response_with_an_invalid_status_is_not_passed_on(status):
+    """Guards against a status that HTTP does not know reaching a caller."""
+    server = RawServer([make_response(b"whole", status), "close"])
+    sink = RecordingSink()
+    with pytest.raises(UpstreamBroken):
+        HttpUpstream(_url(server)).relay(CALL, sink)
+    assert sink.body == b""
+
+
 def test_truncated_chunk_of_the_origin_is_an_error():
     server = RawServer([make_response(b"whole")[:-2], "close"])
     with pytest.raises(OriginError):
