--- a/src/bamboolever/config/storecalls.py
+++ b/src/bamboolever/config/storecalls.py
@@ -16,6 +16,7 @@
 from bamboolever._task import IoTask
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
+from bamboolever.net.exchange import ExchangeFailure, FailureKind
 from bamboolever.net.fetch import Fetch, FetchResult, Response
 from bamboolever.net.messages import Request
 from bamboolever.net.responsetimes import ResponseTimes
@@ -83,6 +84,16 @@
         # A response without changes was made at the end of the wait.
         return self.sent_at + self.wait_s
 
+    def is_cut_off(self, failure: ExchangeFailure) -> bool:
+        """Return whether the store may have ended the wait, which is no outage.
+
+        It closed the connection of a call that waits for changes, and had sent nothing.
+        """
+        if self.listing is not None or not self.wait_s:
+            return False
+        is_closed = failure.kind in (FailureKind.CLOSED, FailureKind.RESET)
+        return is_closed and (self.fetch is None or not self.fetch.received_bytes)
+
     @property
     def progressed_at(self) -> float:
         """When something of the response arrived last, or the call was sent."""
--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -337,6 +337,9 @@
             if result.kind is FailureKind.TOO_LARGE and call.listing is None:
                 self._list_instead(call)
                 return
+            if self._is_reachable and call.is_cut_off(result):
+                self._on_cut_off()
+                return
             self._on_failure(f"{result.kind.value}: {result.detail}")
             return
         if not self._check_era(result):
@@ -355,6 +358,15 @@
             self._listing = ListingProgress()
             self._retry_later()
 
+    def _on_cut_off(self) -> None:
+        """Ask without a wait whether the store is there, and what has changed.
+
+        It may cut off any call that waits. Only if it does not answer this one is it
+        lost: removals are not taken for those of an outage otherwise.
+        """
+        if not self._calls.has_current:
+            self._ask_beside()
+
     def _list_instead(self, call: StoreCall) -> None:
         logger.info(
             "listing in place of a long history",
