--- a/src/bamboolever/net/serverconnection.py
+++ b/src/bamboolever/net/serverconnection.py
@@ -63,6 +63,8 @@
         self._is_cut = False
         self._is_response_due = False
         self._is_head_sent = False
+        # A response to a HEAD request states the length of a body that it leaves out.
+        self._is_body_allowed = True
         self._timer = RearmableTimer(self._task)
         self._delivery = DeliveryWait(self._task, sock, self.close)
         sock.setblocking(False)
@@ -157,8 +159,7 @@
             return
         length = (b"Content-Length", str(len(body)).encode())
         self._send_head(status, [*headers, length])
-        if body:
-            self._send_event(h11.Data(data=body))
+        self._send_body(body)
         self._end_response()
 
     def start(self, status: int, headers: Sequence[Header]) -> None:
@@ -176,7 +177,7 @@
         """
         if self._is_closed or not data:
             return
-        self._send_event(h11.Data(data=data))
+        self._send_body(data)
         self._flush()
         if len(self._send_buffer) > MAX_STREAM_BUFFER_BYTES:
             self.cut_later()
@@ -252,8 +253,13 @@
         if data:
             self._send_buffer += data
 
+    def _send_body(self, data: bytes) -> None:
+        if data and self._is_body_allowed:
+            self._send_event(h11.Data(data=data))
+
     def _end_response(self) -> None:
         self._send_event(h11.EndOfMessage())
+        self._is_body_allowed = True
         self._is_response_due = False
         self._is_head_sent = False
         self._has_served = True
@@ -362,6 +368,7 @@
 
     def _begin_request(self, head: h11.Request) -> None:
         self._request = RequestBuffer(head)
+        self._is_body_allowed = head.method != b"HEAD"
         self._arm_timer(self._server.limits.idle_timeout_s)
         fault = find_head_fault(head, self._server.limits)
         if fault is not None:
@@ -401,7 +408,7 @@
             length = str(len(body)).encode()
             headers += [(b"Content-Length", length), (b"Connection", b"close")]
             self._send_event(h11.Response(status_code=status, headers=headers))
-            self._send_event(h11.Data(data=body))
+            self._send_body(body)
             self._send_event(h11.EndOfMessage())
         self._flush()
 
