--- a/src/bamboolever/config/kindview.py
+++ b/src/bamboolever/config/kindview.py
@@ -37,12 +37,23 @@
         The first era heard of is taken over. A later one is told to all watches.
         """
         if self.state.era is None:
-            self.state.era = era
+            self._begin_era(era)
+            return True
         if era > self.state.era:
             self._group.on_restored(era)
             return False
         return era == self.state.era
 
+    def _begin_era(self, era: int) -> None:
+        """Take over the first era; the store may have been restored just before."""
+        self.state.era = era
+        if era > 0:
+            logger.info(
+                "store restored before the start",
+                extra={"kind": self._kind, "era": era},
+            )
+            self.observer.on_store_restored()
+
     def follow_era(self, era: int) -> bool:
         """Forget the objects if the store was restored; return whether it was."""
         if self.state.era is None or era <= self.state.era:
--- a/src/bamboolever/config/observer.py
+++ b/src/bamboolever/config/observer.py
@@ -27,7 +27,9 @@
     def on_store_restored(self) -> None:
         """Called when the store came back from a copy that may lack recent changes.
 
-        A listing follows. Objects that the copy lacks may be written again soon.
+        Also called at the first response of a store that was restored before, since it
+        may have come back just now. A listing follows. Objects that the copy lacks may
+        be written again soon.
         """
 
     @abstractmethod
--- a/src/bamboolever/platform/standins/store.py
+++ b/src/bamboolever/platform/standins/store.py
@@ -82,7 +82,7 @@
         self.lost_kinds: frozenset[str] = frozenset()
         self.lost_count = 0
         self.request_count = 0
-        self._era = 1
+        self._era = 0
         self._copy: tuple[int, dict[str, dict[str, tuple[int, Any]]]] = (1, {})
 
     def start(self) -> None:
--- a/testing/config/test_watch.py
+++ b/testing/config/test_watch.py
@@ -170,6 +170,16 @@
     assert first.listings == 2
 
 
+@pytest.mark.parametrize("era", [None, 0, 1, 7])
+def test_store_that_was_restored_before_the_start_may_lack_changes_yet(task, pool, era):
+    """Guards against trust in a copy that a process reads as it starts."""
+    recorder = start_watch_at(pool, wait_s=WAIT_S)
+    pool.respond(-1, era=era, items=[])
+    pool.respond(-1, era=era, events=[])
+    assert recorder.restores == (1 if era else 0)
+    assert recorder.listings == 1
+
+
 def test_late_response_of_an_older_era_changes_nothing(task, pool):
     recorder = start_watch(pool, "a", WAIT_S, WatchGroup())
     pool.respond(-1, era=2, events=[])
