config.watch: catching up with peers in a module of its own

What a watch does about a change that only a peer knows is config.catchup; the second name of the revision goes.

--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 
 from bamboolever._task import IoTask, Timer
+from bamboolever.config.catchup import CatchUp
 from bamboolever.config.kindstate import Snapshot
 from bamboolever.config.kindview import KindView
 from bamboolever.config.missedchanges import MissedChangeCheck
@@ -26,12 +27,7 @@
     WatchSharing,
     split_result,
 )
-from bamboolever.config.storecalls import (
-    HUNG_CALL_S,
-    ListingProgress,
-    StoreCall,
-    StoreCalls,
-)
+from bamboolever.config.storecalls import ListingProgress, StoreCall, StoreCalls
 from bamboolever.config.watchgroup import WatchGroup
 from bamboolever.net.addresses import Address
 from bamboolever.net.client import ConnectionPool
@@ -99,10 +95,6 @@
         self._retry_delay_s = MIN_RETRY_DELAY_S
         self._is_reachable = False
         self._is_stopped = False
-        self._is_asking_peer = False
-        # The revision at which a peer was first known to be ahead, and since when.
-        self._behind_at: int | None = None
-        self._behind_since = 0.0
         self._calls = StoreCalls(
             task,
             pool,
@@ -115,9 +107,18 @@
             task,
             self._calls,
             group.seen_changes,
-            lambda: self._revision if self._listing is None else None,
+            lambda: self.revision if self._listing is None else None,
             self._ask_beside,
         )
+        self._catch_up = CatchUp(
+            task,
+            self._calls,
+            known_revision=lambda: self.revision,
+            is_reachable=lambda: self._is_reachable,
+            ask_peer=self._ask_peer,
+            call_store=self._call_for_changes,
+            on_snapshot=self.apply_snapshot,
+        )
         self._timer: Timer | None = None
         self._random = random.Random()
 
@@ -126,10 +127,6 @@
         """How often the store was restored, as far as this watch knows."""
         return self._view.state.era or 0
 
-    @property
-    def _revision(self) -> int | None:
-        return self._view.state.revision
-
     @property
     def changed_revision(self) -> int:
         """Revision of the store up to which changes may be known here only."""
@@ -177,6 +174,7 @@
     def stop(self) -> None:
         """Cancel the calls in flight and send no more."""
         self._is_stopped = True
+        self._catch_up.cancel()
         self._missed_changes.cancel()
         self._calls.cancel_all()
         if self._timer is not None:
@@ -197,7 +195,7 @@
         Asks that process or the store if changes between are missing here.
         """
         if not self._is_stopped and not self._view.apply_result(result):
-            self._catch_up(result.revision, result.source)
+            self._catch_up.to(result.revision, result.source)
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Take over all objects as another process knows them, if they are newer."""
@@ -211,49 +209,26 @@
 
         The update that told of it was lost.
         """
-        known = self._revision
+        known = self.revision
         if era == self._view.state.era and known is not None and revision > known:
-            self._catch_up(revision, source)
-
-    def _catch_up(self, revision: int, source: Address | None) -> None:
-        if self._is_asking_peer or self._awaits_own_call():
-            return
+            self._catch_up.to(revision, source)
 
-        def on_snapshot(snapshot: Snapshot | None) -> None:
-            self._is_asking_peer = False
-            if self._is_stopped:
-                return
-            if snapshot is not None:
-                self.apply_snapshot(snapshot)
-            if self._revision is not None and self._revision < revision:
-                self._call_for_changes()
-
-        known = self._revision
-        if source is None or known is None:
-            self._call_for_changes()
-            return
-        self._is_asking_peer = True
-        if not self._sharing.ask_peer(source, self._kind, self.era, known, on_snapshot):
-            self._is_asking_peer = False
-            self._call_for_changes()
-
-    def _awaits_own_call(self) -> bool:
-        """Return whether a call in flight may soon bring a change that a peer has."""
-        if not self._calls.is_any or not self._is_reachable:
+    def _ask_peer(
+        self, source: Address, on_snapshot: Callable[[Snapshot | None], None]
+    ) -> bool:
+        known = self.revision
+        if known is None:
             return False
-        now = self._task.now()
-        if self._behind_at != self._revision:
-            self._behind_at, self._behind_since = self._revision, now
-        is_recent = now - self._behind_since < HUNG_CALL_S
-        return is_recent or self._calls.is_arriving
+        return self._sharing.ask_peer(source, self._kind, self.era, known, on_snapshot)
 
     def _call_for_changes(self) -> None:
-        # While calls are overdue, the next one is sent when its time comes.
-        if self._calls.is_any or self._revision is None:
+        """Ask the store for changes, unless a call was sent just now."""
+        # While calls are in flight, the next one is sent when its time comes.
+        if self._calls.is_any or self.revision is None:
             return
         if self._task.now() - self._calls.sent_at < MIN_RETRY_DELAY_S:
             return
-        self._send_watch(self._revision, 0.0, is_shared=False)
+        self._send_watch(self.revision, 0.0, is_shared=False)
 
     def follow_era(self, era: int) -> None:
         """List again if the store was restored since the last response."""
@@ -274,8 +249,8 @@
 
     def _ask_beside(self) -> None:
         """Ask for changes beside a call that waits for them."""
-        if self._revision is not None:
-            self._send_watch(self._revision, 0.0, is_shared=True)
+        if self.revision is not None:
+            self._send_watch(self.revision, 0.0, is_shared=True)
 
     def retry_if_hung(self, *, is_after_outage: bool = False) -> None:
         """Send a further call if those in flight may have been lost.
@@ -298,7 +273,7 @@
         wait_s = self._timing.wait_s
         if wait_s is None:
             return
-        revision = self._revision
+        revision = self.revision
         if revision is None:
             return
         if not self._is_reachable:
@@ -431,7 +406,7 @@
             return
         changes = store.decode_changes(response.body)
         is_after_outage = self._on_reachable(call)
-        known = self._revision
+        known = self.revision
         if known is None:
             self._send_next()
             return
