--- a/src/bamboolever/config/catchup.py
+++ b/src/bamboolever/config/catchup.py
@@ -51,7 +51,7 @@
         self._behind_at: int | None = None
         self._behind_since = 0.0
 
-    def to(self, revision: int, source: Address | None) -> None:
+    def request(self, revision: int, source: Address | None) -> None:
         """Get the changes up to ``revision`` from ``source``, or from the store."""
         if self._is_asking or self._awaits_own_call():
             return
--- a/src/bamboolever/config/missedchanges.py
+++ b/src/bamboolever/config/missedchanges.py
@@ -7,8 +7,8 @@
 Load pattern: a store that loses single responses, and connections that go silent one by
 one. A call that waits for rare changes looks the same whether there are none or its
 response was lost, for as long as the store may hold it. The store has one revision for
-all kinds of objects: once it is past the changes that were seen, the call is asked
-again beside. Without changes that costs nothing.
+all kinds of objects: once it is past the changes that were seen, a further call that
+does not wait is sent. Without changes that costs nothing.
 """
 
 from collections.abc import Callable, Iterable
@@ -47,6 +47,8 @@
 
         Each change has a revision of its own, so that they are if they are as many.
         """
+        if until <= after:
+            return True
         seen = sum(after < revision <= until for revision in self._revisions)
         return until - after <= seen
 
@@ -57,10 +59,11 @@
 
 @final
 class MissedChangeCheck:
-    """Lets one watch ask again for what its calls in flight should have brought.
+    """Lets one watch probe for what its calls in flight should have brought.
 
     ``known_revision`` returns the revision up to which the watch knows its objects, or
-    None while it lists them. ``ask`` sends a further call for the changes since.
+    None while it lists them. ``probe`` sends a call for the changes since, without a
+    wait.
     """
 
     def __init__(
@@ -69,13 +72,13 @@
         calls: StoreCalls,
         seen: SeenChanges,
         known_revision: Callable[[], int | None],
-        ask: Callable[[], None],
+        probe: Callable[[], None],
     ):
         self._task = task
         self._calls = calls
         self._seen = seen
         self._known_revision = known_revision
-        self._ask = ask
+        self._probe = probe
         self._expected_revision = 0
         self._timer: Timer | None = None
 
@@ -107,6 +110,6 @@
         if not self._may_miss_changes():
             return
         if self._calls.are_silent:
-            self._ask()
-        # The response to this call may be lost, too.
+            self._probe()
+        # The response to the probe may be lost, too.
         self._check_later()
--- a/src/bamboolever/config/storecalls.py
+++ b/src/bamboolever/config/storecalls.py
@@ -163,13 +163,13 @@
 
     @property
     def are_silent(self) -> bool:
-        """Whether no call was sent, or brought anything, for as long as they take."""
+        """Whether no call was sent, or brought bytes, within the last `hung_s`."""
         now = self._task.now()
         return all(now - call.progressed_at >= self.hung_s for call in self._calls)
 
     @property
     def hung_s(self) -> float:
-        """After how many seconds of silence a call that has a response may be lost."""
+        """Seconds of silence after which a call or its response may be lost."""
         return max(HUNG_CALL_S, self._response_times.longest_s)
 
     @property
--- a/src/bamboolever/config/watch.py
+++ b/src/bamboolever/config/watch.py
@@ -108,7 +108,7 @@
             self._calls,
             group.seen_changes,
             lambda: self.revision if self._listing is None else None,
-            self._ask_beside,
+            self._probe,
         )
         self._catch_up = CatchUp(
             task,
@@ -195,7 +195,7 @@
         Asks that process or the store if changes between are missing here.
         """
         if not self._is_stopped and not self._view.apply_result(result):
-            self._catch_up.to(result.revision, result.source)
+            self._catch_up.request(result.revision, result.source)
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Take over all objects as another process knows them, if they are newer."""
@@ -211,7 +211,7 @@
         """
         known = self.revision
         if era == self._view.state.era and known is not None and revision > known:
-            self._catch_up.to(revision, source)
+            self._catch_up.request(revision, source)
 
     def _ask_peer(
         self, source: Address, on_snapshot: Callable[[Snapshot | None], None]
@@ -240,15 +240,15 @@
         self._send_next()
 
     def expect_changes_until(self, revision: int) -> None:
-        """Ask again for changes up to ``revision`` that a call in flight doesn't bring.
+        """Probe for changes up to ``revision`` if the calls in flight don't bring them.
 
         The store has reached that revision, as its response to another watch says.
         """
         if not self._is_stopped:
             self._missed_changes.expect(revision)
 
-    def _ask_beside(self) -> None:
-        """Ask for changes beside a call that waits for them."""
+    def _probe(self) -> None:
+        """Ask for changes without a wait, beside the calls in flight."""
         if self.revision is not None:
             self._send_watch(self.revision, 0.0, is_shared=True)
 
@@ -334,13 +334,13 @@
             self._retry_later()
 
     def _on_cut_off(self) -> None:
-        """Ask without a wait whether the store is there, and what has changed.
+        """Probe whether the store is there after it cut off a call that waits.
 
-        It may cut off any call that waits. Only if it does not answer this one is it
-        lost: removals are not taken for those of an outage otherwise.
+        It may do so at any time. Only if the probe fails, too, is it an outage, which
+        would put off the removal of upstreams.
         """
         if not self._calls.has_current:
-            self._ask_beside()
+            self._probe()
 
     def _list_instead(self, call: StoreCall) -> None:
         logger.info(
@@ -387,7 +387,7 @@
         self._listing = None
         self._listed_bytes = listing.size_bytes
         self._set_reachable()
-        # A listing may hold changes that no peer knows: they are told up to where.
+        # Peers may lack changes that a listing holds, so that it counts as a change.
         self._view.apply_listing(
             tuple(listing.documents), listing.revision, listing.revision
         )
