A store response that breaks off is no cut of a watch; tests that guards were missing

Fetch says whether a head has arrived.

Test: test_response_that_breaks_off_is_no_cut failed before ([True] == [True, False]).

Measured: all of testing/config, test_messages.py, test_fetch.py and test_lostresponses.py pass.

--- a/src/bamboolever/config/storecalls.py
+++ b/src/bamboolever/config/storecalls.py
@@ -92,7 +92,7 @@
         if self.listing is not None or not self.wait_s:
             return False
         is_closed = failure.kind in (FailureKind.CLOSED, FailureKind.RESET)
-        return is_closed and (self.fetch is None or not self.fetch.received_bytes)
+        return is_closed and (self.fetch is None or not self.fetch.has_head)
 
     @property
     def progressed_at(self) -> float:
@@ -230,7 +230,7 @@
             for call in self._calls
             if call.listing is None
             and call.revision < revision
-            and (call.fetch is None or not call.fetch.received_bytes)
+            and (call.fetch is None or not call.fetch.has_head)
         ]
         for call in outdated:
             self._drop(call)
--- a/src/bamboolever/net/fetch.py
+++ b/src/bamboolever/net/fetch.py
@@ -96,6 +96,11 @@
         fetch._connection = pool.send(address, request, fetch)
         return fetch
 
+    @property
+    def has_head(self) -> bool:
+        """Whether the head of the response has arrived."""
+        return self._head is not None
+
     @property
     def received_bytes(self) -> int:
         """How many bytes of the body have arrived."""
--- a/testing/config/test_cutwatches.py
+++ b/testing/config/test_cutwatches.py
@@ -6,6 +6,7 @@
 from bamboolever.config.watch import MAX_RETRY_DELAY_S
 from bamboolever.config.watchgroup import WatchGroup
 from bamboolever.net.exchange import ExchangeFailure, FailureKind
+from bamboolever.net.messages import ResponseHead
 
 ASKED = "/-/objects/a?watch=1&waitMs=0"
 WAITING = "/-/objects/a?watch=1&waitMs=2000"
@@ -60,3 +61,23 @@
     task.advance(CUT_AFTER_S)
     _fail(pool, kind)
     assert recorder.reachability == [True, False]
+
+
+def test_response_that_breaks_off_is_no_cut(task, pool, recorder):
+    """The store had begun to answer: it did not end a wait."""
+    handler = pool.sent[-1][1]
+    handler.on_head(ResponseHead(200, ((b"content-length", b"9"),)))
+    handler.on_data(b"{")
+    _fail(pool, FailureKind.CLOSED)
+    assert recorder.reachability == [True, False]
+
+
+def test_cut_during_an_outage_does_not_end_the_pause_before_the_next_call(
+    task, pool, recorder
+):
+    waiting = len(pool.sent) - 1
+    while recorder.reachability[-1]:
+        task.advance(0.1)
+    sent = len(pool.sent)
+    _fail(pool, FailureKind.CLOSED, waiting)
+    assert len(pool.sent) == sent
--- a/testing/config/test_missedchanges.py
+++ b/testing/config/test_missedchanges.py
@@ -1,5 +1,7 @@
 """Watches that notice that the store's response to a waiting call was lost."""
 
+import json
+
 import pytest
 from watchbuilders import WAIT_S, FollowingShare, make_event, start_watch
 
@@ -75,6 +77,12 @@
     assert waiting.changed_names == ["x"]
 
 
+def test_probe_is_repeated_although_no_other_watch_is_answered(task, pool, waiting):
+    _answer_often(pool, 2)
+    task.advance(2 * HUNG_CALL_S + 0.1)
+    assert pool.targets.count(ASKED) == 2
+
+
 def test_store_without_changes_of_the_kind_is_asked_once_for_a_revision(
     task, pool, waiting
 ):
@@ -114,6 +122,36 @@
     assert ASKED not in pool.targets
 
 
+def test_response_that_arrives_is_kept_beside_one_that_is_complete(task, pool, waiting):
+    """Guards against large responses that are given up and read again."""
+    arriving = pool.sent[pool.targets.index(WAITING)][1]
+    _answer_often(pool, 2)
+    task.advance(HUNG_CALL_S)
+    arriving.on_head(ResponseHead(200, ()))
+    arriving.on_data(b" " * MIN_PROGRESS_BYTES)
+    pool.respond(pool.targets.index(ASKED), events=[make_event("x", 2)], at=2)
+    sent = len(pool.sent)
+    events = [make_event("x", 2), make_event("y", 3)]
+    arriving.on_data(json.dumps({"events": events, "at": 3}).encode())
+    arriving.on_end()
+    assert waiting.changed_names == ["x", "y"]
+    assert len(pool.sent) == sent + 1
+
+
+def test_changes_of_the_former_store_do_not_count_for_a_restored_one(
+    task, pool, waiting
+):
+    """Its revisions begin anew, so that other changes have those that were seen."""
+    _answer_often(pool, 3, events=[make_event("x", 2), make_event("y", 3)])
+    _answer_often(pool, 1, era=2)
+    listings = [n for n, each in enumerate(pool.targets) if "?" not in each][-2:]
+    for index in listings:
+        pool.respond(index, era=2, items=[])
+    _answer_often(pool, 3, era=2)
+    task.advance(HUNG_CALL_S)
+    assert ASKED in pool.targets
+
+
 def test_restored_store_expects_nothing_of_the_former_one(task, pool, waiting):
     _answer_often(pool, 9)
     _answer_often(pool, 1, era=2)
--- a/testing/config/test_watchsnapshots.py
+++ b/testing/config/test_watchsnapshots.py
@@ -106,6 +106,16 @@
     assert recorder.confirmed_at == 99.0
 
 
+@pytest.mark.parametrize("snapshot", [None, make_snapshot("x")], ids=["gone", "newer"])
+def test_stopped_watch_ignores_what_a_peer_answers(pool, follower, sharing, snapshot):
+    follower.watch.catch_up_to(0, 3, PEER)
+    follower.watch.stop()
+    sent = len(pool.sent)
+    sharing.answer(snapshot)
+    assert follower.listings == 1
+    assert len(pool.sent) == sent
+
+
 def test_older_snapshot_changes_nothing(follower):
     follower.watch.apply_shared(make_result(as_of=None))
     follower.watch.apply_snapshot(make_snapshot("old", revision=2, as_of=98.0))
