--- a/testing/net/test_client.py
+++ b/testing/net/test_client.py
@@ -7,6 +7,7 @@
 
 import pytest
 from rawserver import Endless, RawServer, make_response
+from sitebuilders import wait_for
 
 from bamboolever._task import READ, WRITE, IoTask
 from bamboolever.net.addresses import Address
@@ -274,3 +275,42 @@
     _handler, failure = _exchange(pool, server.address)
     assert failure.kind is FailureKind.MALFORMED
     assert server.closed_by_client.wait(TIMEOUT_S)
+
+
+def _receive_all(sock):
+    """Return what is sent on a connection until its end, or until it is reset."""
+    received = b""
+    try:
+        while data := sock.recv(65536):
+            received += data
+    except ConnectionResetError:
+        pass
+    return received
+
+
+def test_cancelled_request_does_not_reach_the_server_later(pool):
+    """Guards against work for a caller that has left.
+
+    The kernel holds what the link, or here the server's window, doesn't let through
+    yet, and sends it on after the connection was closed.
+    """
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        address = Address(*listener.getsockname())
+        request = Request(b"POST", b"/x", ((b"Host", b"h"),), b"x" * 60_000)
+        connections = queue.Queue()
+
+        def send():
+            connections.put(pool.send(address, request, RecordingHandler()))
+
+        pool.task.send(send)
+        connection = connections.get(timeout=TIMEOUT_S)
+        sock, _ = listener.accept()
+        wait_for(lambda: connection._is_request_sent and not connection._send_queue)
+        pool.task.send(connection.cancel)
+        wait_for(lambda: connection.is_closed)
+        with sock:
+            sock.settimeout(TIMEOUT_S)
+            assert not _receive_all(sock).endswith(request.body)
