--- a/testing/rawserver.py
+++ b/testing/rawserver.py
@@ -25,7 +25,7 @@
     has arrived, as is what a function returns for that head; "close" and "reset" end
     the connection; "hold" leaves it open until the client sends or closes. At an event
     of `threading` the script waits until it is set. `Endless` bytes are sent until the
-    client closes the connection, which ends the script.
+    client closes the connection, which ends the script, as a reset does at any step.
     """
 
     def __init__(self, *scripts):
@@ -53,6 +53,13 @@
             ).start()
 
     def _run_script(self, connection, script):
+        try:
+            self._run_steps(connection, script)
+        except ConnectionError:
+            # The client has reset the connection.
+            connection.close()
+
+    def _run_steps(self, connection, script):
         for step in script:
             if isinstance(step, threading.Event):
                 step.wait(WAIT_S)
