--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -213,6 +213,7 @@
         self.sequence = 0
         self.busy = False
         self.tokens = []
+        self.is_registered = True
         self.born = int(time.time() * 1000)
         self.heartbeat = 0
         self._lock = threading.RLock()
@@ -377,6 +378,137 @@
         handler.answer(200, events, headers)
 
 
+class PlainWorker(StandIn):
+    """A worker of a plain service; it works on each request for ``work_s`` seconds.
+
+    ``arrivals`` has the time of each request that reached it, in seconds of
+    `time.monotonic`, ``unanswered`` the ids of those it had begun when it exited.
+    """
+
+    def __init__(self, host, port, record, name, service, work_s):
+        self._record = record
+        self.name = name
+        self.service = service
+        self.zone = "cape-a"
+        self.born = int(time.time() * 1000)
+        self.heartbeat = 0
+        self.is_registered = True
+        self.arrivals = []
+        self.unanswered = []
+        self._work_s = work_s
+        self._has_exited = False
+        super().__init__(host, port)
+
+    def document(self):
+        """Return the worker's entry in the store, with the next sequence."""
+        self.heartbeat += 1
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "born": self.born,
+            "sequence": self.heartbeat,
+        }
+
+    def respond(self, handler, _method, _target, _body):
+        """Answer a call after its work, unless the worker exits before."""
+        attempt = handler.headers.get("Bamboolever-Attempt-Id", "")
+        self.arrivals.append((time.monotonic(), attempt))
+        self._record.write(f"worker {self.name} runs {attempt}")
+        time.sleep(self._work_s)
+        if self._has_exited:
+            self.unanswered.append(attempt)
+            self._record.write(f"worker {self.name} has exited: {attempt} unanswered")
+            handler.close_connection = True
+            return
+        headers = [
+            ("Bamboolever-Attempt-Id", attempt),
+            ("Bamboolever-Response-Signature", f"{self.name}.{attempt}"),
+        ]
+        handler.answer(200, b"done", headers)
+
+    def exit(self):
+        """End the worker: it listens no more, and answers nothing any more."""
+        self._has_exited = True
+        self._record.write(f"worker {self.name} exits")
+        self.close()
+
+
+class StoreProxy:
+    """The way of one machine to the store, which can be cut and healed."""
+
+    def __init__(self, host, port, store_address):
+        self.address = f"{host}:{port}"
+        self._store_address = tuple(store_address)
+        self._listener = socket.create_server((host, port), backlog=64)
+        self._pairs = []
+        self._is_cut = False
+        self._is_closed = False
+        self.call_count = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while not self._is_closed:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            if self._is_cut:
+                _reset(near)
+                continue
+            far = socket.create_connection(self._store_address)
+            self._pairs.append((near, far))
+            for source, target, is_call in ((near, far, True), (far, near, False)):
+                arguments = (source, target, is_call)
+                threading.Thread(target=self._copy, args=arguments, daemon=True).start()
+
+    def _copy(self, source, target, is_call):
+        try:
+            while data := source.recv(65536):
+                self.call_count += is_call
+                target.sendall(data)
+        except OSError:
+            pass
+        for sock in (source, target):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def cut(self):
+        """Reset all connections, and each new one, until `heal`."""
+        self._is_cut = True
+        pairs, self._pairs = self._pairs, []
+        for near, far in pairs:
+            _reset(near)
+            _reset(far)
+
+    def heal(self):
+        """Let connections pass again."""
+        self._is_cut = False
+
+    def close(self):
+        """Stop listening and end all connections."""
+        self._is_closed = True
+        self._listener.close()
+        self.cut()
+
+
+def _reset(sock):
+    try:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00" + bytes(4)
+        )
+        sock.shutdown(socket.SHUT_RD)
+    except OSError:
+        pass
+    sock.close()
+
+
 class Deployment:
     """A small deployment: the store, stand-ins, and the project's own processes."""
 
@@ -397,7 +529,7 @@
 
     def _beat(self):
         while not self._is_closed:
-            for worker in list(self.workers):
+            for worker in [each for each in self.workers if each.is_registered]:
                 self.store.put("servers", worker.name, worker.document())
             time.sleep(1.2)
 
@@ -491,11 +623,14 @@
             document["service"] = worker.service
         return document
 
-    def start_entry(self, name, host):
-        """Start an entry; its addresses are found by `entry_address`."""
+    def start_entry(self, name, host, store_address=None):
+        """Start an entry; its addresses are found by `address`."""
         port = find_port([host])
         listen = {"frontend": f"{host}:{port}", "ready": f"{host}:{port + 1}"}
         self._settings[name] = self.make_settings(name, host, "frontend", **listen)
+        if store_address is not None:
+            platform = self._settings[name]["platformSettings"]
+            platform["address"] = store_address
         self.start(name)
 
     def start_agent(self, name, host, worker):
@@ -622,6 +757,22 @@
     return json.dumps({k: v for k, v in content.items() if k not in left_out})[:260]
 
 
+def plain_route(prefix, kind, service):
+    """Return a route to a plain service, as the bench writes them."""
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeoutMs": 800,
+        "targetLatencyMs": 407,
+        "priority": 2,
+        "service": service,
+        "maxAttempts": 1 if kind == "non_idempotent" else 2,
+        "allowAnonymous": False,
+    }
+
+
 def model_route(prefix, service):
     """Return a streaming route to a model service, as the bench writes them."""
     return {
