--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -538,8 +538,8 @@
         self.workers.append(worker)
         self.store.put("servers", worker.name, worker.document())
 
-    def put_configuration(self, routes, services, version=1):
-        """Write the configuration."""
+    def put_configuration(self, routes, services, version=1, keys=(API_KEY,)):
+        """Write the configuration; ``keys`` are those of the only tenant."""
         document = {
             "version": version,
             "routes": routes,
@@ -550,7 +550,7 @@
                 "headerTimeoutMs": 3000,
                 "idleTimeoutMs": 15000,
             },
-            "tenants": [{"name": TENANT, "apiKeys": [API_KEY], "priority": 1}],
+            "tenants": [{"name": TENANT, "apiKeys": list(keys), "priority": 1}],
         }
         self.store.put("config", "main", document)
 
