--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import socket
@@ -770,7 +771,7 @@
     try:
         content = json.loads(line)
     except ValueError:
-        return line.replace(str(ROOT), "")[:200]
+        return re.sub(r"/[^\s\"']*/", "", line)[:200]
     left_out = ("levelname", "name", "taskName")
     return json.dumps({k: v for k, v in content.items() if k not in left_out})[:260]
 
