--- a/review/12/case.py
+++ b/review/12/case.py
@@ -13,9 +13,10 @@
 SERVICE, PATH = "lehu44b", "/filo73/"
 DRAIN_TIMEOUT_S = 2.0
 # The way of one machine to the store is cut for a moment, again and again.
-CUT_S, HEALED_S, CUTS = 0.5, 0.5, 20
-# The worker leaves after this cut, and serves for so long after it has left.
-LEAVES_AFTER = 5
+CUT_S, HEALED_S, CUTS = 0.7, 0.5, 19
+# Workers leave after these cuts, each serves for so long after it has left.
+LEAVE_AFTER = (4, 7, 10)
+WORKERS = 5
 SERVES_ON_S = 6.0
 WORK_S = 0.12
 CALLERS = 4
@@ -91,9 +92,9 @@
     return proxies, [origin, *proxies.values()]
 
 
-def cut_again_and_again(site, name, proxy, worker):
-    """Cut the way of one entry to the store; return when the worker had left."""
-    left_at = None
+def cut_again_and_again(site, name, proxy):
+    """Cut the way of one entry to the store; return the workers that left, and when."""
+    left = []
     for number in range(CUTS):
         if deployment.is_troubled():
             site.record.write(f"the way of {name} to the store is cut")
@@ -102,11 +103,24 @@
         proxy.heal()
         site.record.write(f"the way of {name} to the store is whole")
         time.sleep(HEALED_S / 2)
-        if number == LEAVES_AFTER:
-            left_at = leave(site, worker)
+        if number in LEAVE_AFTER:
+            worker = site.workers[len(left)]
+            left.append((worker, leave(site, worker)))
             threading.Timer(SERVES_ON_S, worker.exit).start()
         time.sleep(HEALED_S / 2)
-    return left_at
+    return left
+
+
+def count_late(site, worker, left_at, others):
+    """Return how many requests reached a worker too late, and record them."""
+    late = [at - left_at for at, _ in worker.arrivals if at - left_at > DRAIN_TIMEOUT_S]
+    site.record.write(
+        f"requests that reached worker {worker.name} later than {DRAIN_TIMEOUT_S} s "
+        f"after the store had accepted that it is gone, sent by {others}: {len(late)}"
+        + (f", the last after {max(late):.2f} s" if late else "")
+        + f"; lost as it exited: {len(worker.unanswered)}"
+    )
+    return len(late)
 
 
 def play(site):
@@ -122,22 +136,15 @@
     ]
     for caller in callers:
         caller.start()
-    worker = site.workers[0]
-    left_at = cut_again_and_again(site, watcher, proxies[watcher], worker)
+    left = cut_again_and_again(site, watcher, proxies[watcher])
     time.sleep(1.0)
     stop.set()
     for caller in callers:
         caller.join()
-    late = [at - left_at for at, _ in worker.arrivals if at - left_at > DRAIN_TIMEOUT_S]
-    site.record.write(
-        f"requests that reached worker {worker.name} later than {DRAIN_TIMEOUT_S} s "
-        f"after the store had accepted that it is gone, sent by {others}: {len(late)}"
-        + (f", the last after {max(late):.2f} s" if late else "")
-        + f"; lost as it exited: {len(worker.unanswered)}"
-    )
+    late = sum(count_late(site, worker, left_at, others) for worker, left_at in left)
     site.record.write(f"DRAIN held: {not late}")
-    if not any(at < left_at for at, _ in worker.arrivals):
-        raise RuntimeError("the worker was never used")
+    if not any(at < left_at for worker, left_at in left for at, _ in worker.arrivals):
+        raise RuntimeError("the workers were never used")
     for each in to_close:
         each.close()
     return not late
@@ -147,7 +154,7 @@
     """Run the case and return its exit code."""
     site = None
     try:
-        site = deployment.Deployment(FOLDER, host_count=7)
+        site = deployment.Deployment(FOLDER, host_count=4 + WORKERS)
         is_held = play(site)
     except Exception as error:  # noqa: BLE001
         print(f"could not run: {error!r}", file=sys.stderr)
