--- a/src/bamboolever/weights/pieces.py
+++ b/src/bamboolever/weights/pieces.py
@@ -47,28 +47,43 @@
         self.verified &= ~(1 << number)
 
 
+# The same bytes that often from one agent make the digest suspect, too. Its piece may
+# be the damaged one, but if no one else has it, nothing else would tell.
+MAX_REPEATS = 3
+
+
+@dataclass
+class _Mismatch:
+    source: Address | None
+    digest: bytes
+    repeats: int = 1
+
+
 @final
 class DigestMismatches:
     """Pieces that did not have the digest in the manifest.
 
-    Bytes that were damaged on their way, or at one agent, differ from each other. The
-    same bytes from the origin twice, or from two sources, show that the digest is
-    wrong.
+    Bytes that were damaged on their way differ from each other. The same bytes from the
+    origin twice, from two sources, or from one agent `MAX_REPEATS` times, show that the
+    digest may be wrong.
     """
 
     def __init__(self) -> None:
-        self._last: dict[int, tuple[Address | None, bytes]] = {}
+        self._last: dict[int, _Mismatch] = {}
 
     def add(self, number: int, source: Address | None, data: bytes) -> bool:
         """Record a piece and return whether its digest in the manifest is suspect.
 
         ``source`` None is the origin.
         """
-        mismatch = (source, hashlib.sha256(data).digest())
+        mismatch = _Mismatch(source, hashlib.sha256(data).digest())
         last, self._last[number] = self._last.get(number), mismatch
-        if last is None or last[1] != mismatch[1]:
+        if last is None or last.digest != mismatch.digest:
             return False
-        return source is None or source != last[0]
+        if source is None or source != last.source:
+            return True
+        mismatch.repeats = last.repeats + 1
+        return mismatch.repeats >= MAX_REPEATS
 
 
 def full_bitmap(count: int) -> int:
--- a/testing/weights/test_pieces.py
+++ b/testing/weights/test_pieces.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bamboolever.net.addresses import Address
-from bamboolever.weights.pieces import DigestMismatches
+from bamboolever.weights.pieces import MAX_REPEATS, DigestMismatches
 
 PEER, OTHER = Address("127.0.0.1", 7000), Address("127.0.0.2", 7000)
 
@@ -25,3 +25,14 @@
     mismatches = DigestMismatches()
     assert not mismatches.add(3, PEER, b"piece")
     assert not mismatches.add(number, source, data)
+
+
+def test_same_bytes_from_the_only_agent_that_has_them_make_the_digest_suspect():
+    """Guards against an agent that asks another one for the same piece for ever.
+
+    Its manifest had a wrong digest. The other one had read the manifest again, and was
+    the only source of the piece.
+    """
+    mismatches = DigestMismatches()
+    added = [mismatches.add(3, PEER, b"piece") for _ in range(MAX_REPEATS)]
+    assert added == [False] * (MAX_REPEATS - 1) + [True]
