--- a/protocol/exchange.thrift
+++ b/protocol/exchange.thrift
@@ -128,6 +128,8 @@
   5: i32 uploads
   // The pieces are left from an earlier transfer: the agent fetches no more of them.
   6: bool is_retained
+  // The agent has heard that the operator named the version.
+  7: bool is_named
 }
 
 // A crash of an upstream by a request, or by a part of a prompt, and how long ago the
--- a/src/bamboolever/_exchange_protocol/ttypes.py
+++ b/src/bamboolever/_exchange_protocol/ttypes.py
@@ -1253,6 +1253,7 @@
      - is_reply_wanted
      - uploads
      - is_retained
+     - is_named
 
     """
 
@@ -1263,16 +1264,18 @@
         'is_reply_wanted',
         'uploads',
         'is_retained',
+        'is_named',
     )
 
 
-    def __init__(self, model=None, version=None, bitmap=None, is_reply_wanted=None, uploads=None, is_retained=None,):
+    def __init__(self, model=None, version=None, bitmap=None, is_reply_wanted=None, uploads=None, is_retained=None, is_named=None,):
         self.model = model
         self.version = version
         self.bitmap = bitmap
         self.is_reply_wanted = is_reply_wanted
         self.uploads = uploads
         self.is_retained = is_retained
+        self.is_named = is_named
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1313,6 +1316,11 @@
                     self.is_retained = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.is_named = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1347,6 +1355,10 @@
             oprot.writeFieldBegin('is_retained', TType.BOOL, 6)
             oprot.writeBool(self.is_retained)
             oprot.writeFieldEnd()
+        if self.is_named is not None:
+            oprot.writeFieldBegin('is_named', TType.BOOL, 7)
+            oprot.writeBool(self.is_named)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2809,6 +2821,7 @@
     (4, TType.BOOL, 'is_reply_wanted', None, None, ),  # 4
     (5, TType.I32, 'uploads', None, None, ),  # 5
     (6, TType.BOOL, 'is_retained', None, None, ),  # 6
+    (7, TType.BOOL, 'is_named', None, None, ),  # 7
 )
 all_structs.append(Crash)
 Crash.thrift_spec = (
--- a/src/bamboolever/config/model.py
+++ b/src/bamboolever/config/model.py
@@ -74,7 +74,8 @@
     runs ``steps_per_pass`` decode steps between two chunks. A typical prompt has
     ``typical_prompt_tokens``, and its response ``typical_response_tokens``. ``layers``
     is the number of layers of a complete model. ``warm_up_s`` is the longest warm-up
-    time of its models. ``weight_bytes`` is the size of one version, 0 if not declared.
+    time of its models. ``weight_bytes`` is the size of one version, and
+    ``piece_count`` the number of its pieces; both are 0 if not declared.
     """
 
     slots: int
@@ -91,6 +92,11 @@
     models: tuple[str, ...]
     warm_up_s: float
     weight_bytes: int = 0
+    piece_count: int = 0
+
+    def has_pieces(self, count: int) -> bool:
+        """Return whether a version may have this number of pieces."""
+        return self.piece_count in (0, count)
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/daemons/agent.py
+++ b/src/bamboolever/daemons/agent.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections import Counter
+from dataclasses import replace
 from typing import Any, final
 
 from bamboolever._task import IoTask
@@ -15,6 +16,7 @@
 from bamboolever.daemons.clock import boottime_clock
 from bamboolever.daemons.loader import EngineLoader
 from bamboolever.daemons.loadercontext import LoaderContext
+from bamboolever.daemons.namedversions import NamedVersions
 from bamboolever.daemons.observers import (
     RevisionObserver,
     UpstreamObserver,
@@ -32,9 +34,7 @@
     CrashReport,
     Hello,
     PieceMap,
-    RolloutAge,
 )
-from bamboolever.fleet.records import ModelVersion
 from bamboolever.fleet.upstreams import UpstreamList
 from bamboolever.fleet.versions import VersionRollouts
 from bamboolever.net.addresses import Address
@@ -101,6 +101,9 @@
             settings.link_bytes_per_s,
             make_piece_policy(settings.piece_policy),
         )
+        self._named_versions = NamedVersions(
+            self._rollouts, self.task.now, self._loader.start_rollout
+        )
         self._subscribers = Subscribers(self.task.now())
         self._state_times = SentTimes()
         self._hello_echoes = Echoes()
@@ -197,7 +200,7 @@
         # The other watches list objects that may be seconds old, which says nothing of
         # the store's revision.
         versions = RevisionObserver(
-            VersionObserver(self._on_version), self._on_version_revision
+            VersionObserver(self._named_versions.on_written), self._on_version_revision
         )
         self._configuration = AgentConfiguration(
             self.task,
@@ -221,16 +224,6 @@
         if watch.revision is not None:
             self._rollouts.confirm(watch.era, watch.revision, as_of)
 
-    def _on_version(self, model_version: ModelVersion, revision: int | None) -> None:
-        model, version = model_version.model, model_version.version
-        self._rollouts.add(model, version, revision=revision)
-        self._start_rollout(model_version)
-
-    def _start_rollout(self, model_version: ModelVersion) -> None:
-        now = self.task.now()
-        age_s = self._rollouts.age_s(model_version.model, model_version.version, now)
-        self._loader.start_rollout(model_version, now - (age_s or 0.0))
-
     def _on_hello(self, hello: Hello, sender: Address) -> None:
         now = self.task.now()
         self._subscribers.add(sender, hello.cell, now)
@@ -239,7 +232,7 @@
         self._hello_echoes.on_received(sender, hello.sequence, now)
         said_after = self._state_times.said_after(hello.echo)
         for rollout in hello.rollouts:
-            self._on_reported_rollout(rollout, said_after)
+            self._named_versions.on_reported(rollout, said_after)
         self._send_state(sender, hello.agent_cell)
         if not hello.echo.sequence:
             self._send_crash_facts(sender)
@@ -254,26 +247,10 @@
         self._crash_facts.merge_requests(report, now)
         self._crash_facts.merge_parts(report, now)
 
-    def _on_reported_rollout(
-        self, rollout: RolloutAge, said_after: float | None
-    ) -> None:
-        started_at = None
-        if rollout.age_s is not None and said_after is not None:
-            started_at = said_after - rollout.age_s
-        if self._rollouts.add(rollout.model, rollout.version, started_at):
-            self._start_rollout(ModelVersion(rollout.model, rollout.version))
-
-    def _learn_rollout(self, piece_map: PieceMap, sender: Address) -> None:
-        """Take over a version that a peer already transfers.
-
-        Peers that start late would otherwise count as silent, and their share of the
-        pieces be read twice.
-        """
-        if piece_map.version <= (self._rollouts.newest(piece_map.model) or 0):
-            return
+    def _on_piece_map(self, piece_map: PieceMap, sender: Address) -> None:
         if any(peer.address == sender for peer in self.peers()):
-            rollout = RolloutAge(piece_map.model, piece_map.version, None)
-            self._on_reported_rollout(rollout, None)
+            self._named_versions.on_piece_map(piece_map)
+        self._loader.transfer.apply_piece_map(sender, piece_map)
 
     # LoaderContext.
 
@@ -331,7 +308,9 @@
 
     def announce_pieces(self, piece_map: PieceMap, addresses: list[Address]) -> None:
         """Send a piece map to the agents at these addresses."""
-        data = exchange.encode(piece_map)
+        model, version = piece_map.model, piece_map.version
+        is_named = self._rollouts.is_known(model, version)
+        data = exchange.encode(replace(piece_map, is_named=is_named))
         for address in addresses:
             self._datagrams.send(data, address)
 
@@ -401,8 +380,7 @@
         elif isinstance(message, CrashReport):
             self._on_crash_report(message)
         elif isinstance(message, PieceMap):
-            self._learn_rollout(message, sender)
-            self._loader.transfer.apply_piece_map(sender, message)
+            self._on_piece_map(message, sender)
 
     def _reported_version(self) -> int | None:
         if self._loader.report is not None and self.profile() is None:
--- a/src/bamboolever/daemons/loader.py
+++ b/src/bamboolever/daemons/loader.py
@@ -17,6 +17,7 @@
 from bamboolever.net.addresses import Address
 from bamboolever.net.fetch import Fetch, FetchResult, Response
 from bamboolever.platform import weights as wire
+from bamboolever.platform.weights import PieceDigests
 from bamboolever.weights.loading import (
     LoadState,
     LoadStep,
@@ -72,7 +73,8 @@
         self._link_bytes_per_s = link_bytes_per_s
         self.transfer = Transfer(context, engine_address, policy, self.advance)
         # The version being transferred or loaded, and that of the newest rollout. They
-        # differ while a superseded version is still transferred or loaded.
+        # differ while a superseded version is still transferred or loaded. The target
+        # may also be a version that was looked up because none was named.
         self._target: ModelVersion | None = None
         self._target_started_at = 0.0
         self._newest: ModelVersion | None = None
@@ -151,6 +153,11 @@
         """Stop the transfer in progress."""
         self.transfer.stop()
 
+    @property
+    def _is_superseded(self) -> bool:
+        """Whether a rollout wants another version than the target."""
+        return self._newest is not None and self._newest != self._target
+
     # Steps.
 
     def advance(self) -> None:
@@ -159,7 +166,7 @@
         Called after each change of the engine's report, of the pieces or of the
         configuration.
         """
-        if self.is_switching and self._serves_ordered():
+        if self.is_switching and self._is_switch_done():
             self._end_switch()
             logger.info("engine serves the version", extra=_log_fields(self._ordered))
             self._context.on_serving_changed()
@@ -196,7 +203,7 @@
         started_at, report = self._drain_started_at, self._report
         if started_at is None or report is None:
             return False
-        if not self._context.can_interrupt_requests() or self._newest != self._target:
+        if not self._context.can_interrupt_requests() or self._is_superseded:
             return True
         return is_drain_finished(report.running + report.queued, now - started_at)
 
@@ -213,12 +220,13 @@
             self._drain_timer.cancel()
             self._drain_timer = None
 
-    def _serves_ordered(self) -> bool:
+    def _is_switch_done(self) -> bool:
         ordered, report = self._ordered, self._report
         if ordered is None or report is None:
             return False
-        return any(
-            model.name == ordered.model and model.version >= ordered.version
+        # Another agent process may have ordered the target before this one started.
+        return serves_target(self._state()) or any(
+            ModelVersion(model.name, model.version) == ordered
             for model in report.models
         )
 
@@ -226,6 +234,8 @@
         profile = self._context.profile()
         if not self.transfer.is_started or self._target is None or profile is None:
             return False
+        if newest.version <= self._target.version:
+            return False
         if serves_target(self._state()) or self._ordered == self._target:
             return False
         bytes_per_s = self._link_bytes_per_s * PIECE_LINK_SHARE
@@ -238,7 +248,7 @@
 
     def _is_target_expiring(self, state: LoadState) -> bool:
         target = self._target
-        if target is None or self._newest == target or state.is_staged:
+        if target is None or not self._is_superseded or state.is_staged:
             return False
         expires_at = self._rollouts.expires_at(target.model, target.version)
         return expires_at is not None and expires_before_serving(
@@ -270,13 +280,17 @@
         elif profile is not None and profile.models:
             self.transfer.start(profile.models[0], None, self._accept_manifest)
 
-    def _accept_manifest(self, model_version: ModelVersion) -> bool:
+    def _accept_manifest(self, manifest: PieceDigests) -> bool:
+        profile = self._context.profile()
+        if profile is not None and not profile.has_pieces(len(manifest.digests)):
+            return False
         if self._target is None:
-            # No rollout is known yet: the origin's newest version is the target.
-            self._target = self._newest = model_version
+            # No rollout is known yet: the origin's newest version is the target. It
+            # does not count as named, so that any version that is replaces it.
+            self._target = ModelVersion(manifest.model, manifest.version)
             self._target_started_at = self._task.now()
         self._verified_at = None
-        return model_version.version == self._target.version
+        return manifest.version == self._target.version
 
     # Switch.
 
@@ -310,7 +324,7 @@
                 staged_at=now if staged_at is None else staged_at,
                 older_expires_at=now if expires_at is None else expires_at,
                 turn=self._switch_turn(target),
-                is_superseded=self._newest != target,
+                is_superseded=self._is_superseded,
                 serves_older=report is not None and bool(report.models),
             )
         )
@@ -338,9 +352,10 @@
         # An immediate order cuts the running requests. Engines load a superseded
         # version without waiting for each other. If all switch at once, a stream that
         # is cut cannot resume on another engine.
-        is_newest = self._newest == target
         is_immediate = (
-            is_newest and self._context.can_interrupt_requests() and report.running > 0
+            not self._is_superseded
+            and self._context.can_interrupt_requests()
+            and report.running > 0
         )
         logger.info(
             "ordering the engine",
--- a/src/bamboolever/daemons/manifestfetch.py
+++ b/src/bamboolever/daemons/manifestfetch.py
@@ -6,6 +6,7 @@
 
 import json
 import logging
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import final
@@ -111,12 +112,48 @@
     connection.respond(200, [], encode_manifest(manifest))
 
 
+class ManifestQuery(ABC):
+    """Interface of a search for the manifest of a model's version."""
+
+    def __init__(self, model: str):
+        self.model = model
+
+    @property
+    @abstractmethod
+    def version(self) -> int | None:
+        """The version that is asked for; None is the newest."""
+
+    def may_find(self, model: str, version: int | None) -> bool:
+        """Return whether the search may return this version; None stands for any."""
+        return self.model == model and (
+            version is None or self.version in (None, version)
+        )
+
+    @abstractmethod
+    def start(self) -> None:
+        """Send the first calls."""
+
+    @abstractmethod
+    def stop(self) -> None:
+        """Cancel all calls."""
+
+    @abstractmethod
+    def on_announced(self, address: Address) -> None:
+        """Ask an agent that announced pieces of the version."""
+
+    @abstractmethod
+    def on_named(self) -> None:
+        """Called when a version was named that this search may return."""
+
+
 @final
-class ManifestFetch:
+class ManifestFetch(ManifestQuery):
     """Calls the sources of one manifest until the first valid response.
 
-    ``on_manifest`` is called once with a manifest; it returns False to refuse one that
-    is for another version. With ``is_origin_only`` no agent is asked.
+    ``on_manifest`` is called with each manifest of the model and the version, if one
+    is asked for, and with its source; None is the origin. It returns False to refuse
+    it. ``on_failed`` is called after each call that brought none. With
+    ``is_origin_only`` no agent is asked.
     """
 
     def __init__(
@@ -124,15 +161,17 @@
         context: LoaderContext,
         model: str,
         version: int | None,
-        on_manifest: Callable[[PieceDigests], bool],
+        on_manifest: Callable[[PieceDigests, Address | None], bool],
         *,
         is_origin_only: bool = False,
+        on_failed: Callable[[], None] = lambda: None,
     ):
         self._context = context
+        super().__init__(model)
         self._task = context.task
-        self.model = model
-        self.version = version
+        self._version = version
         self._on_manifest = on_manifest
+        self._on_failed = on_failed
         self._fetches: list[Fetch] = []
         self._is_stopped = False
         self._timer: Timer | None = None
@@ -140,11 +179,10 @@
             [None] if is_origin_only else self._rank_sources(), self._task.now()
         )
 
-    def may_find(self, model: str, version: int | None) -> bool:
-        """Return whether the search may return this version; None stands for any."""
-        return self.model == model and (
-            version is None or self.version in (None, version)
-        )
+    @property
+    def version(self) -> int | None:
+        """The version that is asked for; None is the newest."""
+        return self._version
 
     def start(self) -> None:
         """Send the first calls."""
@@ -159,6 +197,9 @@
             fetch.cancel()
         self._fetches.clear()
 
+    def on_named(self) -> None:
+        """Do nothing: only a manifest of the version asked for is passed on."""
+
     def on_announced(self, address: Address) -> None:
         """Ask an agent that announced pieces of the version."""
         if not self._is_stopped and self._search.on_announced(address):
@@ -209,15 +250,16 @@
         if self._is_stopped:
             return
         try:
-            manifest = _decode(result)
-            if not self._on_manifest(manifest):
-                raise AdapterError(f"it is for version {manifest.version}")
+            manifest = self._decode(result)
+            if not self._on_manifest(manifest, source):
+                raise AdapterError(f"version {manifest.version} is not accepted")
         except AdapterError as error:
             logger.warning(
                 "manifest not fetched",
                 extra={"source": str(source or "origin"), "reason": str(error)},
             )
             self._search.on_failed(source, self._task.now())
+            self._on_failed()
             return
         logger.info(
             "manifest fetched",
@@ -225,10 +267,14 @@
         )
         self.stop()
 
-
-def _decode(result: FetchResult) -> PieceDigests:
-    if isinstance(result, ExchangeFailure):
-        raise AdapterError(f"{result.kind.value}: {result.detail}")
-    if not result.head.is_success:
-        raise AdapterError(f"status {result.head.status}")
-    return wire.decode_manifest(result.body)
+    def _decode(self, result: FetchResult) -> PieceDigests:
+        if isinstance(result, ExchangeFailure):
+            raise AdapterError(f"{result.kind.value}: {result.detail}")
+        if not result.head.is_success:
+            raise AdapterError(f"status {result.head.status}")
+        manifest = wire.decode_manifest(result.body)
+        if manifest.model != self.model:
+            raise AdapterError(f"it is for model {manifest.model!r}")
+        if self.version not in (None, manifest.version):
+            raise AdapterError(f"it is for version {manifest.version}")
+        return manifest
--- a/src/bamboolever/daemons/transfer.py
+++ b/src/bamboolever/daemons/transfer.py
@@ -13,8 +13,10 @@
 from bamboolever.daemons.manifestfetch import (
     HeldRequests,
     ManifestFetch,
+    ManifestQuery,
     respond_with_manifest,
 )
+from bamboolever.daemons.manifestlookup import ManifestLookup
 from bamboolever.daemons.piecehandler import PieceSource
 from bamboolever.daemons.staging import StagingClient
 from bamboolever.daemons.swarm import SwarmMember
@@ -60,7 +62,7 @@
         self._retained_version: ModelVersion | None = None
         self._retained_pieces = 0
         self._retained_manifest: PieceDigests | None = None
-        self._search: ManifestFetch | None = None
+        self._search: ManifestQuery | None = None
         # Reads the manifest again that the pieces of the transfer do not match.
         self._recheck: ManifestFetch | None = None
         self._held_requests = HeldRequests()
@@ -86,13 +88,13 @@
         self,
         model: str,
         version: int | None,
-        on_version: Callable[[ModelVersion], bool],
+        accepts: Callable[[PieceDigests], bool],
     ) -> None:
         """Start the transfer of a version; None means the origin's newest.
 
         Ignored if a transfer has started, or while the origin or the other agents are
-        unknown. ``on_version`` is called with the manifest's version; the transfer
-        continues if it returns True.
+        unknown. ``accepts`` is called with the manifest; the transfer continues if it
+        returns True.
         """
         if not self._context.can_plan_transfer():
             return
@@ -100,15 +102,31 @@
             return
         search = self._search
         if search is not None:
-            if search.model == model and search.version in (None, version):
+            if search.may_find(model, version):
+                if version is not None:
+                    search.on_named()
                 return
             search.stop()
+        self._search = self._make_search(model, version, accepts)
+        self._search.start()
 
+    def _make_search(
+        self,
+        model: str,
+        version: int | None,
+        accepts: Callable[[PieceDigests], bool],
+    ) -> ManifestQuery:
         def on_manifest(manifest: PieceDigests) -> bool:
-            return self._on_manifest(manifest, on_version)
+            return self._on_manifest(manifest, accepts)
 
-        self._search = ManifestFetch(self._context, model, version, on_manifest)
-        self._search.start()
+        if version is None:
+            return ManifestLookup(self._context, model, on_manifest)
+        return ManifestFetch(
+            self._context,
+            model,
+            version,
+            lambda manifest, _source: on_manifest(manifest),
+        )
 
     def drop(self) -> None:
         """Stop the transfer; its staged pieces are retained until overwritten."""
@@ -273,10 +291,10 @@
         self._retained_pieces &= ~(1 << number)
 
     def _on_manifest(
-        self, manifest: PieceDigests, on_version: Callable[[ModelVersion], bool]
+        self, manifest: PieceDigests, accepts: Callable[[PieceDigests], bool]
     ) -> bool:
         search = self._search
-        if not on_version(_name_of(manifest)):
+        if not accepts(manifest):
             if search is not None and search.version is None:
                 # The origin's newest version is not the one named meanwhile.
                 search.stop()
@@ -295,8 +313,8 @@
         known = self._swarm.view.pieces.manifest
         logger.warning("manifest suspect", extra=_log_fields(self._swarm.view.pieces))
 
-        def on_manifest(manifest: PieceDigests) -> bool:
-            if _name_of(manifest) != _name_of(known):
+        def on_manifest(manifest: PieceDigests, _source: Address | None) -> bool:
+            if len(manifest.digests) != len(known.digests):
                 return False
             if manifest.digests != known.digests:
                 self.drop()
--- a/src/bamboolever/fleet/exchange.py
+++ b/src/bamboolever/fleet/exchange.py
@@ -194,6 +194,7 @@
         message.is_reply_wanted,
         message.uploads,
         message.is_retained,
+        message.is_named,
     )
 
 
@@ -310,6 +311,7 @@
         bool(wire.is_reply_wanted),
         wire.uploads or 0,
         bool(wire.is_retained),
+        bool(wire.is_named),
     )
 
 
--- a/src/bamboolever/fleet/messages.py
+++ b/src/bamboolever/fleet/messages.py
@@ -154,7 +154,9 @@
     Bit N of ``bitmap`` stands for piece N. ``uploads`` is the number of pieces that
     the agent is sending or has queued. ``is_reply_wanted`` asks the receiver for its
     own piece map. ``is_retained`` means that the pieces are left from an earlier
-    transfer, so that the agent imports no more of them.
+    transfer, so that the agent imports no more of them. ``is_named`` means that the
+    agent has heard that the operator named the version; an agent may also transfer one
+    that it found at the origin.
     """
 
     model: str
@@ -163,6 +165,7 @@
     is_reply_wanted: bool = False
     uploads: int = 0
     is_retained: bool = False
+    is_named: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/bamboolever/fleet/versions.py
+++ b/src/bamboolever/fleet/versions.py
@@ -120,6 +120,10 @@
         )
         return (*self.ages(now), *unknown)
 
+    def is_known(self, model: str, version: int) -> bool:
+        """Return whether the rollout of a version is known."""
+        return version in self._started_at.get(model, {})
+
     def newest(self, model: str) -> int | None:
         """Return the newest version rolled out for a model, or None."""
         return max(self._started_at.get(model, {}), default=None)
--- a/src/bamboolever/platform/documents.py
+++ b/src/bamboolever/platform/documents.py
@@ -336,6 +336,7 @@
         layers=wire.layers,
         models=tuple(model.name for model in wire.models),
         weight_bytes=wire.chunks * wire.chunk_bytes,
+        piece_count=wire.chunks,
         warm_up_s=max((model.warm_up_s for model in wire.models), default=0.0),
     )
 
--- a/src/bamboolever/platform/standins/upstream.py
+++ b/src/bamboolever/platform/standins/upstream.py
@@ -315,10 +315,11 @@
 
 @final
 class StandInOrigin(RequestHandler):
-    """Serves manifests and pieces of any version on its own task.
+    """Serves manifests and pieces up to ``newest_version`` on its own task.
 
     ``pieces_to_corrupt`` is how many of the next pieces are sent corrupted, and
     ``manifests_to_corrupt`` how many of the next manifests have a wrong digest.
+    ``wrong_versions`` are the versions that the next manifests state.
     ``served_pieces`` lists the version and the number of each piece sent. While
     ``is_silent``, no request gets a response.
     """
@@ -335,6 +336,7 @@
         self.served_pieces: list[tuple[int, int]] = []
         self.pieces_to_corrupt = 0
         self.manifests_to_corrupt = 0
+        self.wrong_versions: collections.deque[int] = collections.deque()
         self.is_silent = False
 
     def start(self) -> None:
@@ -366,6 +368,9 @@
         parts = urlsplit(request.target.decode("latin-1"))
         query = parse_qs(parts.query)
         version = int(query.get("version", [str(self.newest_version)])[0])
+        if version > self.newest_version:
+            connection.respond(404, [])
+            return
         if parts.path.startswith(names.MANIFEST_PATH):
             model = unquote(parts.path.removeprefix(names.MANIFEST_PATH))
             connection.respond(200, [], self._make_manifest(model, version))
@@ -392,9 +397,10 @@
         if self.manifests_to_corrupt > 0:
             self.manifests_to_corrupt -= 1
             digests[0] = "00" * 32
+        stated = self.wrong_versions.popleft() if self.wrong_versions else version
         document = {
             "model": model,
-            "version": version,
+            "version": stated,
             "chunkBytes": self._piece_bytes,
             "layers": LAYER_COUNT,
             "digests": digests,
--- a/testing/daemons/test_agent.py
+++ b/testing/daemons/test_agent.py
@@ -160,25 +160,42 @@
     """Guards against pieces that are read from the origin twice.
 
     An agent that learned of the version a second later counted as silent, and others
-    read its share.
+    read its share. Only a peer that heard that the version was named may tell of it.
     """
     first, second = _engines(site, 2, 1)
     running = start_agent(first, "first")
     agent = running.agent
     wait_for(lambda: agent._upstreams.is_known and agent.profile() is not None)
-    piece_map = PieceMap(MODEL, 7, 0)
+    unnamed, named = (PieceMap(MODEL, 7, 0, is_named=each) for each in (False, True))
     stranger = Address("127.0.0.99", agent._own_address.port)
     peer = Address(second.address.host, agent._own_address.port)
     learned = []
 
     def receive():
-        for sender in (stranger, peer):
+        for sender, piece_map in ((stranger, named), (peer, unnamed), (peer, named)):
             agent._on_datagram(encode(piece_map), sender)
             learned.append(agent._rollouts.newest(MODEL))
 
     agent.task.send(receive)
-    wait_for(lambda: len(learned) == 2)
-    assert learned == [None, 7]
+    wait_for(lambda: len(learned) == 3)
+    assert learned == [None, None, 7]
+
+
+def test_wrong_version_in_a_manifest_reaches_no_engine(site, start_agent):
+    """Guards against sound engines that load what nobody named.
+
+    The agent of an empty engine told the others of a version that the origin had
+    stated once, and they took it for a named one.
+    """
+    engines = _engines(site, 2, 1)
+    engines.append(site.add_engine("engine-9", "127.0.0.19", version=None))
+    site.origin.wrong_versions.append(7)
+    for engine in engines:
+        start_agent(engine, engine.instance_id)
+    wait_for(lambda: _serves(engines[2], 1))
+    assert [engine.engine.order_count for engine in engines] == [0, 0, 1]
+    site.set_model_version(2)
+    wait_for(lambda: all(_serves(engine, 2) for engine in engines))
 
 
 def test_agent_serves_staged_pieces_while_the_configuration_is_not_listed(
--- a/testing/daemons/test_loader.py
+++ b/testing/daemons/test_loader.py
@@ -9,6 +9,7 @@
 from bamboolever.fleet.records import ModelVersion
 from bamboolever.fleet.versions import VersionRollouts
 from bamboolever.net.addresses import Address
+from bamboolever.platform.weights import PieceDigests
 from bamboolever.weights.loading import SWITCH_DURATION_S
 from bamboolever.weights.plan import Peer, make_piece_policy
 
@@ -125,6 +126,15 @@
     assert loader.transfer.started[-1] == SECOND.version
 
 
+@pytest.mark.parametrize("elapsed_s", [0.5, 4.0])
+def test_named_version_replaces_one_that_was_looked_up(loader, context, elapsed_s):
+    """Guards against a version that only the origin stated, and that is higher."""
+    loader._accept_manifest(PieceDigests("model-1", 7, ()))
+    context.task.advance(elapsed_s)
+    _start_rollout(loader, context, FIRST)
+    assert loader.transfer.started == [FIRST.version]
+
+
 def test_transfer_is_kept_while_the_newer_version_cannot_be_fetched(loader, context):
     """Guards against engines that had neither of two versions.
 
--- a/testing/fleet/test_exchange.py
+++ b/testing/fleet/test_exchange.py
@@ -61,6 +61,7 @@
     exchange.PieceMap("model", 2, (1 << 95) | 5, True),
     exchange.PieceMap("model", 2, 0),
     exchange.PieceMap("model", 2, 5, False, 3, True),
+    exchange.PieceMap("model", 2, 5, is_named=True),
     exchange.AgentState(
         Address("10.0.0.1", 80), False, 0, 1.0, (), started_ms=2**41, is_down=True
     ),
