--- a/src/bamboolever/daemons/loader.py
+++ b/src/bamboolever/daemons/loader.py
@@ -27,6 +27,7 @@
     serves_target,
     should_finish_transfer,
 )
+from bamboolever.weights.modelchoice import choose_model
 from bamboolever.weights.plan import PiecePolicy
 from bamboolever.weights.switching import (
     SwitchInput,
@@ -72,6 +73,8 @@
         self._rollouts = rollouts
         self._link_bytes_per_s = link_bytes_per_s
         self.transfer = Transfer(context, engine_address, policy, self.advance)
+        # The model of the engine; None until the configuration is known.
+        self._model: str | None = None
         # The version being transferred or loaded, and that of the newest rollout. They
         # differ while a superseded version is still transferred or loaded. The target
         # may also be a version that was looked up because none was named.
@@ -102,10 +105,11 @@
     def start_rollout(self, newest: ModelVersion, now: float) -> None:
         """Make a rollout's version the target, now or after the transfer in progress.
 
-        Ignored for models that the engine does not serve and for older versions.
+        Ignored for other models than the engine's and for older versions. While the
+        engine's model is unknown, `advance` starts its newest rollout later.
         """
-        profile = self._context.profile()
-        if profile is not None and newest.model not in profile.models:
+        self._follow_model()
+        if newest.model != self._model:
             return
         known = self._newest
         if known is not None and newest.version <= known.version:
@@ -158,6 +162,43 @@
         """Whether a rollout wants another version than the target."""
         return self._newest is not None and self._newest != self._target
 
+    def _follow_model(self) -> None:
+        """Take up the newest rollout of the engine's model once that is known.
+
+        What is known of the versions of other models says nothing about it.
+        """
+        model = self._find_model()
+        if model is None or model == self._model:
+            return
+        logger.info("model of the engine", extra={"model": model})
+        self._model = model
+        if self._target is not None:
+            self._drop_target()
+        version = self._rollouts.newest(model)
+        if version is None:
+            return
+        now = self._task.now()
+        age_s = self._rollouts.age_s(model, version, now)
+        self.start_rollout(ModelVersion(model, version), now - (age_s or 0.0))
+
+    def _find_model(self) -> str | None:
+        profile, report = self._context.profile(), self._report
+        if profile is None:
+            return None
+        if len(profile.models) == 1:
+            return profile.models[0]
+        if report is None or not self._context.can_plan_transfer():
+            return self._model
+        served = {model.name for model in report.models}
+        return choose_model(profile.models, served, self._model, self._switch_turn(0))
+
+    def _drop_target(self) -> None:
+        self._target = self._newest = None
+        self.transfer.drop()
+        self._verified_at = None
+        self._end_switch()
+        self._clear_order()
+
     # Steps.
 
     def advance(self) -> None:
@@ -166,6 +207,7 @@
         Called after each change of the engine's report, of the pieces or of the
         configuration.
         """
+        self._follow_model()
         if self.is_switching and self._is_switch_done():
             self._end_switch()
             logger.info("engine serves the version", extra=_log_fields(self._ordered))
@@ -243,7 +285,7 @@
         elapsed_s = now - self._target_started_at
         return should_finish_transfer(
             RolloutOverlap(elapsed_s, transfer_s, self._rollouts.timeout_s),
-            is_second_half=is_second_half(self._switch_turn(newest)),
+            is_second_half=is_second_half(self._switch_turn(newest.version)),
         )
 
     def _is_target_expiring(self, state: LoadState) -> bool:
@@ -255,10 +297,10 @@
             self._task.now(), expires_at
         )
 
-    def _switch_turn(self, model_version: ModelVersion) -> float:
+    def _switch_turn(self, version: int) -> float:
         own_address = str(self._context.own_peer().address)
         members = [own_address, *(str(peer.address) for peer in self._context.peers())]
-        return switch_turn(own_address, members, model_version.version)
+        return switch_turn(own_address, members, version)
 
     def _adopt_newest(self) -> None:
         if self._newest is None or self._newest == self._target:
@@ -274,11 +316,11 @@
     # Transfer.
 
     def _start_transfer(self) -> None:
-        target, profile = self._target, self._context.profile()
+        target = self._target
         if target is not None:
             self.transfer.start(target.model, target.version, self._accept_manifest)
-        elif profile is not None and profile.models:
-            self.transfer.start(profile.models[0], None, self._accept_manifest)
+        elif self._model is not None:
+            self.transfer.start(self._model, None, self._accept_manifest)
 
     def _accept_manifest(self, manifest: PieceDigests) -> bool:
         profile = self._context.profile()
@@ -323,7 +365,7 @@
             SwitchInput(
                 staged_at=now if staged_at is None else staged_at,
                 older_expires_at=now if expires_at is None else expires_at,
-                turn=self._switch_turn(target),
+                turn=self._switch_turn(target.version),
                 is_superseded=self._is_superseded,
                 serves_older=report is not None and bool(report.models),
             )
--- a/testing/loaderreplay.py
+++ b/testing/loaderreplay.py
@@ -78,17 +78,21 @@
 
 
 class ReplayEngine:
-    """An engine of one model; ``taken`` are the versions of the pieces it loaded."""
+    """An engine that takes orders of ``models``, one at a time.
 
-    def __init__(self, task, model, version):
+    ``taken`` are the versions of the pieces that it loaded.
+    """
+
+    def __init__(self, task, model, version, models):
         self._task = task
-        self.model = model
+        self.models = models
         self.loaded = None
         self.taken = set()
         self.staged = {}
         self.orders = []
         self.is_busy = False
         self.started_ms = 1
+        self._load_count = 0
         if version is not None:
             self.loaded = ModelVersion(model, version)
             self.staged = {
@@ -96,10 +100,16 @@
                 for number in range(PIECE_COUNT)
             }
 
-    def crash(self):
-        """Start again without layers; the staged pieces stay."""
+    def crash(self, loaded=None):
+        """Start again, by default without layers; the staged pieces stay."""
         self.started_ms += 1
-        self.loaded = None
+        self.load(loaded)
+
+    def load(self, loaded):
+        """Hold other layers at once, as if somebody else had ordered that."""
+        self._load_count += 1
+        self.taken = set()
+        self.loaded = loaded
         self.is_busy = False
 
     def respond(self, path, query, body):
@@ -137,7 +147,7 @@
         self.orders.append(ordered)
         if ordered == self.loaded:
             return 200
-        if self.is_busy or ordered.model != self.model:
+        if self.is_busy or ordered.model not in self.models:
             return 409
         self.is_busy = True
         pieces = [
@@ -145,10 +155,10 @@
             for number in range(PIECE_COUNT)
         ]
         self.taken = {piece.decode().rpartition(":")[0] for piece in pieces}
-        started_ms = self.started_ms
+        load_count = self._load_count
 
         def finish():
-            if self.started_ms == started_ms:
+            if self._load_count == load_count:
                 self.loaded = ordered
                 self.is_busy = False
 
@@ -168,6 +178,7 @@
         self.engine_address = Address(f"10.1.0.{number}", 9000)
         self.own = Peer(Address(f"10.1.0.{number}", 7000), "region-1")
         self._profile = profile
+        self.models = profile.models
         self.is_running = False
 
     def start(self):
@@ -239,7 +250,11 @@
         return self.own
 
     def peers(self):
-        return [each.own for each in self.replay.agents if each is not self]
+        return [
+            each.own
+            for each in self.replay.agents
+            if each is not self and each.models == self.models
+        ]
 
     def can_plan_transfer(self):
         return True
@@ -267,7 +282,9 @@
 class LoaderReplay:
     """Agents with an engine each, on one clock; none has started yet.
 
-    ``loaded`` are the versions that the engines hold at the start, by model.
+    ``loaded`` are the model of each engine and the version that it holds at the start.
+    Each model has a service of its own, unless all belong to one with ``models``; then
+    an engine takes any of them.
     """
 
     def __init__(self, loaded=((MODEL, 1), (MODEL, 1), (MODEL, None)), models=None):
@@ -280,7 +297,7 @@
             profile = make_profile(
                 layers=LAYER_COUNT, models=models or (model,), piece_count=PIECE_COUNT
             )
-            engine = ReplayEngine(self.task, model, version)
+            engine = ReplayEngine(self.task, model, version, models or (model,))
             self.agents.append(ReplayAgent(self, number, engine, profile))
 
     def start(self, agents=None, *, configured_s=0.0, listed_s=0.0):
