--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -53,6 +53,9 @@
 MAX_ROUND_TRIP_S = 0.4
 # Agents send their state once a second, in response to a hello.
 AGENT_STATE_MAX_AGE_S = 2.5
+# A response may state a version before the agent has seen it. An agent that reports
+# after that time would have.
+STATED_VERSION_MAX_AGE_S = 2.0
 # A stated load says less than the other entries' reports, which come every 40 ms, once
 # requests of that moment have ended. Plain requests take some 20 to 70 ms.
 STATED_LOAD_MAX_AGE_S = 0.1
@@ -79,10 +82,10 @@
 
 
 @dataclass(frozen=True)
-class _ReportedVersion:
+class _TimedVersion:
     model: str
     version: int
-    reported_at: float
+    at: float
 
 
 @dataclass
@@ -92,7 +95,6 @@
     ``calls`` are this entry's requests by call id. ``peer_load`` is the summed load of
     the other entries, last updated at ``peer_load_at``. Until ``switching_until`` the
     engine is taken to be switching versions and gets no requests.
-    ``response_version`` is the weight version of its last response that stated one.
     ``is_leaving`` is set once it said that it is shutting down; until ``closed_until``
     it wants no requests of this entry.
     Until ``contended_until`` a slot that another entry freed is left to that entry.
@@ -102,8 +104,9 @@
     number of layers of a complete model, and ``full_pass_s`` the seconds of an engine's
     longest pass. ``round_trip_s`` was seen when a connection was opened. Requests must
     begin before ``begin_by``. ``_reported_version`` is the version in the agent's last
-    report, ``slowdown_at`` when its slowdown was reported. ``stated_load`` is the last
-    load that it stated with a response, at ``stated_at``. ``region`` is None if the
+    report, ``_stated_version`` the one that a response stated last, ``slowdown_at``
+    when its slowdown was reported. ``stated_load`` is the last load that it stated with
+    a response, at ``stated_at``. ``region`` is None if the
     zone's region is unknown.
     """
 
@@ -117,7 +120,6 @@
     is_home: bool = True
     contended_until: float = 0.0
     is_leaving: bool = False
-    response_version: int | None = None
     slowdown: float = 1.0
     slowdown_at: float = -math.inf
     stated_load: StatedLoad | None = None
@@ -130,7 +132,8 @@
     claims: SlotClaims = field(default_factory=SlotClaims)
     region: str | None = None
     cold: ColdStart = field(default_factory=ColdStart)
-    _reported_version: _ReportedVersion | None = None
+    _reported_version: _TimedVersion | None = None
+    _stated_version: _TimedVersion | None = None
     _slowness: float | None = None
     _slowness_at: float = -math.inf
     _mean_slowness: float = 1.0
@@ -303,31 +306,38 @@
         known = self._reported_version
         if known is None or (known.model, known.version) != (model, version):
             self.claims.on_opened(now)
-        self._reported_version = _ReportedVersion(model, version, now)
+        self._reported_version = _TimedVersion(model, version, now)
 
     def served_version(self, model: str, now: float) -> int | None:
         """Return the version of ``model`` that is served with all layers, or None.
 
         The agent's report is newer than the store's list and takes precedence, unless
-        it is older than `AGENT_STATE_MAX_AGE_S`. A higher `response_version` replaces
-        the version from either.
+        it is older than `AGENT_STATE_MAX_AGE_S`. A higher version that a response
+        stated replaces either, unless the agent has reported for long since then.
         """
         served = self._find_served(now, model)
-        if served is None:
-            return None
-        return max(served.version, self.response_version or 0)
+        return None if served is None else self._newest(served).version
+
+    def on_stated_version(self, model: str, version: int, now: float) -> None:
+        """Record the version that a response to a request for ``model`` stated."""
+        self._stated_version = _TimedVersion(model, version, now)
 
     def served_model(self, now: float) -> ModelVersion | None:
         """Return the model that is served with all layers and its version, or None."""
         served = self._find_served(now, None)
-        if served is None:
-            return None
-        version = max(served.version, self.response_version or 0)
-        return ModelVersion(served.model, version)
+        return None if served is None else self._newest(served)
+
+    def _newest(self, served: ModelVersion) -> ModelVersion:
+        stated, report = self._stated_version, self._reported_version
+        if stated is None or stated.model != served.model:
+            return served
+        if report is not None and report.at - stated.at > STATED_VERSION_MAX_AGE_S:
+            return served
+        return ModelVersion(served.model, max(served.version, stated.version))
 
     def _find_served(self, now: float, model: str | None) -> ModelVersion | None:
         report = self._reported_version
-        if report is not None and now - report.reported_at <= AGENT_STATE_MAX_AGE_S:
+        if report is not None and now - report.at <= AGENT_STATE_MAX_AGE_S:
             is_served = model in (None, report.model) and report.version > 0
             return ModelVersion(report.model, report.version) if is_served else None
         for loaded in self.record.models:
--- a/src/bamboolever/daemons/hedgedattempt.py
+++ b/src/bamboolever/daemons/hedgedattempt.py
@@ -92,7 +92,8 @@
             self._fail(AttemptOutcome.UNKNOWN)
             return
         self._head = head
-        note_response(self._context, self.view, head, self._sent_at)
+        model = self._relay.metadata.model
+        note_response(self._context, self.view, head, self._sent_at, model)
         if wire.is_not_executed(head):
             self._fail(AttemptOutcome.NOT_RUN)
         elif not head.is_success:
--- a/src/bamboolever/daemons/relay.py
+++ b/src/bamboolever/daemons/relay.py
@@ -240,7 +240,7 @@
         self.record.body_framing = head.body_framing
         view = self._upstream
         assert view is not None
-        note_response(self._context, view, head, self._sent_at)
+        note_response(self._context, view, head, self._sent_at, self.metadata.model)
         self._note_round_trip(view)
         if not self._is_stream():
             self._timers.on_begun()
--- a/src/bamboolever/daemons/responsefacts.py
+++ b/src/bamboolever/daemons/responsefacts.py
@@ -8,16 +8,20 @@
 
 
 def note_response(
-    context: RelayContext, view: UpstreamView, head: ResponseHead, sent_at: float
+    context: RelayContext,
+    view: UpstreamView,
+    head: ResponseHead,
+    sent_at: float,
+    model: str | None,
 ) -> None:
     """Take version, start, availability, limit and load from a response of ``view``.
 
-    ``sent_at`` is the task's time in seconds when its request was sent. What does not
-    decode is counted and ignored.
+    ``sent_at`` is the task's time in seconds when its request was sent, for ``model``
+    if it named one. What does not decode is counted and ignored.
     """
     version = wire.response_version(head)
-    if version is not None:
-        view.response_version = version
+    if version is not None and model is not None:
+        view.on_stated_version(model, version, context.task.now())
     view.cold.on_response(sent_at, context.task.now())
     _note_availability(context, view, head)
     _note_limit(context, view, head, sent_at)
--- a/testing/calls/test_upstream.py
+++ b/testing/calls/test_upstream.py
@@ -12,6 +12,7 @@
     MIN_EJECTION_S,
     SLOWNESS_FADE_S,
     SLOWNESS_HOLD_S,
+    STATED_VERSION_MAX_AGE_S,
 )
 from bamboolever.fleet.records import StatedLoad
 
@@ -45,11 +46,34 @@
 def test_version_of_a_response_overrides_an_older_list_entry():
     view = make_view()
     assert view.served_version("model-1", 0.0) == 1
-    view.response_version = 2
+    view.on_stated_version("model-1", 2, 0.0)
     assert view.served_version("model-1", 0.0) == 2
     assert view.served_version("other", 0.0) is None
 
 
+def test_version_of_a_response_says_nothing_of_another_model():
+    """Guards against requests on a version that is no longer permitted.
+
+    An engine that had answered for one model counted as serving that version of the
+    next one, too.
+    """
+    view = make_view()
+    view.on_stated_version("other", 9, 0.0)
+    assert view.served_version("model-1", 0.0) == 1
+    assert view.served_model(0.0).version == 1
+
+
+def test_version_of_a_response_ends_where_the_agent_keeps_reporting_a_lower_one():
+    view = make_view()
+    view.on_stated_version("model-1", 9, 10.0)
+    view.on_served_version("model-1", 2, 10.5)
+    assert view.served_version("model-1", 10.5) == 9
+    view.on_served_version("model-1", 2, 10.1 + STATED_VERSION_MAX_AGE_S)
+    assert view.served_version("model-1", 12.5) == 2
+    view.on_stated_version("model-1", 3, 12.6)
+    assert view.served_version("model-1", 12.6) == 3
+
+
 def test_agent_report_overrides_the_list_until_it_is_too_old():
     view = make_view(models=())
     assert view.served_version("model-1", 0.0) is None
