--- a/src/bamboolever/_clilocal.py
+++ b/src/bamboolever/_clilocal.py
@@ -16,12 +16,10 @@
 
 
 def _wait_for_stop_signal() -> None:
-    import signal
-    import threading
+    from bamboolever._signals import StopRequest
 
-    stop = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stop.set())
-    signal.signal(signal.SIGINT, lambda *_: stop.set())
+    stop = StopRequest()
+    stop.set_on_signals()
     stop.wait()
 
 
--- a/src/bamboolever/_daemon.py
+++ b/src/bamboolever/_daemon.py
@@ -1,11 +1,8 @@
 """Runs an entry or an agent until a signal asks the process to stop."""
 
 import logging
-import signal
-import threading
 from collections.abc import Callable
 from pathlib import Path
-from types import FrameType
 from typing import Any, final
 
 from returns.result import Failure, Result, Success
@@ -16,6 +13,7 @@
 from bamboolever._entry import Entry
 from bamboolever._kernel import Kernel
 from bamboolever._settings import AgentSettings, EntrySettings
+from bamboolever._signals import StopRequest
 from bamboolever._telemetry import Telemetry
 
 logger = logging.getLogger(__name__)
@@ -68,7 +66,7 @@
         self.kernel = kernel
         self._port_fields = ports
         self._drain_calls = drain
-        self._stop_requested = threading.Event()
+        self._stop_request = StopRequest()
 
     @classmethod
     def from_entry_settings(cls, settings: EntrySettings) -> "Daemon":
@@ -106,9 +104,9 @@
         ports = {"port": agent.port, "admin_port": admin_server.port}
         return cls(kernel, lambda: agent.drain().result(timeout_s), ports)
 
-    def request_stop(self, _signum: int = 0, _frame: FrameType | None = None) -> None:
-        """Make `run` drain the calls and return; usable as a signal handler."""
-        self._stop_requested.set()
+    def request_stop(self) -> None:
+        """Make `run` drain the calls and return; usable in a signal handler."""
+        self._stop_request.set()
 
     def run(self) -> int:
         """Serve until `request_stop` or a signal, drain, and return the exit code.
@@ -116,11 +114,10 @@
         The code is `EXIT_DRAIN_INCOMPLETE` if the drain timed out. Must be called on
         the main thread, since it installs signal handlers.
         """
-        signal.signal(signal.SIGTERM, self.request_stop)
-        signal.signal(signal.SIGINT, self.request_stop)
+        self._stop_request.set_on_signals()
         self.kernel.start()
         logger.info("started", extra=self._port_fields)
-        self._stop_requested.wait()
+        self._stop_request.wait()
         logger.info("draining")
         is_clean = self._drain_calls()
         self.kernel.stop()
--- a/src/bamboolever/_task.py
+++ b/src/bamboolever/_task.py
@@ -61,7 +61,8 @@
         self._wake_receiver.setblocking(False)
         self._wake_sender.setblocking(False)
         self._selector.register(self._wake_receiver, READ, self._discard_wakeups)
-        self._is_wakeup_sent = threading.Event()
+        # No lock guards it: `send` may interrupt itself in a signal handler.
+        self._is_wakeup_sent = False
         self._is_stopping = False
         self._thread: threading.Thread | None = None
 
@@ -86,11 +87,14 @@
             self._thread.join(timeout_s)
 
     def send(self, message: Callable[[], None]) -> None:
-        """Call ``message`` on the task's thread; can be used from any thread."""
+        """Call ``message`` on the task's thread.
+
+        Can be used from any thread and from a signal handler, as it takes no lock.
+        """
         self._mailbox.append(message)
-        if self._is_wakeup_sent.is_set():
+        if self._is_wakeup_sent:
             return
-        self._is_wakeup_sent.set()
+        self._is_wakeup_sent = True
         try:
             self._wake_sender.send(b"\0")
         except (BlockingIOError, OSError):
@@ -200,7 +204,8 @@
                 pass
         except (BlockingIOError, OSError):
             pass
-        self._is_wakeup_sent.clear()
+        # The messages are taken out only after that, so that none waits for a wakeup.
+        self._is_wakeup_sent = False
 
     def _request_stop(self) -> None:
         self._is_stopping = True
--- a/src/bamboolever/daemons/process.py
+++ b/src/bamboolever/daemons/process.py
@@ -7,9 +7,9 @@
 import signal
 import sys
 from pathlib import Path
-from types import FrameType
 from typing import Protocol
 
+from bamboolever._signals import SignalMessage
 from bamboolever._task import IoTask
 from bamboolever._telemetry import configure_logging
 from bamboolever.daemons.settings import InstanceSettings
@@ -167,12 +167,7 @@
 ) -> None:
     """Install handlers: SIGTERM and SIGINT stop the daemon, SIGHUP reloads settings."""
 
-    def stop(_signum: int, _frame: FrameType | None) -> None:
-        daemon.task.send(daemon.request_stop)
-
-    def reload(_signum: int, _frame: FrameType | None) -> None:
-        daemon.task.send(settings_watcher.reload)
-
+    stop = SignalMessage(daemon.task, daemon.request_stop)
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
-    signal.signal(signal.SIGHUP, reload)
+    signal.signal(signal.SIGHUP, SignalMessage(daemon.task, settings_watcher.reload))
