Tidy: the order to an engine and the retained pieces in modules of their own

Behaviour is the same but for one thing: a list of staged pieces that arrives after a transfer has ended does not replace what that left. In the tests, one stub of the agent's context serves both users.

--- a/src/bamboolever/daemons/loader.py
+++ b/src/bamboolever/daemons/loader.py
@@ -10,13 +10,12 @@
 
 from bamboolever._task import Timer
 from bamboolever.daemons.loadercontext import LoaderContext
+from bamboolever.daemons.loadorder import LoadOrder
 from bamboolever.daemons.piecehandler import PIECE_LINK_SHARE
 from bamboolever.daemons.transfer import Transfer
 from bamboolever.fleet.records import EngineReport, ModelVersion
 from bamboolever.fleet.versions import VersionRollouts
 from bamboolever.net.addresses import Address
-from bamboolever.net.fetch import Fetch, FetchResult, Response
-from bamboolever.platform import weights as wire
 from bamboolever.platform.weights import PieceDigests
 from bamboolever.weights.loading import (
     LoadState,
@@ -39,14 +38,6 @@
 
 logger = logging.getLogger(__name__)
 
-# The engine is on the same machine. An order without a response may have been accepted,
-# which its reports show.
-ORDER_TIMEOUT_S = 1.0
-MAX_ORDER_RESPONSE_BYTES = 64 * 2**10
-# Pause after an order that the engine refused or did not respond to.
-ORDER_RETRY_S = 0.2
-# Pause after an accepted order until it may be repeated.
-ORDER_REPEAT_S = 5.0
 # An older verification is repeated before the engine is ordered to load.
 MAX_VERIFICATION_AGE_S = 1.5
 
@@ -69,7 +60,6 @@
     ):
         self._context = context
         self._task = context.task
-        self._engine_address = engine_address
         self._rollouts = rollouts
         self._link_bytes_per_s = link_bytes_per_s
         self.transfer = Transfer(context, engine_address, policy, self.advance)
@@ -82,12 +72,16 @@
         self._target_started_at = 0.0
         self._newest: ModelVersion | None = None
         self._newest_started_at = 0.0
-        self._ordered: ModelVersion | None = None
         self._report: EngineReport | None = None
         self._drain_started_at: float | None = None
         self._verified_at: float | None = None
-        self._is_order_pending = False
-        self._order_timer: Timer | None = None
+        self._order = LoadOrder(
+            context.task,
+            context.pool,
+            engine_address,
+            self._on_order_answered,
+            self.advance,
+        )
         self._drain_timer: Timer | None = None
 
     @property
@@ -197,7 +191,7 @@
         self.transfer.drop()
         self._verified_at = None
         self._end_switch()
-        self._clear_order()
+        self._order.end_pause()
 
     # Steps.
 
@@ -210,11 +204,13 @@
         self._follow_model()
         if self.is_switching and self._is_switch_done():
             self._end_switch()
-            logger.info("engine serves the version", extra=_log_fields(self._ordered))
+            logger.info(
+                "engine serves the version", extra=_log_fields(self._order.version)
+            )
             self._context.on_serving_changed()
         state = self._state()
         if serves_target(state) or self._is_target_expiring(state):
-            self._clear_order()
+            self._order.end_pause()
             self._adopt_newest()
         step = next_step(state)
         if step in (LoadStep.LOOK_UP, LoadStep.FETCH):
@@ -252,9 +248,9 @@
     def _on_engine_restarted(self) -> None:
         logger.info("engine restarted")
         self._verified_at = None
-        self._ordered = None
+        self._order.version = None
         self._end_switch()
-        self._clear_order()
+        self._order.end_pause()
 
     def _end_switch(self) -> None:
         self._drain_started_at = None
@@ -263,7 +259,7 @@
             self._drain_timer = None
 
     def _is_switch_done(self) -> bool:
-        ordered, report = self._ordered, self._report
+        ordered, report = self._order.version, self._report
         if ordered is None or report is None:
             return False
         # Another agent process may have ordered the target before this one started.
@@ -278,7 +274,7 @@
             return False
         if newest.version <= self._target.version:
             return False
-        if serves_target(self._state()) or self._ordered == self._target:
+        if serves_target(self._state()) or self._order.version == self._target:
             return False
         bytes_per_s = self._link_bytes_per_s * PIECE_LINK_SHARE
         transfer_s = profile.weight_bytes / bytes_per_s if bytes_per_s > 0 else 0.0
@@ -309,7 +305,7 @@
         self._target_started_at = self._newest_started_at
         self.transfer.drop()
         self._verified_at = None
-        self._clear_order()
+        self._order.end_pause()
         self._context.refresh_lists()
         self.advance()
 
@@ -347,7 +343,7 @@
                 self._drain_timer = self._task.call_later(wait_s, self._on_drain_due)
             return
         self._drain_started_at = now
-        self._ordered = None
+        self._order.version = None
         logger.info("draining the engine", extra=_log_fields(self._target))
         self._context.on_serving_changed()
         self.advance()
@@ -387,10 +383,8 @@
 
     def _send_order(self) -> None:
         target, report = self._target, self._report
-        if self._is_order_pending or target is None or report is None:
+        if target is None or report is None:
             return
-        self._is_order_pending = True
-        self._ordered = target
         # An immediate order cuts the running requests. Engines load a superseded
         # version without waiting for each other. If all switch at once, a stream that
         # is cut cannot resume on another engine.
@@ -399,55 +393,14 @@
             and self._context.can_interrupt_requests()
             and report.running > 0
         )
-        logger.info(
-            "ordering the engine",
-            extra={
-                **_log_fields(target),
-                "running": report.running,
-                "cuts": is_immediate,
-            },
-        )
-        request = wire.start_order_request(
-            self._engine_address,
-            target.model,
-            target.version,
-            is_immediate=is_immediate,
-        )
-        Fetch.start(
-            self._context.pool,
-            self._engine_address,
-            request,
-            self._on_ordered,
-            timeout_s=ORDER_TIMEOUT_S,
-            max_bytes=MAX_ORDER_RESPONSE_BYTES,
-        )
+        self._order.send(target, running=report.running, is_immediate=is_immediate)
 
-    def _on_ordered(self, result: FetchResult) -> None:
-        status = result.head.status if isinstance(result, Response) else None
-        logger.info("order answered", extra={"status": status})
+    def _on_order_answered(self, is_accepted: bool) -> None:
         self._verified_at = None
-        is_accepted = status in (
-            wire.ORDER_ACCEPTED_STATUS,
-            wire.ORDER_IN_EFFECT_STATUS,
-        )
-        # An accepted order may wait for running requests; the engine's reports show
-        # when it is done.
-        pause_s = ORDER_REPEAT_S if is_accepted else ORDER_RETRY_S
-        self._order_timer = self._task.call_later(pause_s, self._on_order_timer)
         if is_accepted:
             # The engine now loads what was ordered, so its staging area may be reused.
             self._adopt_newest()
 
-    def _on_order_timer(self) -> None:
-        self._clear_order()
-        self.advance()
-
-    def _clear_order(self) -> None:
-        self._is_order_pending = False
-        if self._order_timer is not None:
-            self._order_timer.cancel()
-            self._order_timer = None
-
 
 def _log_fields(version: ModelVersion | None) -> dict[str, Any]:
     if version is None:
--- a/src/bamboolever/daemons/transfer.py
+++ b/src/bamboolever/daemons/transfer.py
@@ -27,6 +27,7 @@
 from bamboolever.platform.weights import PieceDigests
 from bamboolever.weights.pieces import PieceSet
 from bamboolever.weights.plan import PiecePolicy
+from bamboolever.weights.retained import RetainedPieces
 from bamboolever.weights.view import SwarmView
 
 logger = logging.getLogger(__name__)
@@ -57,11 +58,7 @@
         self._staging = StagingClient(context.pool, engine_address, self._on_overwrite)
         self._on_changed = on_changed
         self._swarm: SwarmMember | None = None
-        # Pieces of the version staged before that are not overwritten yet; other
-        # agents may still fetch them.
-        self._retained_version: ModelVersion | None = None
-        self._retained_pieces = 0
-        self._retained_manifest: PieceDigests | None = None
+        self._retained = RetainedPieces()
         self._search: ManifestQuery | None = None
         # Reads the manifest again that the pieces of the transfer do not match.
         self._recheck: ManifestFetch | None = None
@@ -134,10 +131,7 @@
             self._recheck.stop()
             self._recheck = None
         if self._swarm is not None:
-            pieces = self._swarm.view.pieces
-            self._retained_version = _version_of(pieces)
-            self._retained_manifest = pieces.manifest
-            self._retained_pieces = pieces.verified
+            self._retained.take(self._swarm.view.pieces)
             self._swarm.stop()
             self._swarm = None
         self.staged_at = None
@@ -195,14 +189,14 @@
         search = self._search
         if search is not None and search.may_find(piece_map.model, piece_map.version):
             search.on_announced(sender)
-        if piece_map.is_reply_wanted and self._retained_version == model_version:
+        if piece_map.is_reply_wanted and self._retained.version == model_version:
             self._announce_retained(model_version, sender)
 
     def _announce_retained(self, model_version: ModelVersion, to: Address) -> None:
         reply = PieceMap(
             model_version.model,
             model_version.version,
-            self._retained_pieces,
+            self._retained.bitmap,
             uploads=self._context.upload_count(),
             is_retained=True,
         )
@@ -234,7 +228,7 @@
         newest = self._swarm_manifest
         if newest is not None and version is None:
             version = newest.version
-        for manifest in (newest, self._retained_manifest):
+        for manifest in (newest, self._retained.manifest):
             if manifest is not None and manifest.version == version:
                 respond_with_manifest(connection, model, version, manifest)
                 return
@@ -251,7 +245,7 @@
         if self._search is not None:
             return self._search.may_find(model, version)
         # An agent that has nothing yet has only just started, and needs one too.
-        return self._swarm is None and self._retained_version is None
+        return self._swarm is None and self._retained.version is None
 
     def on_caller_gone(self, connection: ServerConnection) -> None:
         """Forget the request for a manifest of an agent that disconnected."""
@@ -263,19 +257,26 @@
         They are taken to be those of the version that the engine serves. Ignored once
         a transfer has started or pieces are retained.
         """
-        if self._retained_version is not None or self._swarm is not None:
+        if self._retained.version is not None or self._swarm is not None:
             return
-        for model in report.models:
-            self._retained_version = ModelVersion(model.name, model.version)
-            self._staging.list_staged(model.name, self._on_staged_list)
+        if not report.models:
             return
+        served = report.models[0]
+        version = ModelVersion(served.name, served.version)
+        self._retained.adopt(version, frozenset())
+        self._staging.list_staged(
+            served.name, lambda staged: self._on_staged_list(version, staged)
+        )
 
-    def _on_staged_list(self, staged: frozenset[int] | None) -> None:
-        if staged is None:
-            self._retained_version = None
+    def _on_staged_list(
+        self, version: ModelVersion, staged: frozenset[int] | None
+    ) -> None:
+        if self._retained.version != version:
+            # A transfer has ended meanwhile, and left its own.
             return
-        self._retained_pieces = sum(1 << number for number in staged)
-        logger.info("staged pieces found", extra={"pieces": len(staged)})
+        self._retained.adopt(version, staged)
+        if staged is not None:
+            logger.info("staged pieces found", extra={"pieces": len(staged)})
 
     def _has_piece(self, model_version: ModelVersion, number: int) -> bool:
         if (
@@ -283,12 +284,10 @@
             and _version_of(self._swarm.view.pieces) == model_version
         ):
             return bool(self._swarm.view.pieces.verified >> number & 1)
-        return self._retained_version == model_version and bool(
-            self._retained_pieces >> number & 1
-        )
+        return self._retained.has(model_version, number)
 
     def _on_overwrite(self, number: int) -> None:
-        self._retained_pieces &= ~(1 << number)
+        self._retained.on_overwrite(number)
 
     def _on_manifest(
         self, manifest: PieceDigests, accepts: Callable[[PieceDigests], bool]
--- a/testing/daemons/test_cutentries.py
+++ b/testing/daemons/test_cutentries.py
@@ -42,6 +42,13 @@
     return cell
 
 
+def _make_cut_cell():
+    """Return a cell, the entry that calls the store for all, and the others."""
+    cell = _make_cell()
+    cut = cell.watching_entry("config")
+    return cell, cut, [each for each in cell.entries if each is not cut]
+
+
 def _ids(cell, entry):
     records = entry.upstreams.records(cell.task.now())
     return {record.instance_id for record in records}
@@ -75,9 +82,7 @@
     as of an outage of the store, and they put each removal off, although they had lost
     nothing.
     """
-    cell = _make_cell()
-    cut = cell.watching_entry("config")
-    sound = [each for each in cell.entries if each is not cut]
+    cell, cut, sound = _make_cut_cell()
     _flap(cell, cut, 8, cut_s, healed_s, is_silent=is_silent)
     cell.task.advance(2.0 + left_ms / 1000)
     cell.store.delete("a")
@@ -90,9 +95,7 @@
 @pytest.mark.parametrize("left_ms", range(-600, 6000, 300))
 def test_single_cut_of_one_entry_keeps_no_upstream_in_use(cut_s, left_ms, is_silent):
     """An upstream leaves at any moment before, within and after the cut."""
-    cell = _make_cell()
-    cut = cell.watching_entry("config")
-    sound = [each for each in cell.entries if each is not cut]
+    cell, cut, sound = _make_cut_cell()
     cell.task.call_later(1.0, lambda: cut.store.cut(is_silent=is_silent))
     cell.task.call_later(1.0 + cut_s, cut.store.heal)
     cell.task.advance(1.0 + left_ms / 1000)
@@ -138,9 +141,7 @@
 
 def test_upstream_that_leaves_beside_an_entry_that_hands_over_is_dropped():
     """The entry that watches the store is cut off and then killed."""
-    cell = _make_cell()
-    cut = cell.watching_entry("config")
-    sound = [each for each in cell.entries if each is not cut]
+    cell, cut, sound = _make_cut_cell()
     cut.store.cut()
     cell.task.advance(0.3)
     cut.kill()
--- a/testing/daemons/test_loader.py
+++ b/testing/daemons/test_loader.py
@@ -1,17 +1,16 @@
 """Loading of one engine when a second rollout starts during the first."""
 
 import pytest
-from manualtask import ManualPool, ManualTask
+from loaderreplay import LoneContext
 from sitebuilders import make_profile
 
 from bamboolever.daemons.loader import EngineLoader
-from bamboolever.daemons.loadercontext import LoaderContext
 from bamboolever.fleet.records import ModelVersion
 from bamboolever.fleet.versions import VersionRollouts
 from bamboolever.net.addresses import Address
 from bamboolever.platform.weights import PieceDigests
 from bamboolever.weights.loading import SWITCH_DURATION_S
-from bamboolever.weights.plan import Peer, make_piece_policy
+from bamboolever.weights.plan import make_piece_policy
 
 FIRST, SECOND = ModelVersion("model-1", 2), ModelVersion("model-1", 3)
 TIMEOUT_S = 8.0
@@ -20,44 +19,10 @@
 WEIGHT_BYTES = 6000
 
 
-class Context(LoaderContext):
-    def __init__(self):
-        self.task = ManualTask()
-        self.pool = ManualPool(self.task)
-
+class Context(LoneContext):
     def profile(self):
         return make_profile(weight_bytes=WEIGHT_BYTES)
 
-    def origin(self):
-        return None
-
-    def own_peer(self):
-        return Peer(Address("127.0.0.1", 7000), "region-1")
-
-    def peers(self):
-        return []
-
-    def can_plan_transfer(self):
-        return True
-
-    def region_of(self, availability_zone):
-        return "region-1"
-
-    def can_interrupt_requests(self):
-        return False
-
-    def refresh_lists(self):
-        pass
-
-    def announce_pieces(self, piece_map, addresses):
-        pass
-
-    def on_serving_changed(self):
-        pass
-
-    def upload_count(self):
-        return 0
-
 
 class EndlessTransfer:
     """A transfer that is in progress and never completes."""
--- a/testing/loaderreplay.py
+++ b/testing/loaderreplay.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 from urllib.parse import parse_qs, unquote, urlsplit
 
-from manualtask import ManualTask, StoreCall
+from manualtask import ManualPool, ManualTask, StoreCall
 from sitebuilders import make_profile
 
 from bamboolever.config.model import WeightOrigin
@@ -166,7 +166,48 @@
         return 202
 
 
-class ReplayAgent(LoaderContext):
+class LoneContext(LoaderContext):
+    """The context of an agent without peers, of which nothing is asked."""
+
+    def __init__(self):
+        self.task = ManualTask()
+        self.pool = ManualPool(self.task)
+
+    def profile(self):
+        return make_profile()
+
+    def origin(self):
+        return None
+
+    def own_peer(self):
+        return Peer(Address("127.0.0.1", 7000), "region-1")
+
+    def peers(self):
+        return []
+
+    def can_plan_transfer(self):
+        return True
+
+    def region_of(self, availability_zone):
+        return "region-1"
+
+    def can_interrupt_requests(self):
+        return False
+
+    def refresh_lists(self):
+        pass
+
+    def announce_pieces(self, piece_map, addresses):
+        pass
+
+    def on_serving_changed(self):
+        pass
+
+    def upload_count(self):
+        return 0
+
+
+class ReplayAgent(LoneContext):
     """One agent; it starts ``start_s`` after the replay with ``profile``."""
 
     def __init__(self, replay, number, engine, profile):
@@ -256,28 +297,10 @@
             if each is not self and each.models == self.models
         ]
 
-    def can_plan_transfer(self):
-        return True
-
-    def region_of(self, availability_zone):
-        return "region-1"
-
-    def can_interrupt_requests(self):
-        return False
-
-    def refresh_lists(self):
-        pass
-
     def announce_pieces(self, piece_map, addresses):
         is_named = self.rollouts.is_known(piece_map.model, piece_map.version)
         self.replay.announce(self.own.address, piece_map, addresses, is_named)
 
-    def on_serving_changed(self):
-        pass
-
-    def upload_count(self):
-        return 0
-
 
 class LoaderReplay:
     """Agents with an engine each, on one clock; none has started yet.
