Only a load that tells of a lost store is compared with those of the other peers

Each load datagram of a peer counted all peers that have lost the store; now only one that says so does. A comment says why the loss of any watch counts for the list.

--- a/src/bamboolever/calls/upstream.py
+++ b/src/bamboolever/calls/upstream.py
@@ -106,8 +106,7 @@
     begin before ``begin_by``. ``_reported_version`` is the version in the agent's last
     report, ``_stated_version`` the one that a response stated last, ``slowdown_at``
     when its slowdown was reported. ``stated_load`` is the last load that it stated with
-    a response, at ``stated_at``. ``region`` is None if the
-    zone's region is unknown.
+    a response, at ``stated_at``. ``region`` is None if the zone's region is unknown.
     """
 
     record: UpstreamRecord
--- a/src/bamboolever/daemons/entry.py
+++ b/src/bamboolever/daemons/entry.py
@@ -327,6 +327,7 @@
                 self.fleet.note_list_current(as_of)
 
     def _on_reachability(self, is_reachable: bool) -> None:
+        # That of any watch: the list holds one call for long and notices little.
         self.fleet.upstreams.set_store_reachable(is_reachable, self.task.now())
         # The next entry in rank watches the store while this one has lost it.
         self.exchange.schedule_load_update()
--- a/src/bamboolever/daemons/storerelay.py
+++ b/src/bamboolever/daemons/storerelay.py
@@ -120,16 +120,19 @@
         revisions = load.store_revisions
         for watch, revision in zip(self._watches.values(), revisions, strict=False):
             watch.catch_up_to(load.store_era, revision, sender)
-        known, self._lost_watchers = (
-            self._lost_watchers,
-            self._fleet.peers.lost_watchers(self._now()),
-        )
-        is_any_new = bool(self._lost_watchers - known)
-        if not is_any_new or self.has_lost_store:
+        if not load.has_lost_store:
+            self._lost_watchers -= {sender}
+            return
+        is_new = sender not in self._lost_watchers
+        self._lost_watchers = self._fleet.peers.lost_watchers(self._now())
+        if is_new and not self.has_lost_store:
+            self._call_in_place_of_peers()
+
+    def _call_in_place_of_peers(self) -> None:
+        if len(self._lost_watchers) >= MIN_LOST_WATCHERS:
             return
-        if len(self._lost_watchers) < MIN_LOST_WATCHERS:
-            for watch in self._watches.values():
-                watch.call_if_due()
+        for watch in self._watches.values():
+            watch.call_if_due()
 
     def on_load_sent(self, sequence: int, now: float) -> None:
         """Record when a load was sent to the peers."""
