--- a/src/bamboolever/_signals.py
+++ b/src/bamboolever/_signals.py
@@ -1,19 +1,14 @@
-"""Handles signals without locks.
+"""Lets the main thread wait for a signal without locks.
 
 A signal handler runs on the main thread between any two of its steps, also while that
 thread holds a lock, or inside another handler. If it waited for a lock, nobody could
-release that any more. The handlers here only write to a socket, or send a message to a
-task, which takes no lock either.
+release that any more. The handler here only writes to a socket.
 """
 
 import signal
 import socket
-from collections.abc import Callable
-from types import FrameType
 from typing import final
 
-from bamboolever._task import IoTask
-
 
 @final
 class StopRequest:
@@ -39,26 +34,3 @@
     def wait(self) -> None:
         """Wait until `set` was called."""
         self._receiver.recv(1)
-
-
-@final
-class SignalMessage:
-    """A signal handler that calls ``action`` on a task's thread.
-
-    Signals that arrive before the action begins are handled by that one call.
-    """
-
-    def __init__(self, task: IoTask, action: Callable[[], None]):
-        self._task = task
-        self._action = action
-        self._is_pending = False
-
-    def __call__(self, _signum: int, _frame: FrameType | None) -> None:
-        """Send the action to the task unless it is waiting there."""
-        if not self._is_pending:
-            self._is_pending = True
-            self._task.send(self._run)
-
-    def _run(self) -> None:
-        self._is_pending = False
-        self._action()
--- a/src/bamboolever/daemons/process.py
+++ b/src/bamboolever/daemons/process.py
@@ -9,10 +9,10 @@
 from pathlib import Path
 from typing import Protocol
 
-from bamboolever._signals import SignalMessage
 from bamboolever._task import IoTask
 from bamboolever._telemetry import configure_logging
 from bamboolever.daemons.settings import InstanceSettings
+from bamboolever.daemons.signals import SignalMessage
 from bamboolever.platform import nodefile
 from bamboolever.platform.errors import AdapterError
 
--- a/testing/test_signals.py
+++ b/testing/test_signals.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from bamboolever._signals import SignalMessage, StopRequest
+from bamboolever._signals import StopRequest
 from bamboolever._task import IoTask
+from bamboolever.daemons.signals import SignalMessage
 
 WAIT_S = 10.0
 PACKAGE = os.path.dirname(sys.modules[IoTask.__module__].__file__)
